Serve a request end to end with real processes

Cause: nothing existed. Change: module skeleton, HTTP server and client, fleet document, key admission, two-choice routing, caller interface, the serve, check and load commands, stand-ins for platform and minions, setup, test, lint, format and demo scripts.

--- /dev/null
+++ b/src/admission/admission.h
@@ -0,0 +1,16 @@
+// Decides whether a request may enter a queue, and for which workspace it runs.
+#pragma once
+
+#include "fleet/fleetdocument.h"
+#include "global/result.h"
+
+#include <string_view>
+
+namespace cyclamenlatch::admission {
+
+// presentedKey is empty when the caller sent none. The answer for an unknown key and for a wrong
+// secret is the same, and takes the same steps. An open queue without a key yields an empty id.
+Result<WorkspaceId> admit(const fleet::FleetDocument &fleet, const fleet::Queue &queue,
+                          std::string_view presentedKey);
+
+} // namespace cyclamenlatch::admission
--- /dev/null
+++ b/src/app/entry.h
@@ -0,0 +1,42 @@
+// One entry process: composes the modules and runs until it is told to stop.
+#pragma once
+
+#include "app/entrysettings.h"
+#include "callerapi/callerapi.h"
+#include "dispatch/dispatcher.h"
+#include "global/result.h"
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "net/workerthreads.h"
+#include "platform/storeclient.h"
+
+#include <atomic>
+
+namespace cyclamenlatch::app {
+
+class Entry
+{
+public:
+    explicit Entry(EntrySettings settings);
+
+    Result<void> start();
+    // Stops gracefully: unready, finish what is in flight, close.
+    void stop();
+
+private:
+    void watchFleet(platform::StoreRevision after);
+    void takeFleet(const platform::StoreListing &listing);
+
+    EntrySettings m_settings;
+    net::WorkerThreads m_threads;
+    std::atomic<bool> m_stopping = false;
+    dispatch::Dispatcher m_dispatcher;
+    callerapi::CallerApi m_callerApi;
+    net::HttpServer m_callerServer;
+    platform::StoreClient m_store;
+    // Declared last, so that their completions end before what they use does.
+    net::HttpClient m_minionHttp;
+    net::HttpClient m_platformHttp;
+};
+
+} // namespace cyclamenlatch::app
--- /dev/null
+++ b/src/app/entrysettings.h
@@ -0,0 +1,42 @@
+// Settings of one entry process.
+#pragma once
+
+#include "fleet/mistake.h"
+#include "global/ids.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenlatch::app {
+
+struct ListenAddress
+{
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+struct EntrySettings
+{
+    EntryId entry;
+    DataCentreId dataCentre;
+    ListenAddress callers;
+    // Address of the platform's store, such as "http://127.0.0.1:7000".
+    std::string platformUrl;
+    unsigned threads = 4;
+    // Time that open requests have to finish after SIGTERM.
+    std::chrono::milliseconds shutdownDeadline{30000};
+};
+
+struct EntrySettingsReading
+{
+    // Whole only when there are no mistakes.
+    EntrySettings settings;
+    std::vector<fleet::Mistake> mistakes;
+};
+
+EntrySettingsReading readEntrySettings(std::string_view yaml);
+
+} // namespace cyclamenlatch::app
--- /dev/null
+++ b/src/app/internal/entry.cpp
@@ -0,0 +1,104 @@
+// Starts and stops the parts of an entry, and follows the fleet document in the store.
+#include "app/entry.h"
+
+#include "app/appevents.h"
+#include "fleet/fleetyaml.h"
+
+#include <random>
+#include <thread>
+
+namespace cyclamenlatch::app {
+
+namespace {
+
+constexpr std::size_t maxConnectionsPerMinion = 64;
+constexpr std::chrono::milliseconds storeTimeout{2000};
+constexpr std::chrono::milliseconds watchWait{10000};
+constexpr std::chrono::milliseconds watchRetryDelay{500};
+constexpr std::chrono::milliseconds drainPollInterval{20};
+constexpr const char *fleetKey = "config/fleet";
+
+net::HttpServerSettings callerServerSettings(const EntrySettings &settings)
+{
+    net::HttpServerSettings server;
+    server.address = settings.callers.address;
+    server.port = settings.callers.port;
+    return server;
+}
+
+} // namespace
+
+Entry::Entry(EntrySettings settings)
+    : m_settings(std::move(settings))
+    , m_threads(m_settings.threads)
+    , m_dispatcher(m_minionHttp, std::random_device{}())
+    , m_callerApi(m_dispatcher)
+    , m_callerServer(m_threads.context(), callerServerSettings(m_settings),
+                     [this](net::HttpRequest request, net::HttpResponder respond) {
+                         m_callerApi.handle(std::move(request), std::move(respond));
+                     })
+    , m_store(m_platformHttp, m_settings.platformUrl, storeTimeout)
+    , m_minionHttp(maxConnectionsPerMinion)
+{}
+
+Result<void> Entry::start()
+{
+    BOOST_OUTCOME_TRY(m_callerServer.start());
+    logEvent(entryStarted, "{} in {} on {}:{}", m_settings.entry.value(),
+             m_settings.dataCentre.value(), m_settings.callers.address, m_callerServer.port());
+    watchFleet(0);
+    return success();
+}
+
+void Entry::watchFleet(platform::StoreRevision after)
+{
+    if (m_stopping) {
+        return;
+    }
+    m_store.watch(fleetKey, after, watchWait,
+                  [this, after](Result<platform::StoreListing> listing) {
+                      if (!listing) {
+                          if (!m_stopping) {
+                              std::this_thread::sleep_for(watchRetryDelay);
+                          }
+                          return watchFleet(after);
+                      }
+                      takeFleet(listing.value());
+                      watchFleet(listing.value().revision);
+                  });
+}
+
+void Entry::takeFleet(const platform::StoreListing &listing)
+{
+    for (const auto &item : listing.items) {
+        if (item.key != fleetKey || item.deleted) {
+            continue;
+        }
+        auto reading = fleet::readFleet(item.value);
+        if (!reading.mistakes.empty()) {
+            logEvent(fleetRefused, "revision {}: {}", item.revision,
+                     reading.mistakes.front().toString());
+            continue;
+        }
+        auto fleet = std::make_shared<const fleet::FleetDocument>(std::move(reading.document));
+        m_dispatcher.setFleet(fleet);
+        m_callerApi.setFleet(fleet);
+        logEvent(fleetTaken, "revision {}", item.revision);
+    }
+}
+
+void Entry::stop()
+{
+    logEvent(entryLeaving, "{} requests in flight", m_callerApi.inFlight());
+    m_stopping = true;
+    m_callerApi.setLeaving();
+    const auto deadline = steadyNow() + m_settings.shutdownDeadline;
+    while (m_callerApi.inFlight() > 0 && steadyNow() < deadline) {
+        std::this_thread::sleep_for(drainPollInterval);
+    }
+    logEvent(entryStopped, "{} requests cut", m_callerApi.inFlight());
+    m_callerServer.stop();
+    m_threads.stop();
+}
+
+} // namespace cyclamenlatch::app
--- /dev/null
+++ b/src/app/internal/entrysettings.cpp
@@ -0,0 +1,54 @@
+// Reads an entry's settings from YAML.
+#include "app/entrysettings.h"
+
+#include "fleet/yamlreader.h"
+
+namespace cyclamenlatch::app {
+
+namespace {
+
+constexpr unsigned maxPort = 65535;
+constexpr unsigned maxThreads = 256;
+constexpr unsigned maxShutdownMilliseconds = 3600000;
+
+ListenAddress readListenAddress(fleet::YamlReader &parent, const std::string &field,
+                                std::vector<fleet::Mistake> &mistakes)
+{
+    ListenAddress listen;
+    const auto node = parent.child(field);
+    if (!node.IsDefined()) {
+        parent.addMistake(parent.line(), "the settings have no \"" + field + "\"",
+                          "add \"" + field + ": {address: 127.0.0.1, port: 8080}\"");
+        return listen;
+    }
+    fleet::YamlReader reader(node, field, mistakes);
+    listen.address = reader.requiredText("address");
+    listen.port = static_cast<std::uint16_t>(reader.count("port", 0, 0, maxPort));
+    reader.refuseUnknownFields();
+    return listen;
+}
+
+} // namespace
+
+EntrySettingsReading readEntrySettings(std::string_view yaml)
+{
+    EntrySettingsReading reading;
+    auto &settings = reading.settings;
+    try {
+        const auto root = YAML::Load(std::string(yaml));
+        fleet::YamlReader reader(root, "the settings", reading.mistakes);
+        settings.entry = EntryId(reader.requiredText("entry"));
+        settings.dataCentre = DataCentreId(reader.requiredText("dataCentre"));
+        settings.callers = readListenAddress(reader, "callers", reading.mistakes);
+        settings.platformUrl = reader.requiredText("platform");
+        settings.threads = reader.count("threads", settings.threads, 1, maxThreads);
+        settings.shutdownDeadline = std::chrono::milliseconds(
+                reader.count("shutdownDeadlineMs", 30000, 1, maxShutdownMilliseconds));
+        reader.refuseUnknownFields();
+    } catch (const YAML::Exception &error) {
+        reading.mistakes.push_back({error.mark.line + 1, error.msg, "correct the YAML there"});
+    }
+    return reading;
+}
+
+} // namespace cyclamenlatch::app
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,40 @@
+// Chooses the command named on the command line.
+#include "app/commands.h"
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <iostream>
+#include <string_view>
+
+namespace {
+
+constexpr const char *usage = "cyclamenlatch COMMAND [--flags]\n"
+                              "  serve --config FILE    run an entry\n"
+                              "  check FILE...          validate settings or fleet documents\n"
+                              "  load --queue NAME ...  send requests and check every answer\n"
+                              "See cyclamenlatch --help for the flags.\n";
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    using namespace cyclamenlatch::app;
+    gflags::SetUsageMessage(usage);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+
+    const std::string_view command = argc > 1 ? argv[1] : "";
+    if (command == "serve") {
+        return runServe();
+    }
+    if (command == "check") {
+        return runCheck(argc, argv);
+    }
+    if (command == "load") {
+        return runLoad();
+    }
+    std::cerr << usage;
+    return exitUsage;
+}
--- /dev/null
+++ b/src/fleet/fleetyaml.h
@@ -0,0 +1,23 @@
+// Reads and writes the fleet document as YAML; reports every mistake at once.
+#pragma once
+
+#include "fleet/fleetdocument.h"
+#include "fleet/mistake.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenlatch::fleet {
+
+struct FleetReading
+{
+    // Whole only when there are no mistakes.
+    FleetDocument document;
+    std::vector<Mistake> mistakes;
+};
+
+FleetReading readFleet(std::string_view yaml);
+std::string writeFleet(const FleetDocument &document);
+
+} // namespace cyclamenlatch::fleet
--- /dev/null
+++ b/src/fleet/internal/fleetyaml.cpp
@@ -0,0 +1,303 @@
+// The YAML form of the fleet document.
+#include "fleet/fleetyaml.h"
+
+#include "fleet/yamlreader.h"
+
+#include <fmt/format.h>
+
+#include <set>
+
+namespace cyclamenlatch::fleet {
+
+namespace {
+
+constexpr unsigned maxSlots = 4096;
+constexpr unsigned maxLimit = 1000000;
+constexpr double maxWeight = 1e6;
+constexpr unsigned maxTimeoutMilliseconds = 3600000;
+
+// Reads one section: a sequence of mappings, each turned into an item by readItem.
+template<typename Item, typename ReadItem>
+std::vector<Item> readSection(YamlReader &root, const std::string &section,
+                              std::vector<Mistake> &mistakes, const ReadItem &readItem)
+{
+    std::vector<Item> items;
+    std::set<std::string> names;
+    const auto nodes = root.child(section);
+    if (!nodes.IsDefined()) {
+        return items;
+    }
+    if (!nodes.IsSequence()) {
+        root.addMistake(nodes.Mark().line + 1, fmt::format("\"{}\" is not a list", section),
+                        "write one item per \"- name: ...\"");
+        return items;
+    }
+    for (std::size_t index = 0; index < nodes.size(); ++index) {
+        YamlReader reader(nodes[index], fmt::format("{}[{}]", section, index), mistakes);
+        Item item = readItem(reader);
+        reader.refuseUnknownFields();
+        if (!item.id.empty() && !names.insert(item.id.value()).second) {
+            reader.addMistake(
+                    reader.line(),
+                    fmt::format("{} has two items named \"{}\"", section, item.id.value()),
+                    "remove or rename one of them");
+        }
+        items.push_back(std::move(item));
+    }
+    return items;
+}
+
+DataCentre readDataCentre(YamlReader &reader)
+{
+    DataCentre dataCentre;
+    dataCentre.id = DataCentreId(reader.requiredText("name"));
+    dataCentre.region = reader.text("region", "default");
+    return dataCentre;
+}
+
+Pool readPool(YamlReader &reader)
+{
+    Pool pool;
+    pool.id = PoolId(reader.requiredText("name"));
+    pool.spare = reader.flag("spare", false);
+    return pool;
+}
+
+Labels readLabels(YamlReader &reader)
+{
+    Labels labels;
+    const auto node = reader.child("labels");
+    if (!node.IsDefined()) {
+        return labels;
+    }
+    if (!node.IsMap()) {
+        reader.addMistake(node.Mark().line + 1, "\"labels\" is not a mapping",
+                          "write it as {label: value}");
+        return labels;
+    }
+    for (const auto &pair : node) {
+        if (!pair.second.IsScalar()) {
+            reader.addMistake(pair.first.Mark().line + 1, "a label's value is not text",
+                              "write one value per label");
+            continue;
+        }
+        labels[pair.first.Scalar()] = pair.second.Scalar();
+    }
+    return labels;
+}
+
+Worker readWorker(YamlReader &reader)
+{
+    Worker worker;
+    worker.id = WorkerId(reader.requiredText("name"));
+    worker.dataCentre = DataCentreId(reader.requiredText("dataCentre"));
+    worker.rack = RackId(reader.requiredText("rack"));
+    worker.pool = PoolId(reader.requiredText("pool"));
+    worker.minionAddress = reader.requiredText("minion");
+    worker.slots = reader.count("slots", 8, 1, maxSlots);
+    worker.resources.processors = reader.number("processors", 0, 0);
+    worker.resources.memoryMib = reader.number("memoryMib", 0, 0);
+    worker.resources.accelerators = reader.count("accelerators", 0, 0, maxSlots);
+    worker.labels = readLabels(reader);
+    return worker;
+}
+
+Service readService(YamlReader &reader)
+{
+    Service service;
+    service.id = ServiceId(reader.requiredText("name"));
+    service.pool = PoolId(reader.requiredText("pool"));
+    service.maxUnavailable = reader.count("maxUnavailable", 1, 0, maxLimit);
+    service.objective = reader.number("objective", 0.999, 0.0, 0.999999);
+    return service;
+}
+
+Queue readQueue(YamlReader &reader)
+{
+    Queue queue;
+    queue.id = QueueId(reader.requiredText("name"));
+    queue.service = ServiceId(reader.requiredText("service"));
+    const auto selector = Selector::parse(reader.text("selector", ""));
+    if (selector) {
+        queue.selector = selector.value();
+    } else {
+        reader.addMistake(reader.line(), selector.error().message, selector.error().remedy);
+    }
+    queue.open = reader.flag("open", false);
+    queue.urgent = reader.flag("urgent", false);
+    queue.idempotent = reader.flag("idempotent", false);
+    queue.timeout =
+            std::chrono::milliseconds(reader.count("timeoutMs", 30000, 1, maxTimeoutMilliseconds));
+    return queue;
+}
+
+Workspace readWorkspace(YamlReader &reader)
+{
+    Workspace workspace;
+    workspace.id = WorkspaceId(reader.requiredText("name"));
+    workspace.weight = reader.number("weight", 1, 1e-6, maxWeight);
+    workspace.limit = reader.count("limit", 1, 0, maxLimit);
+    workspace.serveWhenIsolated = reader.flag("serveWhenIsolated", false);
+    return workspace;
+}
+
+Key readKey(YamlReader &reader)
+{
+    Key key;
+    key.id = KeyId(reader.requiredText("name"));
+    key.workspace = WorkspaceId(reader.requiredText("workspace"));
+    key.hash = reader.requiredText("hash");
+    return key;
+}
+
+template<typename Item>
+std::set<std::string> namesOf(const std::vector<Item> &items)
+{
+    std::set<std::string> names;
+    for (const auto &item : items) {
+        names.insert(item.id.value());
+    }
+    return names;
+}
+
+void requireReference(const std::set<std::string> &names, const std::string &name,
+                      std::string_view from, std::string_view kind, std::vector<Mistake> &mistakes)
+{
+    if (name.empty() || names.contains(name)) {
+        return;
+    }
+    mistakes.push_back(
+            {0, fmt::format("{} names the {} \"{}\", which does not exist", from, kind, name),
+             fmt::format("add the {} or correct the name", kind)});
+}
+
+void checkReferences(const FleetDocument &document, std::vector<Mistake> &mistakes)
+{
+    const auto dataCentres = namesOf(document.dataCentres);
+    const auto pools = namesOf(document.pools);
+    const auto services = namesOf(document.services);
+    const auto workspaces = namesOf(document.workspaces);
+    for (const auto &worker : document.workers) {
+        const auto from = fmt::format("worker \"{}\"", worker.id.value());
+        requireReference(dataCentres, worker.dataCentre.value(), from, "data centre", mistakes);
+        requireReference(pools, worker.pool.value(), from, "pool", mistakes);
+    }
+    for (const auto &service : document.services) {
+        requireReference(pools, service.pool.value(),
+                         fmt::format("service \"{}\"", service.id.value()), "pool", mistakes);
+    }
+    for (const auto &queue : document.queues) {
+        requireReference(services, queue.service.value(),
+                         fmt::format("queue \"{}\"", queue.id.value()), "service", mistakes);
+    }
+    for (const auto &key : document.keys) {
+        requireReference(workspaces, key.workspace.value(),
+                         fmt::format("key \"{}\"", key.id.value()), "workspace", mistakes);
+    }
+}
+
+void readSections(const YAML::Node &root, FleetReading &reading)
+{
+    auto &document = reading.document;
+    auto &mistakes = reading.mistakes;
+    YamlReader reader(root, "the fleet document", mistakes);
+    document.dataCentres = readSection<DataCentre>(reader, "dataCentres", mistakes, readDataCentre);
+    document.pools = readSection<Pool>(reader, "pools", mistakes, readPool);
+    document.workers = readSection<Worker>(reader, "workers", mistakes, readWorker);
+    document.services = readSection<Service>(reader, "services", mistakes, readService);
+    document.queues = readSection<Queue>(reader, "queues", mistakes, readQueue);
+    document.workspaces = readSection<Workspace>(reader, "workspaces", mistakes, readWorkspace);
+    document.keys = readSection<Key>(reader, "keys", mistakes, readKey);
+    reader.refuseUnknownFields();
+}
+
+void writeLabels(YAML::Emitter &out, const Labels &labels)
+{
+    out << YAML::Key << "labels" << YAML::Value << YAML::Flow << YAML::BeginMap;
+    for (const auto &[label, value] : labels) {
+        out << YAML::Key << label << YAML::Value << value;
+    }
+    out << YAML::EndMap;
+}
+
+template<typename Value>
+void writeField(YAML::Emitter &out, const char *field, const Value &value)
+{
+    out << YAML::Key << field << YAML::Value << value;
+}
+
+template<typename Item, typename WriteItem>
+void writeSection(YAML::Emitter &out, const char *section, const std::vector<Item> &items,
+                  const WriteItem &writeItem)
+{
+    out << YAML::Key << section << YAML::Value << YAML::BeginSeq;
+    for (const auto &item : items) {
+        out << YAML::Flow << YAML::BeginMap;
+        writeField(out, "name", item.id.value());
+        writeItem(item);
+        out << YAML::EndMap;
+    }
+    out << YAML::EndSeq;
+}
+
+} // namespace
+
+FleetReading readFleet(std::string_view yaml)
+{
+    FleetReading reading;
+    try {
+        readSections(YAML::Load(std::string(yaml)), reading);
+    } catch (const YAML::Exception &error) {
+        reading.mistakes.push_back({error.mark.line + 1, error.msg, "correct the YAML there"});
+        return reading;
+    }
+    checkReferences(reading.document, reading.mistakes);
+    return reading;
+}
+
+std::string writeFleet(const FleetDocument &document)
+{
+    YAML::Emitter out;
+    out << YAML::BeginMap;
+    writeSection(out, "dataCentres", document.dataCentres,
+                 [&out](const DataCentre &item) { writeField(out, "region", item.region); });
+    writeSection(out, "pools", document.pools,
+                 [&out](const Pool &item) { writeField(out, "spare", item.spare); });
+    writeSection(out, "workers", document.workers, [&out](const Worker &item) {
+        writeField(out, "dataCentre", item.dataCentre.value());
+        writeField(out, "rack", item.rack.value());
+        writeField(out, "pool", item.pool.value());
+        writeField(out, "minion", item.minionAddress);
+        writeField(out, "slots", item.slots);
+        writeField(out, "processors", item.resources.processors);
+        writeField(out, "memoryMib", item.resources.memoryMib);
+        writeField(out, "accelerators", item.resources.accelerators);
+        writeLabels(out, item.labels);
+    });
+    writeSection(out, "services", document.services, [&out](const Service &item) {
+        writeField(out, "pool", item.pool.value());
+        writeField(out, "maxUnavailable", item.maxUnavailable);
+        writeField(out, "objective", item.objective);
+    });
+    writeSection(out, "queues", document.queues, [&out](const Queue &item) {
+        writeField(out, "service", item.service.value());
+        writeField(out, "selector", item.selector.toString());
+        writeField(out, "open", item.open);
+        writeField(out, "urgent", item.urgent);
+        writeField(out, "idempotent", item.idempotent);
+        writeField(out, "timeoutMs", item.timeout.count());
+    });
+    writeSection(out, "workspaces", document.workspaces, [&out](const Workspace &item) {
+        writeField(out, "weight", item.weight);
+        writeField(out, "limit", item.limit);
+        writeField(out, "serveWhenIsolated", item.serveWhenIsolated);
+    });
+    writeSection(out, "keys", document.keys, [&out](const Key &item) {
+        writeField(out, "workspace", item.workspace.value());
+        writeField(out, "hash", item.hash);
+    });
+    out << YAML::EndMap;
+    return std::string(out.c_str()) + "\n";
+}
+
+} // namespace cyclamenlatch::fleet
--- /dev/null
+++ b/src/fleet/tests/fleetyaml_tests.cpp
@@ -0,0 +1,62 @@
+// The fleet document survives a round trip, and every mistake is reported at once.
+#include "fleet/fleetyaml.h"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenlatch::fleet {
+namespace {
+
+constexpr const char *wholeDocument = R"(
+dataCentres:
+  - {name: dc-a, region: west}
+pools:
+  - {name: swaps}
+workers:
+  - {name: w-1, dataCentre: dc-a, rack: r-1, pool: swaps, minion: "127.0.0.1:9001",
+     labels: {tier: gold}, processors: 16, memoryMib: 65536}
+services:
+  - {name: swaps, pool: swaps, maxUnavailable: 2}
+queues:
+  - {name: swaps, service: swaps, selector: "tier=gold", timeoutMs: 2000}
+workspaces:
+  - {name: drivers, weight: 3, limit: 40}
+keys:
+  - {name: k-1, workspace: drivers, hash: abcd}
+)";
+
+TEST(FleetYaml, survivesRoundTrip)
+{
+    const auto first = readFleet(wholeDocument);
+    ASSERT_TRUE(first.mistakes.empty()) << first.mistakes.front().toString();
+    EXPECT_EQ(first.document.workers.front().labels.at("tier"), "gold");
+    const auto second = readFleet(writeFleet(first.document));
+    ASSERT_TRUE(second.mistakes.empty()) << second.mistakes.front().toString();
+    EXPECT_EQ(second.document, first.document);
+}
+
+TEST(FleetYaml, reportsEveryMistakeAtOnceWithLineAndRemedy)
+{
+    const auto reading = readFleet(R"(
+pools:
+  - {name: swaps, colour: red}
+workers:
+  - {name: w-1, dataCentre: nowhere, rack: r-1, pool: swaps, minion: "127.0.0.1:1", slots: 0}
+queues:
+  - {name: swaps, service: missing, selector: "a="}
+)");
+    ASSERT_EQ(reading.mistakes.size(), 5U);
+    EXPECT_EQ(reading.mistakes[0].line, 3);
+    for (const auto &mistake : reading.mistakes) {
+        EXPECT_FALSE(mistake.remedy.empty()) << mistake.message;
+    }
+}
+
+TEST(FleetYaml, refusesBrokenYamlWithItsLine)
+{
+    const auto reading = readFleet("pools:\n  - {name: [");
+    ASSERT_EQ(reading.mistakes.size(), 1U);
+    EXPECT_GT(reading.mistakes[0].line, 0);
+}
+
+} // namespace
+} // namespace cyclamenlatch::fleet
--- /dev/null
+++ b/src/net/httpcallresult.h
@@ -0,0 +1,27 @@
+// How an outgoing HTTP call ended, with proof of whether the peer can have seen any of it.
+#pragma once
+
+#include "net/httpreply.h"
+
+#include <optional>
+#include <string>
+
+namespace cyclamenlatch::net {
+
+enum class SendState {
+    // No byte of the request was written to any connection.
+    NotSent,
+    // Some or all of the request may have reached the peer.
+    MaybeSent,
+};
+
+struct HttpCallResult
+{
+    SendState sendState = SendState::NotSent;
+    // Set only when the whole reply arrived.
+    std::optional<HttpReply> reply;
+    // Why there is no reply; empty when there is one.
+    std::string failure;
+};
+
+} // namespace cyclamenlatch::net
--- /dev/null
+++ b/src/net/httpreply.h
@@ -0,0 +1,17 @@
+// An HTTP reply: what a server handler answers, or what a client received whole.
+#pragma once
+
+#include "net/httpheaders.h"
+
+#include <string>
+
+namespace cyclamenlatch::net {
+
+struct HttpReply
+{
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+} // namespace cyclamenlatch::net
--- /dev/null
+++ b/src/net/httpserversettings.h
@@ -0,0 +1,24 @@
+// Where an HTTP server listens and what it accepts.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace cyclamenlatch::net {
+
+struct HttpServerSettings
+{
+    std::string address = "127.0.0.1";
+    // 0 lets the system choose; HttpServer::port() tells which.
+    std::uint16_t port = 0;
+    std::size_t maxBodyBytes = std::size_t{9} * 1024 * 1024;
+    std::size_t maxFieldBytes = std::size_t{16} * 1024;
+    std::size_t maxFieldCount = 100;
+    std::chrono::seconds readTimeout{30};
+    std::chrono::seconds handleTimeout{600};
+    std::size_t maxConnections = 4096;
+};
+
+} // namespace cyclamenlatch::net
--- /dev/null
+++ b/src/net/internal/httpclient.cpp
@@ -0,0 +1,348 @@
+// Drives libcurl's multi socket interface from one Asio thread.
+#include "net/httpclient.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace cyclamenlatch::net {
+
+namespace {
+
+// Idle connections older than this are not reused, so that one which something in between has
+// forgotten is seldom chosen.
+constexpr long maxIdleSeconds = 20;
+
+struct Transfer
+{
+    CURL *easy = nullptr;
+    curl_slist *headerList = nullptr;
+    HttpCall call;
+    HttpClient::Completion completion;
+    HttpReply reply;
+    SendState sendState = SendState::NotSent;
+
+    Transfer() = default;
+    Transfer(const Transfer &) = delete;
+    Transfer &operator=(const Transfer &) = delete;
+    ~Transfer() { curl_slist_free_all(headerList); }
+};
+
+// Called when a connection is ready and before the first byte is written. A second call for one
+// transfer means that libcurl wants to write the request again; the abort keeps it from running
+// twice.
+int beforeRequest(void *context, char *, char *, int, int)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    if (transfer->sendState == SendState::MaybeSent) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    transfer->sendState = SendState::MaybeSent;
+    return CURL_PREREQFUNC_OK;
+}
+
+std::size_t receiveBody(char *data, std::size_t size, std::size_t count, void *context)
+{
+    static_cast<Transfer *>(context)->reply.body.append(data, size * count);
+    return size * count;
+}
+
+std::size_t receiveHeader(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    std::string_view line(data, size * count);
+    if (line.starts_with("HTTP/")) {
+        transfer->reply.headers = HttpHeaders{};
+        return line.size();
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return line.size();
+    }
+    const auto first = line.find_first_not_of(" \t", colon + 1);
+    const auto last = line.find_last_not_of(" \t\r\n");
+    const auto value = first == std::string_view::npos || last < first
+                               ? std::string_view{}
+                               : line.substr(first, last - first + 1);
+    transfer->reply.headers.add(std::string(line.substr(0, colon)), std::string(value));
+    return line.size();
+}
+
+void initializeCurl()
+{
+    static const CURLcode initialized = curl_global_init(CURL_GLOBAL_ALL);
+    static_cast<void>(initialized);
+}
+
+} // namespace
+
+class HttpClient::Private
+{
+public:
+    explicit Private(std::size_t maxConnectionsPerHost)
+        : m_work(asio::make_work_guard(m_context))
+        , m_timer(m_context)
+    {
+        initializeCurl();
+        m_multi = curl_multi_init();
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Private::onSocket);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Private::onTimer);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                          static_cast<long>(maxConnectionsPerHost));
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, 1024L);
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~Private()
+    {
+        asio::post(m_context, [this] { abortAll(); });
+        m_work.reset();
+        m_thread.join();
+    }
+
+    Private(const Private &) = delete;
+    Private &operator=(const Private &) = delete;
+
+    void send(HttpCall call, Completion completion)
+    {
+        asio::post(m_context,
+                   [this, call = std::move(call), completion = std::move(completion)]() mutable {
+                       start(std::move(call), std::move(completion));
+                   });
+    }
+
+private:
+    struct Socket
+    {
+        explicit Socket(asio::io_context &context, curl_socket_t handle)
+            : descriptor(context, handle)
+        {}
+        asio::posix::stream_descriptor descriptor;
+        // What libcurl wants to hear of.
+        int wanted = 0;
+        bool readPending = false;
+        bool writePending = false;
+    };
+    using SocketPointer = std::shared_ptr<Socket>;
+
+    void start(HttpCall call, Completion completion)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->call = std::move(call);
+        transfer->completion = std::move(completion);
+        transfer->easy = takeEasy();
+        configure(*transfer);
+        CURL *easy = transfer->easy;
+        m_transfers.emplace(easy, std::move(transfer));
+        curl_multi_add_handle(m_multi, easy);
+    }
+
+    CURL *takeEasy()
+    {
+        if (m_idleEasy.empty()) {
+            return curl_easy_init();
+        }
+        CURL *easy = m_idleEasy.back();
+        m_idleEasy.pop_back();
+        return easy;
+    }
+
+    static void configure(Transfer &transfer)
+    {
+        CURL *easy = transfer.easy;
+        const auto &call = transfer.call;
+        curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                         static_cast<long>(call.connectTimeout.count()));
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeRequest);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &receiveBody);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &receiveHeader);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+        if (call.method != "GET") {
+            curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        }
+        if (call.method == "POST" || call.method == "PUT" || !call.body.empty()) {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                             static_cast<curl_off_t>(call.body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+            transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
+        }
+        for (const auto &header : call.headers.all()) {
+            const std::string line = header.name + ": " + header.value;
+            transfer.headerList = curl_slist_append(transfer.headerList, line.c_str());
+        }
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headerList);
+    }
+
+    static int onSocket(CURL *, curl_socket_t handle, int what, void *context, void *)
+    {
+        static_cast<Private *>(context)->changeSocket(handle, what);
+        return 0;
+    }
+
+    void changeSocket(curl_socket_t handle, int what)
+    {
+        if (what == CURL_POLL_REMOVE) {
+            const auto found = m_sockets.find(handle);
+            if (found != m_sockets.end()) {
+                found->second->wanted = 0;
+                found->second->descriptor.release();
+                m_sockets.erase(found);
+            }
+            return;
+        }
+        auto &socket = m_sockets[handle];
+        if (!socket) {
+            socket = std::make_shared<Socket>(m_context, handle);
+        }
+        socket->wanted = what;
+        waitFor(handle, socket);
+    }
+
+    void waitFor(curl_socket_t handle, const SocketPointer &socket)
+    {
+        if ((socket->wanted & CURL_POLL_IN) != 0 && !socket->readPending) {
+            socket->readPending = true;
+            socket->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                                          [this, handle, socket](const asio::error_code &error) {
+                                              socket->readPending = false;
+                                              onReady(handle, socket, CURL_CSELECT_IN, error);
+                                          });
+        }
+        if ((socket->wanted & CURL_POLL_OUT) != 0 && !socket->writePending) {
+            socket->writePending = true;
+            socket->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+                                          [this, handle, socket](const asio::error_code &error) {
+                                              socket->writePending = false;
+                                              onReady(handle, socket, CURL_CSELECT_OUT, error);
+                                          });
+        }
+    }
+
+    void onReady(curl_socket_t handle, const SocketPointer &socket, int event,
+                 const asio::error_code &error)
+    {
+        if (error == asio::error::operation_aborted || socket->wanted == 0) {
+            return;
+        }
+        act(handle, error ? CURL_CSELECT_ERR : event);
+        const auto found = m_sockets.find(handle);
+        if (found != m_sockets.end() && found->second == socket) {
+            waitFor(handle, socket);
+        }
+    }
+
+    static int onTimer(CURLM *, long delay, void *context)
+    {
+        static_cast<Private *>(context)->changeTimer(delay);
+        return 0;
+    }
+
+    void changeTimer(long delayMilliseconds)
+    {
+        if (delayMilliseconds < 0) {
+            m_timer.cancel();
+            return;
+        }
+        m_timer.expires_after(std::chrono::milliseconds(delayMilliseconds));
+        m_timer.async_wait([this](const asio::error_code &error) {
+            if (!error) {
+                act(CURL_SOCKET_TIMEOUT, 0);
+            }
+        });
+    }
+
+    void act(curl_socket_t handle, int events)
+    {
+        int running = 0;
+        curl_multi_socket_action(m_multi, handle, events, &running);
+        collectFinished();
+    }
+
+    void collectFinished()
+    {
+        int left = 0;
+        while (CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+            if (message->msg == CURLMSG_DONE) {
+                finish(message->easy_handle, message->data.result);
+            }
+        }
+    }
+
+    void finish(CURL *easy, CURLcode code)
+    {
+        auto node = m_transfers.extract(easy);
+        if (node.empty()) {
+            return;
+        }
+        auto transfer = std::move(node.mapped());
+        HttpCallResult result;
+        result.sendState = transfer->sendState;
+        if (code == CURLE_OK) {
+            long status = 0;
+            curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+            transfer->reply.status = static_cast<int>(status);
+            result.reply = std::move(transfer->reply);
+        } else {
+            result.failure = curl_easy_strerror(code);
+        }
+        curl_multi_remove_handle(m_multi, easy);
+        curl_easy_reset(easy);
+        m_idleEasy.push_back(easy);
+        transfer->completion(std::move(result));
+    }
+
+    void abortAll()
+    {
+        while (!m_transfers.empty()) {
+            finish(m_transfers.begin()->first, CURLE_ABORTED_BY_CALLBACK);
+        }
+        for (CURL *easy : m_idleEasy) {
+            curl_easy_cleanup(easy);
+        }
+        m_idleEasy.clear();
+        curl_multi_cleanup(m_multi);
+        m_timer.cancel();
+        m_sockets.clear();
+    }
+
+    asio::io_context m_context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    asio::steady_timer m_timer;
+    CURLM *m_multi = nullptr;
+    std::unordered_map<CURL *, std::unique_ptr<Transfer>> m_transfers;
+    std::unordered_map<curl_socket_t, SocketPointer> m_sockets;
+    std::vector<CURL *> m_idleEasy;
+    std::thread m_thread;
+};
+
+HttpClient::HttpClient(std::size_t maxConnectionsPerHost)
+    : m_private(std::make_unique<Private>(maxConnectionsPerHost))
+{}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(HttpCall call, Completion completion)
+{
+    m_private->send(std::move(call), std::move(completion));
+}
+
+} // namespace cyclamenlatch::net
--- /dev/null
+++ b/src/net/internal/httpserver.cpp
@@ -0,0 +1,186 @@
+// RESTinio behind HttpServer: converts messages and binds the listening socket.
+#include "net/httpserver.h"
+
+#include <fmt/format.h>
+#include <restinio/all.hpp>
+
+#include <utility>
+
+namespace cyclamenlatch::net {
+
+namespace {
+
+struct ServerTraits : restinio::default_traits_t
+{
+    // NOLINTBEGIN(readability-identifier-naming): RESTinio looks for these names.
+    using request_handler_t =
+            std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+    static constexpr bool use_connection_count_limiter = true;
+    // NOLINTEND(readability-identifier-naming)
+};
+
+using Server = restinio::http_server_t<ServerTraits>;
+
+// Requests that a client may send ahead on one connection.
+constexpr std::size_t maxPipelinedRequests = 4;
+
+HttpRequest convertRequest(const restinio::request_handle_t &handle)
+{
+    HttpRequest request;
+    request.method = handle->header().method().c_str();
+    request.path = std::string(handle->header().path());
+    request.query = std::string(handle->header().query());
+    for (const auto &field : handle->header()) {
+        request.headers.add(std::string(field.name()), std::string(field.value()));
+    }
+    request.body = handle->body();
+    return request;
+}
+
+const char *reasonPhrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 202:
+        return "Accepted";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 403:
+        return "Forbidden";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Payload Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+void sendReply(const restinio::request_handle_t &handle, HttpReply reply)
+{
+    const restinio::http_status_line_t statusLine(
+            restinio::http_status_code_t(static_cast<std::uint16_t>(reply.status)),
+            reasonPhrase(reply.status));
+    auto response = handle->create_response(statusLine);
+    for (const auto &header : reply.headers.all()) {
+        response.append_header(header.name, header.value);
+    }
+    response.set_body(std::move(reply.body));
+    response.done();
+}
+
+} // namespace
+
+class HttpServer::Private
+{
+public:
+    Private(asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
+        : m_context(context)
+        , m_settings(std::move(settings))
+        , m_handler(std::move(handler))
+    {}
+
+    Result<void> start()
+    {
+        try {
+            m_server = std::make_unique<Server>(restinio::external_io_context(m_context),
+                                                makeSettings());
+            m_server->open_sync();
+        } catch (const std::exception &error) {
+            return failure(ErrorKind::Unavailable,
+                           fmt::format("cannot listen on {}:{}: {}", m_settings.address,
+                                       m_settings.port, error.what()),
+                           "choose an address of this host and a free port in the settings");
+        }
+        return success();
+    }
+
+    std::uint16_t port() const { return m_port; }
+
+    void stop()
+    {
+        if (!m_server) {
+            return;
+        }
+        m_server->close_sync();
+    }
+
+private:
+    restinio::server_settings_t<ServerTraits> makeSettings()
+    {
+        restinio::server_settings_t<ServerTraits> settings;
+        settings.address(m_settings.address)
+                .port(m_settings.port)
+                .read_next_http_message_timelimit(m_settings.readTimeout)
+                .handle_request_timeout(m_settings.handleTimeout)
+                .write_http_response_timelimit(m_settings.readTimeout)
+                .max_pipelined_requests(maxPipelinedRequests)
+                .concurrent_accepts_count(4)
+                .max_parallel_connections(m_settings.maxConnections)
+                .separate_accept_and_create_connect(true)
+                .socket_options_setter(
+                        [](auto &options) { options.set_option(asio::ip::tcp::no_delay{true}); })
+                .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                                  .max_url_size(m_settings.maxFieldBytes)
+                                                  .max_field_name_size(m_settings.maxFieldBytes)
+                                                  .max_field_value_size(m_settings.maxFieldBytes)
+                                                  .max_field_count(m_settings.maxFieldCount)
+                                                  .max_body_size(m_settings.maxBodyBytes))
+                .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
+                    m_port = acceptor.local_endpoint().port();
+                })
+                .request_handler([this](restinio::request_handle_t handle) {
+                    auto request = convertRequest(handle);
+                    m_handler(std::move(request),
+                              [handle](HttpReply reply) { sendReply(handle, std::move(reply)); });
+                    return restinio::request_accepted();
+                });
+        return settings;
+    }
+
+    asio::io_context &m_context;
+    HttpServerSettings m_settings;
+    HttpHandler m_handler;
+    std::unique_ptr<Server> m_server;
+    std::uint16_t m_port = 0;
+};
+
+HttpServer::HttpServer(asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
+    : m_private(std::make_unique<Private>(context, std::move(settings), std::move(handler)))
+{}
+
+HttpServer::~HttpServer() = default;
+
+Result<void> HttpServer::start()
+{
+    return m_private->start();
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return m_private->port();
+}
+
+void HttpServer::stop()
+{
+    m_private->stop();
+}
+
+} // namespace cyclamenlatch::net
--- /dev/null
+++ b/src/platform/storewrite.h
@@ -0,0 +1,20 @@
+// A conditional write to the platform's store.
+#pragma once
+
+#include "platform/storeitem.h"
+
+#include <string>
+
+namespace cyclamenlatch::platform {
+
+struct StoreWrite
+{
+    std::string key;
+    std::string value;
+    // The write takes effect only if the key still has this revision; 0: the key does not exist.
+    StoreRevision expected = 0;
+    // Lease that the key lives with; empty for a key that lasts.
+    std::string lease;
+};
+
+} // namespace cyclamenlatch::platform
--- /dev/null
+++ b/standins/minion/minionserver.h
@@ -0,0 +1,63 @@
+// The stand-in minion: starts everything it is given and keeps a ledger of what ran for whom.
+// Lock order: m_mutex is the only lock and is never held while a reply is sent.
+#pragma once
+
+#include "global/time.h"
+#include "net/httpserver.h"
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace cyclamenlatch::standins {
+
+// What a minion does wrong on purpose.
+struct MinionFaults
+{
+    // Answers every request with status 500 at once.
+    bool failFast = false;
+    // Refuses with "Minion-Started: no".
+    bool refuse = false;
+    // Answers with the id of another request.
+    bool crossAnswers = false;
+    // Multiplies the time that work takes.
+    double slowdown = 1;
+};
+
+class MinionServer
+{
+public:
+    MinionServer(asio::io_context &context, std::string name);
+
+    void handle(net::HttpRequest request, net::HttpResponder respond);
+
+private:
+    struct WorkspaceLedger
+    {
+        unsigned running = 0;
+        unsigned mostRunning = 0;
+        std::uint64_t runs = 0;
+    };
+
+    void run(net::HttpRequest request, net::HttpResponder respond);
+    void finish(const std::string &requestId, const std::string &workspace,
+                const std::string &nonce, const net::HttpResponder &respond);
+    net::HttpReply answerLedger();
+    net::HttpReply answerControl(const net::HttpRequest &request);
+
+    asio::io_context &m_context;
+    std::string m_name;
+    std::mutex m_mutex;
+    // All below are guarded by m_mutex.
+    MinionFaults m_faults;
+    unsigned m_running = 0;
+    unsigned m_mostRunning = 0;
+    // Runs by nonce of the work; more than one is a duplicate run.
+    std::map<std::string, unsigned> m_runsByNonce;
+    std::map<std::string, WorkspaceLedger> m_workspaces;
+};
+
+} // namespace cyclamenlatch::standins
