Carry authenticated messages between entries over UDP

Cause: quota grants, configuration, withdrawals and waves need a path between entries. Change: PeerBus seals each datagram with a key derived from the shared secret and hands it to the handler of its topic; entry settings name the peers. Conclusion: best-effort delivery is enough, since every message is made to be repeated.

--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -5,6 +5,7 @@
 #include "callerapi/callerapi.h"
 #include "dispatch/dispatcher.h"
 #include "global/result.h"
+#include "membership/peerbus.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/workerthreads.h"
@@ -30,6 +31,7 @@
     EntrySettings m_settings;
     net::WorkerThreads m_threads;
     std::atomic<bool> m_stopping = false;
+    membership::PeerBus m_peers;
     dispatch::Dispatcher m_dispatcher;
     callerapi::CallerApi m_callerApi;
     net::HttpServer m_callerServer;
--- a/src/app/entrysettings.h
+++ b/src/app/entrysettings.h
@@ -3,6 +3,7 @@
 
 #include "fleet/mistake.h"
 #include "global/ids.h"
+#include "membership/peerbus.h"
 
 #include <chrono>
 #include <cstdint>
@@ -23,6 +24,8 @@
     EntryId entry;
     DataCentreId dataCentre;
     ListenAddress callers;
+    // Where this entry meets its peers, the secret they share, and those known from the start.
+    membership::PeerBusSettings peers;
     // Address of the platform's store, such as "http://127.0.0.1:7000".
     std::string platformUrl;
     unsigned threads = 4;
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -31,6 +31,7 @@
 Entry::Entry(EntrySettings settings)
     : m_settings(std::move(settings))
     , m_threads(m_settings.threads)
+    , m_peers(m_threads.context(), m_settings.peers)
     , m_dispatcher(m_minionHttp, std::random_device{}())
     , m_callerApi(m_dispatcher)
     , m_callerServer(m_threads.context(), callerServerSettings(m_settings),
@@ -43,6 +44,7 @@
 
 Result<void> Entry::start()
 {
+    BOOST_OUTCOME_TRY(m_peers.start());
     BOOST_OUTCOME_TRY(m_callerServer.start());
     logEvent(entryStarted, "{} in {} on {}:{}", m_settings.entry.value(),
              m_settings.dataCentre.value(), m_settings.callers.address, m_callerServer.port());
@@ -98,6 +100,7 @@
     }
     logEvent(entryStopped, "{} requests cut", m_callerApi.inFlight());
     m_callerServer.stop();
+    m_peers.stop();
     m_threads.stop();
 }
 
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -28,6 +28,43 @@
     return listen;
 }
 
+membership::PeerAddress readSeed(const YAML::Node &node, std::size_t index,
+                                 std::vector<fleet::Mistake> &mistakes)
+{
+    membership::PeerAddress seed;
+    fleet::YamlReader reader(node, "peers.seeds[" + std::to_string(index) + "]", mistakes);
+    seed.entry = EntryId(reader.requiredText("entry"));
+    seed.dataCentre = DataCentreId(reader.requiredText("dataCentre"));
+    seed.address = reader.requiredText("address");
+    seed.port = static_cast<std::uint16_t>(reader.count("port", 0, 1, maxPort));
+    reader.refuseUnknownFields();
+    return seed;
+}
+
+membership::PeerBusSettings readPeers(fleet::YamlReader &parent, const EntrySettings &settings,
+                                      std::vector<fleet::Mistake> &mistakes)
+{
+    membership::PeerBusSettings peers;
+    const auto node = parent.child("peers");
+    if (!node.IsDefined()) {
+        parent.addMistake(parent.line(), "the settings have no \"peers\"",
+                          "add \"peers: {address: ..., port: ..., secret: ..., seeds: []}\"");
+        return peers;
+    }
+    fleet::YamlReader reader(node, "peers", mistakes);
+    peers.self.entry = settings.entry;
+    peers.self.dataCentre = settings.dataCentre;
+    peers.self.address = reader.requiredText("address");
+    peers.self.port = static_cast<std::uint16_t>(reader.count("port", 0, 0, maxPort));
+    peers.secret = reader.requiredText("secret");
+    const auto seeds = reader.child("seeds");
+    for (std::size_t index = 0; seeds.IsDefined() && index < seeds.size(); ++index) {
+        peers.seeds.push_back(readSeed(seeds[index], index, mistakes));
+    }
+    reader.refuseUnknownFields();
+    return peers;
+}
+
 } // namespace
 
 EntrySettingsReading readEntrySettings(std::string_view yaml)
@@ -40,6 +77,7 @@
         settings.entry = EntryId(reader.requiredText("entry"));
         settings.dataCentre = DataCentreId(reader.requiredText("dataCentre"));
         settings.callers = readListenAddress(reader, "callers", reading.mistakes);
+        settings.peers = readPeers(reader, settings, reading.mistakes);
         settings.platformUrl = reader.requiredText("platform");
         settings.threads = reader.count("threads", settings.threads, 1, maxThreads);
         settings.shutdownDeadline = std::chrono::milliseconds(
