Count work against held quota units

Cause: the dispatcher bounds work per entry only, so a workspace's limit is not enforced. Holdings are an equal split over the configured entries for now.

--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -10,6 +10,7 @@
 #include "net/httpserver.h"
 #include "net/workerthreads.h"
 #include "platform/storeclient.h"
+#include "quota/quotatable.h"
 
 #include <atomic>
 
@@ -27,11 +28,13 @@
 private:
     void watchFleet(platform::StoreRevision after);
     void takeFleet(const platform::StoreListing &listing);
+    void holdQuotas(const fleet::FleetDocument &fleet);
 
     EntrySettings m_settings;
     net::WorkerThreads m_threads;
     std::atomic<bool> m_stopping = false;
     membership::PeerBus m_peers;
+    quota::QuotaTable m_quotas;
     dispatch::Dispatcher m_dispatcher;
     callerapi::CallerApi m_callerApi;
     net::HttpServer m_callerServer;
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -3,6 +3,7 @@
 
 #include "app/appevents.h"
 #include "fleet/fleetyaml.h"
+#include "quota/staticsplit.h"
 
 #include <random>
 #include <thread>
@@ -83,12 +84,30 @@
             continue;
         }
         auto fleet = std::make_shared<const fleet::FleetDocument>(std::move(reading.document));
+        holdQuotas(*fleet);
         m_dispatcher.setFleet(fleet);
         m_callerApi.setFleet(fleet);
         logEvent(fleetTaken, "revision {}", item.revision);
     }
 }
 
+void Entry::holdQuotas(const fleet::FleetDocument &fleet)
+{
+    unsigned index = 0;
+    unsigned entries = 1;
+    for (const auto &peer : m_peers.peers()) {
+        index += peer.entry < m_settings.entry ? 1 : 0;
+        ++entries;
+    }
+    for (const auto &workspace : fleet.workspaces) {
+        m_quotas.setHeld(quota::limitOf(workspace.id),
+                         quota::staticShare(workspace.limit, entries, index));
+    }
+    for (const auto &worker : fleet.workers) {
+        m_quotas.setHeld(quota::slotsOf(worker.id), worker.slots);
+    }
+}
+
 void Entry::stop()
 {
     logEvent(entryLeaving, "{} requests in flight", m_callerApi.inFlight());
