Resolve lost store writes and route operator commands

Cause: the store client gave up on the first lost answer, took any revision, had no leases and no call budget; operators had no interface; the watch slept on the HTTP client's thread.

The stand-in answers from an old state, bounds its call rate, and says its revision in Store-Revision. The watch's retry is a timer.

Settings: operators: {address, port, keys: [{name, role, hash}]}.

--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -9,10 +9,14 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/workerthreads.h"
+#include "operatorapi/operatorapi.h"
 #include "platform/storeclient.h"
 #include "quota/quotatable.h"
 
+#include <asio/steady_timer.hpp>
+
 #include <atomic>
+#include <memory>
 
 namespace cyclamenlatch::app {
 
@@ -38,7 +42,11 @@
     dispatch::Dispatcher m_dispatcher;
     callerapi::CallerApi m_callerApi;
     net::HttpServer m_callerServer;
+    operatorapi::OperatorApi m_operatorApi;
+    // Absent when the settings name no operator interface.
+    std::unique_ptr<net::HttpServer> m_operatorServer;
     platform::StoreClient m_store;
+    asio::steady_timer m_watchRetry;
     // Declared last, so that their completions end before what they use does.
     net::HttpClient m_minionHttp;
     net::HttpClient m_platformHttp;
--- a/src/app/entrysettings.h
+++ b/src/app/entrysettings.h
@@ -4,9 +4,11 @@
 #include "fleet/mistake.h"
 #include "global/ids.h"
 #include "membership/peerbus.h"
+#include "operatorapi/operatorkey.h"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +21,12 @@
     std::uint16_t port = 0;
 };
 
+struct OperatorSettings
+{
+    ListenAddress listen;
+    std::vector<operatorapi::OperatorKey> keys;
+};
+
 struct EntrySettings
 {
     EntryId entry;
@@ -28,6 +36,10 @@
     membership::PeerBusSettings peers;
     // Address of the platform's store, such as "http://127.0.0.1:7000".
     std::string platformUrl;
+    // Calls per second to the store that all entries of the data centre may make together.
+    double platformCallsPerSecond = 200;
+    // Without it there is no operator interface.
+    std::optional<OperatorSettings> operators;
     unsigned threads = 4;
     // Time that open requests have to finish after SIGTERM.
     std::chrono::milliseconds shutdownDeadline{30000};
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -27,6 +27,28 @@
     return server;
 }
 
+net::HttpServerSettings operatorServerSettings(const OperatorSettings &settings)
+{
+    net::HttpServerSettings server;
+    server.address = settings.listen.address;
+    server.port = settings.listen.port;
+    return server;
+}
+
+std::vector<operatorapi::OperatorKey> operatorKeys(const EntrySettings &settings)
+{
+    return settings.operators ? settings.operators->keys : std::vector<operatorapi::OperatorKey>();
+}
+
+platform::StoreClientSettings storeSettings(const EntrySettings &settings)
+{
+    platform::StoreClientSettings store;
+    store.url = settings.platformUrl;
+    store.callTimeout = storeTimeout;
+    store.budget.callsPerSecond = settings.platformCallsPerSecond;
+    return store;
+}
+
 } // namespace
 
 Entry::Entry(EntrySettings settings)
@@ -39,14 +61,27 @@
                      [this](net::HttpRequest request, net::HttpResponder respond) {
                          m_callerApi.handle(std::move(request), std::move(respond));
                      })
-    , m_store(m_platformHttp, m_settings.platformUrl, storeTimeout)
+    , m_operatorApi(operatorKeys(m_settings))
+    , m_store(m_threads.context(), m_platformHttp, storeSettings(m_settings))
+    , m_watchRetry(m_threads.context())
     , m_minionHttp(maxConnectionsPerMinion)
-{}
+{
+    if (m_settings.operators) {
+        m_operatorServer = std::make_unique<net::HttpServer>(
+                m_threads.context(), operatorServerSettings(*m_settings.operators),
+                [this](net::HttpRequest request, const net::HttpResponder &respond) {
+                    m_operatorApi.handle(std::move(request), respond);
+                });
+    }
+}
 
 Result<void> Entry::start()
 {
     BOOST_OUTCOME_TRY(m_peers.start());
     BOOST_OUTCOME_TRY(m_callerServer.start());
+    if (m_operatorServer) {
+        BOOST_OUTCOME_TRY(m_operatorServer->start());
+    }
     logEvent(entryStarted, "{} in {} on {}:{}", m_settings.entry.value(),
              m_settings.dataCentre.value(), m_settings.callers.address, m_callerServer.port());
     watchFleet(0);
@@ -61,10 +96,10 @@
     m_store.watch(fleetKey, after, watchWait,
                   [this, after](Result<platform::StoreListing> listing) {
                       if (!listing) {
-                          if (!m_stopping) {
-                              std::this_thread::sleep_for(watchRetryDelay);
-                          }
-                          return watchFleet(after);
+                          m_watchRetry.expires_after(watchRetryDelay);
+                          m_watchRetry.async_wait(
+                                  [this, after](const asio::error_code &) { watchFleet(after); });
+                          return;
                       }
                       takeFleet(listing.value());
                       watchFleet(listing.value().revision);
@@ -118,7 +153,11 @@
         std::this_thread::sleep_for(drainPollInterval);
     }
     logEvent(entryStopped, "{} requests cut", m_callerApi.inFlight());
+    m_store.stop();
     m_callerServer.stop();
+    if (m_operatorServer) {
+        m_operatorServer->stop();
+    }
     m_peers.stop();
     m_threads.stop();
 }
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -9,6 +9,7 @@
 
 constexpr unsigned maxPort = 65535;
 constexpr unsigned maxThreads = 256;
+constexpr double maxPlatformCallsPerSecond = 1e5;
 constexpr unsigned maxShutdownMilliseconds = 3600000;
 
 ListenAddress readListenAddress(fleet::YamlReader &parent, const std::string &field,
@@ -65,6 +66,42 @@
     return peers;
 }
 
+operatorapi::OperatorKey readOperatorKey(const YAML::Node &node, std::size_t index,
+                                         std::vector<fleet::Mistake> &mistakes)
+{
+    operatorapi::OperatorKey key;
+    fleet::YamlReader reader(node, "operators.keys[" + std::to_string(index) + "]", mistakes);
+    key.name = reader.requiredText("name");
+    key.hash = reader.requiredText("hash");
+    const auto role = operatorapi::roleNames.value(reader.text("role", "read"));
+    if (!role) {
+        reader.addMistake(reader.line(), "the role is neither \"read\" nor \"operate\"",
+                          "write \"role: read\" or \"role: operate\"");
+    }
+    key.role = role.value_or(operatorapi::Role::Read);
+    reader.refuseUnknownFields();
+    return key;
+}
+
+std::optional<OperatorSettings> readOperators(fleet::YamlReader &parent,
+                                              std::vector<fleet::Mistake> &mistakes)
+{
+    const auto node = parent.child("operators");
+    if (!node.IsDefined()) {
+        return std::nullopt;
+    }
+    OperatorSettings operators;
+    fleet::YamlReader reader(node, "operators", mistakes);
+    operators.listen.address = reader.requiredText("address");
+    operators.listen.port = static_cast<std::uint16_t>(reader.count("port", 0, 0, maxPort));
+    const auto keys = reader.child("keys");
+    for (std::size_t index = 0; keys.IsDefined() && index < keys.size(); ++index) {
+        operators.keys.push_back(readOperatorKey(keys[index], index, mistakes));
+    }
+    reader.refuseUnknownFields();
+    return operators;
+}
+
 } // namespace
 
 EntrySettingsReading readEntrySettings(std::string_view yaml)
@@ -79,6 +116,10 @@
         settings.callers = readListenAddress(reader, "callers", reading.mistakes);
         settings.peers = readPeers(reader, settings, reading.mistakes);
         settings.platformUrl = reader.requiredText("platform");
+        settings.platformCallsPerSecond =
+                reader.number("platformCallsPerSecond", settings.platformCallsPerSecond, 1,
+                              maxPlatformCallsPerSecond);
+        settings.operators = readOperators(reader, reading.mistakes);
         settings.threads = reader.count("threads", settings.threads, 1, maxThreads);
         settings.shutdownDeadline = std::chrono::milliseconds(
                 reader.count("shutdownDeadlineMs", 30000, 1, maxShutdownMilliseconds));
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -1,9 +1,15 @@
 // Speaks the store's HTTP protocol (docs/platform-protocol.md).
 #include "platform/storeclient.h"
 
+#include "platform/attempt.h"
+#include "platform/retrydelay.h"
+
+#include <asio/steady_timer.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+#include <random>
 #include <utility>
 
 namespace cyclamenlatch::platform {
@@ -12,6 +18,9 @@
 
 using nlohmann::json;
 
+// Every answer of the store carries the store's revision in this field.
+constexpr std::string_view revisionHeader = "Store-Revision";
+
 boost::outcome_v2::failure_type<Error> callFailure(const net::HttpCallResult &result, bool isWrite)
 {
     const bool mayHaveHappened = isWrite && result.sendState == net::SendState::MaybeSent;
@@ -49,13 +58,25 @@
 {
     StoreItem item;
     item.key = value.at("key").get<std::string>();
-    item.value = value.value("value", std::string());
+    auto stored = splitAttempt(value.value("value", std::string()));
+    item.attempt = std::move(stored.attempt);
+    item.value = std::move(stored.value);
     item.revision = value.at("revision").get<StoreRevision>();
     item.deleted = value.value("deleted", false);
     return item;
 }
 
-Result<StoreListing> readListing(const net::HttpCallResult &result)
+StoreListing readListing(const json &value)
+{
+    StoreListing listing;
+    listing.revision = value.at("revision").get<StoreRevision>();
+    for (const auto &item : value.at("items")) {
+        listing.items.push_back(readItem(item));
+    }
+    return listing;
+}
+
+Result<StoreListing> judgeListing(const net::HttpCallResult &result)
 {
     if (!result.reply) {
         return callFailure(result, false);
@@ -64,92 +85,450 @@
         return statusFailure(result.reply->status, false);
     }
     try {
-        const auto value = json::parse(result.reply->body);
-        StoreListing listing;
-        listing.revision = value.at("revision").get<StoreRevision>();
-        for (const auto &item : value.at("items")) {
-            listing.items.push_back(readItem(item));
-        }
-        return listing;
+        return readListing(json::parse(result.reply->body));
+    } catch (const json::exception &) {
+        return malformedAnswer(false);
+    }
+}
+
+Result<std::optional<StoreItem>> judgeItem(const net::HttpCallResult &result)
+{
+    if (!result.reply) {
+        return callFailure(result, false);
+    }
+    if (result.reply->status == 404) {
+        return std::optional<StoreItem>();
+    }
+    if (result.reply->status != 200) {
+        return statusFailure(result.reply->status, false);
+    }
+    try {
+        return std::optional<StoreItem>(readItem(json::parse(result.reply->body)));
     } catch (const json::exception &) {
         return malformedAnswer(false);
     }
 }
 
+Result<StoreRevision> judgeRevision(const net::HttpCallResult &result)
+{
+    if (!result.reply) {
+        return callFailure(result, true);
+    }
+    if (result.reply->status != 200) {
+        return statusFailure(result.reply->status, true);
+    }
+    try {
+        return json::parse(result.reply->body).at("revision").get<StoreRevision>();
+    } catch (const json::exception &) {
+        return malformedAnswer(true);
+    }
+}
+
+std::optional<StoreRevision> revisionOf(const net::HttpCallResult &result)
+{
+    const auto header = result.reply ? result.reply->headers.find(revisionHeader) : std::nullopt;
+    StoreRevision revision = 0;
+    if (!header
+        || std::from_chars(header->data(), header->data() + header->size(), revision).ec
+                   != std::errc()) {
+        return std::nullopt;
+    }
+    return revision;
+}
+
+bool isWorthRetrying(const Error &error)
+{
+    return error.kind == ErrorKind::Unavailable || error.kind == ErrorKind::Overloaded
+           || error.kind == ErrorKind::Internal;
+}
+
+boost::outcome_v2::failure_type<Error> olderAnswer()
+{
+    return failure(ErrorKind::Unavailable, "the store answered with an older revision",
+                   "wait until the store is whole again; nothing was reverted");
+}
+
+boost::outcome_v2::failure_type<Error> unresolvedWrite(const std::string &key)
+{
+    return failure(ErrorKind::Unknown,
+                   fmt::format("the write of \"{}\" may have taken effect", key),
+                   "read the key again and decide on its present value");
+}
+
 } // namespace
 
-StoreClient::StoreClient(net::HttpClient &http, std::string url, std::chrono::milliseconds timeout)
-    : m_http(http)
-    , m_url(std::move(url))
-    , m_timeout(timeout)
+// One read with its retries. take judges the answer; it completes the operation or returns the
+// error to retry on.
+struct StoreClient::Reading
+{
+    net::HttpCall call;
+    TimePoint deadline;
+    // Answers older than this are refused.
+    StoreRevision oldest = 0;
+    unsigned failures = 0;
+    std::function<std::optional<Error>(const net::HttpCallResult &)> take;
+    std::function<void(Error)> giveUp;
+};
+
+// One write with its retries; the attempt's id is the same in all of them.
+struct StoreClient::Writing
+{
+    StoreWrite write;
+    std::string attempt;
+    bool isRemoval = false;
+    TimePoint deadline;
+    unsigned failures = 0;
+    // Whether one of the calls made so far may have taken effect.
+    bool mayHaveHappened = false;
+    WriteCompletion completion;
+};
+
+StoreClient::StoreClient(asio::io_context &context, net::HttpClient &http,
+                         StoreClientSettings settings)
+    : m_context(context)
+    , m_http(http)
+    , m_settings(std::move(settings))
+    , m_budget(m_settings.budget)
+    , m_random(std::random_device{}())
 {}
 
-void StoreClient::get(const std::string &key, GetCompletion completion)
+net::HttpCall StoreClient::makeCall(std::string method, const std::string &path) const
 {
     net::HttpCall call;
-    call.url = fmt::format("{}/v1/kv/{}", m_url, key);
-    call.timeout = m_timeout;
-    m_http.send(std::move(call), [completion = std::move(completion)](net::HttpCallResult result) {
-        if (!result.reply) {
-            return completion(callFailure(result, false));
+    call.method = std::move(method);
+    call.url = m_settings.url + path;
+    call.timeout = m_settings.callTimeout;
+    return call;
+}
+
+TimePoint StoreClient::operationDeadline() const
+{
+    return steadyNow() + m_settings.operationTimeout;
+}
+
+void StoreClient::setSharers(unsigned count)
+{
+    const std::lock_guard lock(m_mutex);
+    m_budget.setSharers(count, steadyNow());
+}
+
+std::optional<TimePoint> StoreClient::lastContact() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lastContact;
+}
+
+void StoreClient::after(Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
+    timer->async_wait([timer, action = std::move(action)](const asio::error_code &error) {
+        if (!error) {
+            action();
         }
-        if (result.reply->status == 404) {
-            return completion(std::optional<StoreItem>());
+    });
+}
+
+std::optional<Duration> StoreClient::nextDelay(unsigned failures, TimePoint deadline)
+{
+    if (m_stopping) {
+        return std::nullopt;
+    }
+    Duration delay{};
+    {
+        const std::lock_guard lock(m_mutex);
+        delay = retryDelay(failures, m_random);
+    }
+    if (steadyNow() + delay >= deadline) {
+        return std::nullopt;
+    }
+    return delay;
+}
+
+void StoreClient::send(net::HttpCall call, CallCompletion completion)
+{
+    Duration wait{};
+    {
+        const std::lock_guard lock(m_mutex);
+        wait = m_budget.take(steadyNow());
+    }
+    if (wait == Duration::zero()) {
+        return sendNow(std::move(call), std::move(completion));
+    }
+    after(wait, [this, call = std::move(call), completion = std::move(completion)] {
+        sendNow(call, completion);
+    });
+}
+
+void StoreClient::sendNow(net::HttpCall call, CallCompletion completion)
+{
+    ++m_calls;
+    m_http.send(std::move(call),
+                [this, completion = std::move(completion)](const net::HttpCallResult &result) {
+                    noteAnswer(result);
+                    completion(result);
+                });
+}
+
+void StoreClient::noteAnswer(const net::HttpCallResult &result)
+{
+    if (!result.reply || result.reply->status >= 429) {
+        return;
+    }
+    noteRevision(revisionOf(result).value_or(0));
+    const std::lock_guard lock(m_mutex);
+    m_lastContact = steadyNow();
+}
+
+void StoreClient::noteRevision(StoreRevision revision)
+{
+    auto newest = m_newestRevision.load();
+    while (newest < revision && !m_newestRevision.compare_exchange_weak(newest, revision)) {
+    }
+}
+
+void StoreClient::read(std::shared_ptr<Reading> reading)
+{
+    reading->oldest = m_newestRevision;
+    auto call = reading->call;
+    send(std::move(call), [this, reading](const net::HttpCallResult &result) {
+        const auto revision = revisionOf(result);
+        std::optional<Error> error;
+        if (revision && *revision < reading->oldest) {
+            error = Result<void>(olderAnswer()).error();
+        } else {
+            error = reading->take(result);
         }
-        if (result.reply->status != 200) {
-            return completion(statusFailure(result.reply->status, false));
+        if (!error) {
+            return;
         }
-        try {
-            completion(std::optional<StoreItem>(readItem(json::parse(result.reply->body))));
-        } catch (const json::exception &) {
-            completion(malformedAnswer(false));
+        const auto delay = nextDelay(reading->failures++, reading->deadline);
+        if (!delay || !isWorthRetrying(*error)) {
+            return reading->giveUp(*error);
         }
+        after(*delay, [this, reading] { read(reading); });
     });
 }
 
+void StoreClient::get(const std::string &key, GetCompletion completion)
+{
+    auto reading = std::make_shared<Reading>();
+    reading->call = makeCall("GET", fmt::format("/v1/kv/{}", key));
+    reading->deadline = operationDeadline();
+    reading->take = [completion](const net::HttpCallResult &result) -> std::optional<Error> {
+        auto item = judgeItem(result);
+        if (!item) {
+            return item.error();
+        }
+        completion(std::move(item));
+        return std::nullopt;
+    };
+    reading->giveUp = [completion](Error error) {
+        completion(failure(error.kind, error.message, error.remedy));
+    };
+    read(std::move(reading));
+}
+
 void StoreClient::list(const std::string &prefix, ListCompletion completion)
 {
-    net::HttpCall call;
-    call.url = fmt::format("{}/v1/kv?prefix={}", m_url, prefix);
-    call.timeout = m_timeout;
-    m_http.send(std::move(call), [completion = std::move(completion)](net::HttpCallResult result) {
-        completion(readListing(result));
-    });
+    auto reading = std::make_shared<Reading>();
+    reading->call = makeCall("GET", fmt::format("/v1/kv?prefix={}", prefix));
+    reading->deadline = operationDeadline();
+    reading->take = [completion](const net::HttpCallResult &result) -> std::optional<Error> {
+        auto listing = judgeListing(result);
+        if (!listing) {
+            return listing.error();
+        }
+        completion(std::move(listing));
+        return std::nullopt;
+    };
+    reading->giveUp = [completion](Error error) {
+        completion(failure(error.kind, error.message, error.remedy));
+    };
+    read(std::move(reading));
+}
+
+void StoreClient::watch(const std::string &prefix, StoreRevision after,
+                        std::chrono::milliseconds wait, ListCompletion completion)
+{
+    auto call = makeCall("GET", fmt::format("/v1/watch?prefix={}&after={}&waitMs={}", prefix, after,
+                                            wait.count()));
+    call.timeout += wait;
+    send(std::move(call),
+         [after, completion = std::move(completion)](const net::HttpCallResult &result) {
+             auto listing = judgeListing(result);
+             if (listing && listing.value().revision < after) {
+                 return completion(olderAnswer());
+             }
+             completion(std::move(listing));
+         });
 }
 
 void StoreClient::compareAndSwap(StoreWrite write, WriteCompletion completion)
 {
-    net::HttpCall call;
-    call.method = "PUT";
-    call.url = fmt::format("{}/v1/kv/{}?expected={}&lease={}", m_url, write.key, write.expected,
-                           write.lease);
-    call.body = std::move(write.value);
-    call.timeout = m_timeout;
-    m_http.send(std::move(call), [completion = std::move(completion)](net::HttpCallResult result) {
+    auto writing = std::make_shared<Writing>();
+    writing->write = std::move(write);
+    writing->attempt = makeAttemptId();
+    writing->deadline = operationDeadline();
+    writing->completion = std::move(completion);
+    this->write(std::move(writing));
+}
+
+void StoreClient::remove(const std::string &key, StoreRevision expected, WriteCompletion completion)
+{
+    auto writing = std::make_shared<Writing>();
+    writing->write.key = key;
+    writing->write.expected = expected;
+    writing->isRemoval = true;
+    writing->deadline = operationDeadline();
+    writing->completion = std::move(completion);
+    write(std::move(writing));
+}
+
+void StoreClient::write(std::shared_ptr<Writing> writing)
+{
+    const auto &write = writing->write;
+    auto call = makeCall(
+            writing->isRemoval ? "DELETE" : "PUT",
+            fmt::format("/v1/kv/{}?expected={}&lease={}", write.key, write.expected, write.lease));
+    if (!writing->isRemoval) {
+        call.body = joinAttempt({writing->attempt, write.value});
+    }
+    send(std::move(call),
+         [this, writing](const net::HttpCallResult &result) { judgeWrite(writing, result); });
+}
+
+void StoreClient::judgeWrite(const std::shared_ptr<Writing> &writing,
+                             const net::HttpCallResult &result)
+{
+    auto revision = judgeRevision(result);
+    if (revision) {
+        noteRevision(revision.value());
+        return writing->completion(std::move(revision));
+    }
+    const auto kind = revision.error().kind;
+    if (kind == ErrorKind::Conflict && !writing->mayHaveHappened) {
+        return writing->completion(std::move(revision));
+    }
+    writing->mayHaveHappened = writing->mayHaveHappened || kind == ErrorKind::Unknown;
+    const auto delay = nextDelay(writing->failures++, writing->deadline);
+    if (!delay) {
+        return writing->mayHaveHappened ? writing->completion(unresolvedWrite(writing->write.key))
+                                        : writing->completion(std::move(revision));
+    }
+    after(*delay,
+          [this, writing] { writing->mayHaveHappened ? readBack(writing) : write(writing); });
+}
+
+void StoreClient::readBack(std::shared_ptr<Writing> writing)
+{
+    const auto oldest = m_newestRevision.load();
+    send(makeCall("GET", fmt::format("/v1/kv/{}", writing->write.key)),
+         [this, writing, oldest](const net::HttpCallResult &result) {
+             if (revisionOf(result).value_or(oldest) < oldest) {
+                 return judgeReadBack(writing, olderAnswer());
+             }
+             judgeReadBack(writing, judgeItem(result));
+         });
+}
+
+void StoreClient::judgeReadBack(const std::shared_ptr<Writing> &writing,
+                                const Result<std::optional<StoreItem>> &found)
+{
+    if (!found) {
+        const auto delay = nextDelay(writing->failures++, writing->deadline);
+        if (!delay) {
+            return writing->completion(unresolvedWrite(writing->write.key));
+        }
+        return after(*delay, [this, writing] { readBack(writing); });
+    }
+    const auto &item = found.value();
+    if (writing->isRemoval && !item) {
+        return writing->completion(m_newestRevision.load());
+    }
+    if (!writing->isRemoval && item && item->attempt == writing->attempt) {
+        noteRevision(item->revision);
+        return writing->completion(item->revision);
+    }
+    const auto revision = item ? item->revision : 0;
+    if (revision != writing->write.expected) {
+        return writing->completion(unresolvedWrite(writing->write.key));
+    }
+    // Unchanged: the same attempt may be sent again, since only one of the two can win.
+    const auto delay = nextDelay(writing->failures++, writing->deadline);
+    if (!delay) {
+        return writing->completion(unresolvedWrite(writing->write.key));
+    }
+    after(*delay, [this, writing] { write(writing); });
+}
+
+void StoreClient::grantLease(std::chrono::milliseconds timeToLive, LeaseCompletion completion)
+{
+    auto reading = std::make_shared<Reading>();
+    reading->call = makeCall("POST", fmt::format("/v1/leases?ttlMs={}", timeToLive.count()));
+    reading->deadline = operationDeadline();
+    reading->take = [completion](const net::HttpCallResult &result) -> std::optional<Error> {
         if (!result.reply) {
-            return completion(callFailure(result, true));
+            return Result<void>(callFailure(result, false)).error();
         }
-        if (result.reply->status != 200) {
-            return completion(statusFailure(result.reply->status, true));
+        const auto body = json::parse(result.reply->body, nullptr, false);
+        if (result.reply->status != 200 || !body.is_object() || !body.contains("lease")) {
+            return Result<void>(statusFailure(result.reply->status, false)).error();
         }
-        try {
-            completion(json::parse(result.reply->body).at("revision").get<StoreRevision>());
-        } catch (const json::exception &) {
-            completion(malformedAnswer(true));
+        completion(body["lease"].get<std::string>());
+        return std::nullopt;
+    };
+    reading->giveUp = [completion](Error error) {
+        completion(failure(error.kind, error.message, error.remedy));
+    };
+    // A grant whose answer is lost lapses unused, so it may be repeated.
+    read(std::move(reading));
+}
+
+void StoreClient::renewLease(const std::string &lease, DoneCompletion completion)
+{
+    auto reading = std::make_shared<Reading>();
+    reading->call = makeCall("POST", fmt::format("/v1/leases/{}/renew", lease));
+    reading->deadline = operationDeadline();
+    reading->take = [completion](const net::HttpCallResult &result) -> std::optional<Error> {
+        if (!result.reply) {
+            return Result<void>(callFailure(result, false)).error();
         }
-    });
+        if (result.reply->status == 404) {
+            completion(failure(ErrorKind::NotFound, "the lease has lapsed",
+                               "take a new lease and claim its keys anew"));
+            return std::nullopt;
+        }
+        if (result.reply->status != 200) {
+            return Result<void>(statusFailure(result.reply->status, false)).error();
+        }
+        completion(success());
+        return std::nullopt;
+    };
+    reading->giveUp = [completion](Error error) {
+        completion(failure(error.kind, error.message, error.remedy));
+    };
+    read(std::move(reading));
 }
 
-void StoreClient::watch(const std::string &prefix, StoreRevision after,
-                        std::chrono::milliseconds wait, ListCompletion completion)
+void StoreClient::endLease(const std::string &lease, DoneCompletion completion)
 {
-    net::HttpCall call;
-    call.url = fmt::format("{}/v1/watch?prefix={}&after={}&waitMs={}", m_url, prefix, after,
-                           wait.count());
-    call.timeout = m_timeout + wait;
-    m_http.send(std::move(call), [completion = std::move(completion)](net::HttpCallResult result) {
-        completion(readListing(result));
-    });
+    auto reading = std::make_shared<Reading>();
+    reading->call = makeCall("DELETE", fmt::format("/v1/leases/{}", lease));
+    reading->deadline = operationDeadline();
+    reading->take = [completion](const net::HttpCallResult &result) -> std::optional<Error> {
+        if (!result.reply) {
+            return Result<void>(callFailure(result, false)).error();
+        }
+        if (result.reply->status != 200 && result.reply->status != 404) {
+            return Result<void>(statusFailure(result.reply->status, false)).error();
+        }
+        completion(success());
+        return std::nullopt;
+    };
+    reading->giveUp = [completion](Error error) {
+        completion(failure(error.kind, error.message, error.remedy));
+    };
+    read(std::move(reading));
 }
 
 } // namespace cyclamenlatch::platform
--- a/src/platform/storeitem.h
+++ b/src/platform/storeitem.h
@@ -14,6 +14,8 @@
 {
     std::string key;
     std::string value;
+    // Id of the write that made the value; empty when it was not written by a StoreClient.
+    std::string attempt;
     StoreRevision revision = 0;
     // True in a watch's answer for a key that is gone.
     bool deleted = false;
--- a/standins/platform/platformserver.cpp
+++ b/standins/platform/platformserver.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -75,12 +76,8 @@
     if (request.path == "/control") {
         return respond(answerControl(request));
     }
-    {
-        const std::lock_guard lock(m_mutex);
-        ++m_calls;
-        if (m_faults.outage) {
-            return respond(jsonReply(503, {{"error", "outage"}}));
-        }
+    if (auto refusal = refuse()) {
+        return respond(std::move(*refusal));
     }
     if (request.path == "/v1/watch") {
         return startWatch(request, std::move(respond));
@@ -98,6 +95,39 @@
     answerWatches();
 }
 
+std::optional<net::HttpReply> PlatformServer::refuse()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_calls;
+    if (m_faults.outage) {
+        return jsonReply(503, {{"error", "outage"}});
+    }
+    if (m_faults.callsPerSecond <= 0) {
+        return std::nullopt;
+    }
+    const auto now = steadyNow();
+    m_allowance = std::min(m_faults.callsPerSecond,
+                           m_allowance + toSeconds(now - m_allowanceAt) * m_faults.callsPerSecond);
+    m_allowanceAt = now;
+    if (m_allowance < 1) {
+        ++m_refused;
+        return jsonReply(429, {{"error", "the call rate is used up"}});
+    }
+    m_allowance -= 1;
+    return std::nullopt;
+}
+
+const StoreModel &PlatformServer::readModel() const
+{
+    return m_oldStore ? *m_oldStore : m_store;
+}
+
+net::HttpReply PlatformServer::withRevision(net::HttpReply reply)
+{
+    reply.headers.add("Store-Revision", std::to_string(readModel().revision()));
+    return reply;
+}
+
 void PlatformServer::deliver(net::HttpReply reply, net::HttpResponder respond)
 {
     std::chrono::milliseconds delay{0};
@@ -117,7 +147,7 @@
 {
     if (request.path == "/v1/kv") {
         const std::lock_guard lock(m_mutex);
-        return listingReply(m_store.list(queryText(request.query, "prefix")));
+        return withRevision(listingReply(readModel().list(queryText(request.query, "prefix"))));
     }
     if (request.path.starts_with(keyPrefix)) {
         return answerKey(request, request.path.substr(keyPrefix.size()));
@@ -132,8 +162,9 @@
 {
     const std::lock_guard lock(m_mutex);
     if (request.method == "GET") {
-        const auto item = m_store.get(key);
-        return item ? jsonReply(200, itemJson(*item)) : jsonReply(404, {{"error", "no such key"}});
+        const auto item = readModel().get(key);
+        return withRevision(item ? jsonReply(200, itemJson(*item))
+                                 : jsonReply(404, {{"error", "no such key"}}));
     }
     const auto expected = queryNumber(request.query, "expected");
     std::optional<platform::StoreRevision> revision;
@@ -184,9 +215,14 @@
         m_faults.outage = body.value("outage", m_faults.outage);
         m_faults.delay = std::chrono::milliseconds(body.value("delayMs", m_faults.delay.count()));
         m_faults.loseWriteAnswers = body.value("loseWriteAnswers", m_faults.loseWriteAnswers);
+        m_faults.callsPerSecond = body.value("callsPerSecond", m_faults.callsPerSecond);
+        if (body.value("oldReads", m_oldStore.has_value()) != m_oldStore.has_value()) {
+            m_oldStore = m_oldStore ? std::nullopt : std::optional<StoreModel>(m_store);
+        }
     }
     return jsonReply(200, {{"calls", m_calls},
                            {"writes", m_writes},
+                           {"refused", m_refused},
                            {"watches", m_watches.size()},
                            {"revision", m_store.revision()}});
 }
@@ -212,7 +248,7 @@
         const std::lock_guard lock(m_mutex);
         const auto now = steadyNow();
         for (auto watch = m_watches.begin(); watch != m_watches.end();) {
-            const auto listing = m_store.changes(watch->prefix, watch->after);
+            const auto listing = readModel().changes(watch->prefix, watch->after);
             if (m_faults.outage) {
                 due.emplace_back(jsonReply(503, {{"error", "outage"}}), std::move(watch->respond));
             } else if (!listing.items.empty() || watch->expiry <= now) {
--- a/standins/platform/platformserver.h
+++ b/standins/platform/platformserver.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <list>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace cyclamenlatch::standins {
@@ -38,8 +39,15 @@
         std::chrono::milliseconds delay{0};
         // The next writes take effect, but their answers are lost.
         unsigned loseWriteAnswers = 0;
+        // Calls answered per second, over which calls get 429; 0: no bound.
+        double callsPerSecond = 0;
     };
 
+    // Returns the refusal when a fault or the call rate forbids an answer.
+    std::optional<net::HttpReply> refuse();
+    // The store that reads are answered from.
+    const StoreModel &readModel() const;
+    net::HttpReply withRevision(net::HttpReply reply);
     net::HttpReply answer(const net::HttpRequest &request);
     net::HttpReply answerKey(const net::HttpRequest &request, const std::string &key);
     net::HttpReply answerLease(const net::HttpRequest &request);
@@ -54,10 +62,16 @@
     std::mutex m_mutex;
     // All below are guarded by m_mutex.
     StoreModel m_store;
+    // Reads and watches are answered from this old state while it is set.
+    std::optional<StoreModel> m_oldStore;
     Faults m_faults;
+    // Calls that may be answered now under the call rate.
+    double m_allowance = 0;
+    TimePoint m_allowanceAt{};
     std::list<PendingWatch> m_watches;
     std::uint64_t m_calls = 0;
     std::uint64_t m_writes = 0;
+    std::uint64_t m_refused = 0;
 };
 
 } // namespace cyclamenlatch::standins
--- a/standins/platform/storemodel.cpp
+++ b/standins/platform/storemodel.cpp
@@ -58,7 +58,8 @@
         return std::nullopt;
     }
     ++m_revision;
-    m_items[write.key] = {{write.key, write.value, m_revision, false}, write.lease};
+    m_items[write.key] = {{.key = write.key, .value = write.value, .revision = m_revision},
+                          write.lease};
     return m_revision;
 }
 
@@ -68,7 +69,7 @@
         return std::nullopt;
     }
     ++m_revision;
-    m_items[key] = {{key, "", m_revision, true}, ""};
+    m_items[key] = {{.key = key, .revision = m_revision, .deleted = true}, ""};
     return m_revision;
 }
 
