Plan maintenance waves from records that any entry can continue

Cause: a wave has to outlive the entry that leads it, hold every budget while failures arrive, and reboot each host exactly once. Change: the wave machine is one pure pass from the records of a wave and what is observed to conditional writes and reboot requests.

--- /dev/null
+++ b/src/maintenance/versioned.h
@@ -0,0 +1,16 @@
+// A record with the store revision it was read at; a conditional write names that revision.
+#pragma once
+
+#include "platform/storeitem.h"
+
+namespace cyclamenlatch::maintenance {
+
+template<typename Record>
+struct Versioned
+{
+    Record record;
+    // 0 when the record does not exist yet.
+    platform::StoreRevision revision = 0;
+};
+
+} // namespace cyclamenlatch::maintenance
--- /dev/null
+++ b/src/maintenance/waveaction.h
@@ -0,0 +1,22 @@
+// What a planning pass asks its caller to do.
+#pragma once
+
+#include "global/ids.h"
+#include "platform/storewrite.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cyclamenlatch::maintenance {
+
+// Repeated until the platform reports the attempt as finished.
+struct RebootRequest
+{
+    WorkerId worker;
+    std::string attempt;
+};
+
+using WaveAction = std::variant<platform::StoreWrite, RebootRequest>;
+
+} // namespace cyclamenlatch::maintenance
