Schedule requests by fair shares, deadlines and worker health

Cause: the thin path scanned every worker for each request, refused whatever found no slot, never retried, and told nothing of silent connections.

A pure scheduler queues per pool by start-time fair queueing on used slot time, puts urgent requests first, refuses early what can't start before its deadline, retries under a budget with full jitter, ejects workers by outcome ratio within the service's budget, and keeps a workspace's unit after an unknown outcome until the work must have ended. The HTTP client counts and cancels connections and ends a call whose answer carries another request's id or has no end that can be told.

--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -2,6 +2,7 @@
 #include "app/entry.h"
 
 #include "app/appevents.h"
+#include "dispatch/quotapermits.h"
 #include "fleet/fleetyaml.h"
 #include "quota/staticsplit.h"
 
@@ -49,13 +50,20 @@
     return store;
 }
 
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32) | device();
+}
+
 } // namespace
 
 Entry::Entry(EntrySettings settings)
     : m_settings(std::move(settings))
     , m_threads(m_settings.threads)
     , m_peers(m_threads.context(), m_settings.peers)
-    , m_dispatcher(m_minionHttp, std::random_device{}())
+    , m_dispatcher(m_threads.context(), m_minionHttp, dispatch::DispatchSettings{},
+                   dispatch::quotaPermits(m_quotas), randomSeed())
     , m_callerApi(m_dispatcher)
     , m_callerServer(m_threads.context(), callerServerSettings(m_settings),
                      [this](net::HttpRequest request, net::HttpResponder respond) {
@@ -66,6 +74,7 @@
     , m_watchRetry(m_threads.context())
     , m_minionHttp(maxConnectionsPerMinion)
 {
+    dispatch::tellAvailable(m_quotas, m_threads.context(), m_dispatcher);
     if (m_settings.operators) {
         m_operatorServer = std::make_unique<net::HttpServer>(
                 m_threads.context(), operatorServerSettings(*m_settings.operators),
--- a/src/dispatch/dispatchanswer.h
+++ b/src/dispatch/dispatchanswer.h
@@ -4,6 +4,7 @@
 #include "dispatch/outcome.h"
 #include "global/error.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 
@@ -14,6 +15,8 @@
     Outcome outcome = Outcome::NotRun;
     // Set unless the outcome is Completed.
     std::optional<Error> error;
+    // When to ask again; zero when waiting does not help.
+    std::chrono::seconds retryAfter{0};
     // The minion's answer when the outcome is Completed.
     int status = 200;
     std::string contentType;
--- /dev/null
+++ b/src/dispatch/dispatchsettings.h
@@ -0,0 +1,37 @@
+// The numbers that the dispatcher's decisions rest on.
+#pragma once
+
+#include "dispatch/retrybudget.h"
+#include "global/time.h"
+#include "routing/workerhealth.h"
+
+#include <cstddef>
+
+namespace cyclamenlatch::dispatch {
+
+struct DispatchSettings
+{
+    RetrySettings retry;
+    routing::HealthSettings health;
+    // Requests that one pool's queue holds at most; deadlines bound it long before.
+    std::size_t maxQueuedPerPool = 20000;
+    // A connection without progress is probed after this, or after silenceFactor times the
+    // longest recent run of the queue, whichever is longer.
+    Duration silentAfter = std::chrono::seconds(2);
+    double silenceFactor = 3;
+    // Time that a minion has to answer a probe.
+    std::chrono::milliseconds probeTimeout{1000};
+    // After an unknown outcome the workspace's unit is freed when the request's deadline and this
+    // grace have passed: minions end work at the deadline that is sent with it.
+    Duration unknownGrace = std::chrono::seconds(5);
+    // After an unknown outcome the slot counts as used for this long.
+    Duration unknownSlotHold = std::chrono::seconds(2);
+    // Connections to one minion over all entries.
+    unsigned connectionsPerMinion = 64;
+    // Wait before a minion whose slots are held by other entries is tried again.
+    Duration slotRetry = std::chrono::milliseconds(20);
+    // Distinct workers on which the same work must fail to count as the work's fault.
+    unsigned workFaultWorkers = 3;
+};
+
+} // namespace cyclamenlatch::dispatch
--- /dev/null
+++ b/src/dispatch/internal/scheduler.cpp
@@ -0,0 +1,688 @@
+// Queues, starts, retries and ends requests.
+#include "dispatch/scheduler.h"
+
+#include "routing/minionchoice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenlatch::dispatch {
+
+namespace {
+
+constexpr double averageWeight = 0.1;
+constexpr double longestDecay = 0.98;
+constexpr std::chrono::seconds shortRetryAfter{1};
+constexpr std::chrono::seconds longestRetryAfter{60};
+// Retries that a new pool may spend before its traffic has earned any.
+constexpr double initialRetries = 10;
+
+double movingAverage(double average, double value)
+{
+    return average == 0 ? value : average + averageWeight * (value - average);
+}
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+Scheduler::Scheduler(DispatchSettings settings, StartPermits permits, std::uint64_t seed)
+    : m_settings(settings)
+    , m_permits(std::move(permits))
+    , m_random(seed)
+    , m_table(std::make_shared<const routing::RoutingTable>())
+{}
+
+void Scheduler::setTable(std::shared_ptr<const routing::RoutingTable> table, TimePoint now,
+                         SchedulerActions &actions)
+{
+    m_table = std::move(table);
+    for (auto &[id, worker] : m_workers) {
+        worker.slots = 0;
+    }
+    for (const auto &routed : m_table->workers()) {
+        auto &worker = m_workers[routed.id];
+        worker.pool = routed.pool;
+        worker.slots = routed.slots;
+        worker.leaving = routed.leaving || m_leaving.contains(routed.id);
+    }
+    std::erase_if(m_workers, [](const auto &item) {
+        return item.second.slots == 0 && item.second.outstanding == 0
+               && item.second.mayStillRun == 0;
+    });
+
+    std::vector<Ticket> waiting;
+    for (const auto &[ticket, request] : m_requests) {
+        if (request.state != State::Running) {
+            waiting.push_back(ticket);
+        }
+    }
+    std::set<PoolId> pools;
+    for (const auto ticket : waiting) {
+        auto &request = m_requests.at(ticket);
+        lineOf(request).remove(ticket);
+        if (!refreshRoute(request)) {
+            giveUp(request, {ErrorKind::NotFound, "the queue was removed", "use another queue"},
+                   std::chrono::seconds(0), actions);
+            continue;
+        }
+        pools.insert(request.route->pool);
+        if (request.state == State::Queued) {
+            enqueue(request, now, false);
+        }
+    }
+    for (const auto &pool : pools) {
+        pump(pool, now, actions);
+    }
+}
+
+bool Scheduler::refreshRoute(Request &request)
+{
+    const auto *route = m_table->findQueue(request.work.queue);
+    if (route == nullptr) {
+        return false;
+    }
+    request.route = route;
+    request.table = m_table;
+    return true;
+}
+
+void Scheduler::setLeaving(std::set<WorkerId> leaving)
+{
+    m_leaving = std::move(leaving);
+    for (const auto &routed : m_table->workers()) {
+        m_workers[routed.id].leaving = routed.leaving || m_leaving.contains(routed.id);
+    }
+}
+
+void Scheduler::setLiveEntries(unsigned entries)
+{
+    m_liveEntries = std::max(entries, 1U);
+}
+
+unsigned Scheduler::connectionShare() const
+{
+    return std::max(1U, m_settings.connectionsPerMinion / m_liveEntries);
+}
+
+FairQueue &Scheduler::lineOf(const Request &request)
+{
+    auto &pool = m_pools[request.route->pool];
+    return request.route->urgent ? pool.urgent : pool.normal;
+}
+
+void Scheduler::submit(const SchedulerWork &work, TimePoint now, SchedulerActions &actions)
+{
+    const auto *route = m_table->findQueue(work.queue);
+    if (route == nullptr) {
+        actions.push_back(GiveUp{work.ticket,
+                                 Outcome::NotRun,
+                                 {ErrorKind::NotFound, "the queue does not exist",
+                                  "check the queue's name in the address"}});
+        return;
+    }
+    if (work.deadline <= now) {
+        actions.push_back(GiveUp{work.ticket,
+                                 Outcome::NotRun,
+                                 {ErrorKind::Timeout, "the request's deadline has passed",
+                                  "allow more time in Request-Timeout-Ms"}});
+        return;
+    }
+    auto &request = m_requests[work.ticket];
+    request.work = work;
+    request.route = route;
+    request.table = m_table;
+    auto [pool, isNew] = m_pools.try_emplace(route->pool);
+    if (isNew) {
+        pool->second.retries = RetryBudget(initialRetries);
+    }
+    pool->second.retries.addFresh(m_settings.retry);
+    if (refuseEarly(request, now, actions)) {
+        return;
+    }
+    enqueue(request, now, false);
+    pump(route->pool, now, actions);
+    const auto found = m_requests.find(work.ticket);
+    if (found != m_requests.end() && found->second.state == State::Queued
+        && !hasUsableWorker(found->second)) {
+        giveUp(found->second,
+               {ErrorKind::Unavailable, "no worker that matches the queue takes requests now",
+                "try again later, or ask the operator for workers that match the queue's selector"},
+               shortRetryAfter, actions);
+    }
+}
+
+bool Scheduler::hasUsableWorker(const Request &request) const
+{
+    const auto &workers = request.table->workers();
+    return std::any_of(request.route->candidates.begin(), request.route->candidates.end(),
+                       [&](routing::WorkerIndex index) {
+                           const auto &worker = m_workers.at(workers[index].id);
+                           return worker.slots > 0 && !worker.leaving;
+                       });
+}
+
+bool Scheduler::refuseEarly(const Request &request, TimePoint now, SchedulerActions &actions)
+{
+    const auto &line = lineOf(request);
+    const bool full = line.size() >= m_settings.maxQueuedPerPool;
+    if (!full && now + estimatedWait(request) <= latestStart(request, now)) {
+        return false;
+    }
+    giveUp(request,
+           {ErrorKind::Overloaded,
+            full ? "the queue is full" : "the request can't start before its deadline",
+            "try again after the delay in Retry-After, or allow more time in Request-Timeout-Ms"},
+           retryDelay(request), actions);
+    return true;
+}
+
+Duration Scheduler::estimatedRun(const Request &request) const
+{
+    const auto found = m_queues.find(request.work.queue);
+    return found == m_queues.end() ? Duration(0) : fromSeconds(found->second.meanSeconds);
+}
+
+TimePoint Scheduler::latestStart(const Request &request, TimePoint now) const
+{
+    const Duration left = std::max(request.work.deadline - now, Duration(0));
+    return request.work.deadline - std::min(estimatedRun(request), left / 2);
+}
+
+// Requests ahead, in the order of fair queueing, divided by the rate at which the pool's running
+// requests end.
+Duration Scheduler::estimatedWait(const Request &request) const
+{
+    const auto found = m_pools.find(request.route->pool);
+    if (found == m_pools.end()) {
+        return Duration(0);
+    }
+    const auto &pool = found->second;
+    const auto &line = request.route->urgent ? pool.urgent : pool.normal;
+    if (line.size() == 0) {
+        return Duration(0);
+    }
+    const double weight = m_table->weight(request.work.workspace);
+    const auto own = static_cast<double>(line.size(request.work.workspace));
+    const double share = weight / std::max(line.backloggedWeight(), weight);
+    double ahead = std::min(static_cast<double>(line.size()), (own + 1) / share);
+    if (!request.route->urgent) {
+        ahead += static_cast<double>(pool.urgent.size());
+    }
+    return fromSeconds(ahead * pool.meanSeconds / std::max(pool.running, 1U));
+}
+
+std::chrono::seconds Scheduler::retryDelay(const Request &request) const
+{
+    const auto wait = std::chrono::ceil<std::chrono::seconds>(estimatedWait(request));
+    return std::clamp(wait, shortRetryAfter, longestRetryAfter);
+}
+
+void Scheduler::enqueue(Request &request, TimePoint now, bool front)
+{
+    request.state = State::Queued;
+    auto &line = lineOf(request);
+    const double weight = m_table->weight(request.work.workspace);
+    if (front) {
+        line.pushFront(request.work.ticket, request.work.workspace, request.work.queue, weight);
+    } else {
+        line.push(request.work.ticket, request.work.workspace, request.work.queue, weight);
+    }
+    setWake(request, latestStart(request, now));
+}
+
+void Scheduler::pump(const PoolId &poolId, TimePoint now, SchedulerActions &actions)
+{
+    auto &pool = m_pools[poolId];
+    const auto start = [&](Ticket ticket) { return tryStart(ticket, now, actions); };
+    pool.urgent.startAll(start);
+    pool.normal.startAll(start);
+    if (pool.urgent.size() + pool.normal.size() > 0 && !pool.wakePending) {
+        pool.wakePending = true;
+        m_poolWakes.insert({now + m_settings.slotRetry, poolId});
+    }
+}
+
+FairQueue::Start Scheduler::tryStart(Ticket ticket, TimePoint now, SchedulerActions &actions)
+{
+    auto &request = m_requests.at(ticket);
+    const auto *worker = reserveWorker(request, now);
+    if (worker == nullptr) {
+        return FairQueue::Start::QueueBlocked;
+    }
+    if (!acquireWorkspace(request.work.workspace)) {
+        releaseSlot(worker->id);
+        return FairQueue::Start::WorkspaceBlocked;
+    }
+    start(request, *worker, now, actions);
+    return FairQueue::Start::Started;
+}
+
+double Scheduler::loadOf(const WorkerState &worker, TimePoint now) const
+{
+    if (worker.leaving || worker.health.isEjected(now) || worker.slotsTakenUntil > now) {
+        return routing::fullLoad;
+    }
+    const unsigned slots = std::min(worker.slots, connectionShare());
+    if (slots == 0) {
+        return routing::fullLoad;
+    }
+    const double open = std::max(1.0, slots * worker.health.openShare(now, m_settings.health));
+    const double used = worker.outstanding + worker.health.occupancy(now, m_settings.health);
+    return used / open;
+}
+
+const routing::RoutedWorker *Scheduler::reserveWorker(const Request &request, TimePoint now)
+{
+    const auto &workers = request.table->workers();
+    const auto &candidates = request.route->candidates;
+    const auto load = [&](std::size_t index) {
+        const auto &id = workers[candidates[index]].id;
+        if (request.failedOn.contains(id) && request.failedOn.size() < candidates.size()) {
+            return routing::fullLoad;
+        }
+        return loadOf(m_workers.at(id), now);
+    };
+    while (const auto chosen = routing::chooseLessLoaded(candidates.size(), load, m_random)) {
+        const auto &routed = workers[candidates[*chosen]];
+        if (!m_permits.acquireSlot || m_permits.acquireSlot(routed.id)) {
+            return &routed;
+        }
+        m_workers.at(routed.id).slotsTakenUntil = now + m_settings.slotRetry;
+    }
+    return nullptr;
+}
+
+void Scheduler::start(Request &request, const routing::RoutedWorker &worker, TimePoint now,
+                      SchedulerActions &actions)
+{
+    auto &state = m_workers.at(worker.id);
+    ++state.outstanding;
+    ++state.calls;
+    ++poolOf(request).running;
+    request.state = State::Running;
+    request.worker = worker.id;
+    request.minionAddress = worker.minionAddress;
+    request.startedAt = now;
+    ++request.attempts;
+    request.chargedSeconds = toSeconds(estimatedRun(request));
+    lineOf(request).charge(request.work.workspace, m_table->weight(request.work.workspace),
+                           request.chargedSeconds);
+    setWake(request, now + silenceLimit(request));
+    actions.push_back(StartCall{request.work.ticket, worker.id, worker.minionAddress,
+                                request.work.deadline, request.attempts});
+}
+
+Duration Scheduler::silenceLimit(const Request &request) const
+{
+    const auto found = m_queues.find(request.work.queue);
+    const double longest = found == m_queues.end() ? 0 : found->second.longestSeconds;
+    return std::max(m_settings.silentAfter, fromSeconds(longest * m_settings.silenceFactor));
+}
+
+bool Scheduler::acquireWorkspace(const WorkspaceId &workspace)
+{
+    return workspace.empty() || !m_permits.acquireWorkspace
+           || m_permits.acquireWorkspace(workspace);
+}
+
+void Scheduler::releaseWorkspace(const WorkspaceId &workspace)
+{
+    if (!workspace.empty() && m_permits.releaseWorkspace) {
+        m_permits.releaseWorkspace(workspace);
+    }
+}
+
+void Scheduler::releaseSlot(const WorkerId &worker)
+{
+    if (m_permits.releaseSlot) {
+        m_permits.releaseSlot(worker);
+    }
+}
+
+void Scheduler::cancel(Ticket ticket, SchedulerActions &actions)
+{
+    const auto found = m_requests.find(ticket);
+    if (found == m_requests.end()) {
+        return;
+    }
+    auto &request = found->second;
+    request.callerGone = true;
+    if (request.state == State::Running) {
+        return;
+    }
+    giveUp(request,
+           {ErrorKind::Cancelled, "the caller closed its connection",
+            "keep the connection open until the answer"},
+           std::chrono::seconds(0), actions);
+}
+
+void Scheduler::callEnded(Ticket ticket, CallVerdict verdict, TimePoint now,
+                          SchedulerActions &actions)
+{
+    const auto found = m_requests.find(ticket);
+    if (found == m_requests.end() || found->second.state != State::Running) {
+        return;
+    }
+    auto &request = found->second;
+    const auto pool = request.route->pool;
+    --poolOf(request).running;
+    const double used = toSeconds(now - request.startedAt);
+    const double weight = m_table->weight(request.work.workspace);
+    lineOf(request).charge(request.work.workspace, weight, used - request.chargedSeconds);
+    freeUnits(request, verdict, now);
+    learnHealth(request, verdict, now);
+    if (verdict == CallVerdict::Success) {
+        learnDuration(request, used);
+    }
+    request.mayHaveRun |= verdict == CallVerdict::Unknown || verdict == CallVerdict::Failure;
+    if (!tryRetry(request, verdict, now)) {
+        learnFinalHealth(request, now);
+        endAfterCall(request, verdict, actions);
+    }
+    pump(pool, now, actions);
+}
+
+void Scheduler::freeUnits(const Request &request, CallVerdict verdict, TimePoint now)
+{
+    auto &worker = m_workers.at(request.worker);
+    --worker.calls;
+    if (verdict == CallVerdict::Unknown) {
+        ++worker.mayStillRun;
+        m_holds.emplace(now + m_settings.unknownSlotHold, SlotHold{request.worker});
+        m_holds.emplace(request.work.deadline + m_settings.unknownGrace,
+                        WorkspaceHold{request.work.workspace, request.worker});
+        return;
+    }
+    --worker.outstanding;
+    releaseSlot(request.worker);
+    releaseWorkspace(request.work.workspace);
+    lineOf(request).unpark(request.work.workspace);
+}
+
+void Scheduler::releaseHold(const Hold &hold, TimePoint now, SchedulerActions &actions)
+{
+    if (const auto *slot = std::get_if<SlotHold>(&hold)) {
+        auto &worker = m_workers.at(slot->worker);
+        --worker.outstanding;
+        releaseSlot(slot->worker);
+        pump(worker.pool, now, actions);
+        return;
+    }
+    const auto &held = std::get<WorkspaceHold>(hold);
+    --m_workers.at(held.worker).mayStillRun;
+    releaseWorkspace(held.workspace);
+    workspaceAvailable(held.workspace, now, actions);
+}
+
+void Scheduler::learnDuration(const Request &request, double seconds)
+{
+    auto &queue = m_queues[request.work.queue];
+    queue.meanSeconds = movingAverage(queue.meanSeconds, seconds);
+    queue.longestSeconds = std::max(queue.longestSeconds * longestDecay, seconds);
+    auto &pool = m_pools[request.route->pool];
+    pool.meanSeconds = movingAverage(pool.meanSeconds, seconds);
+}
+
+void Scheduler::learnHealth(Request &request, CallVerdict verdict, TimePoint now)
+{
+    auto &health = m_workers.at(request.worker).health;
+    if (verdict == CallVerdict::Success) {
+        health.addSuccess(now, m_settings.health);
+        m_workFaults.addSuccess(request.work.signature);
+        for (const auto &failed : request.failedOn) {
+            blame(failed, now);
+        }
+        request.failedOn.clear();
+        return;
+    }
+    health.addOccupancy(now, m_settings.health);
+    if (verdict == CallVerdict::NotRun) {
+        // Work that never started is not at fault.
+        blame(request.worker, now);
+        return;
+    }
+    request.failedOn.insert(request.worker);
+    m_workFaults.addFailure(request.work.signature, request.worker, m_settings.workFaultWorkers,
+                            now);
+}
+
+// A request that failed on several workers and succeeded on none says nothing against them.
+void Scheduler::learnFinalHealth(const Request &request, TimePoint now)
+{
+    if (request.failedOn.size() != 1
+        || m_workFaults.isAtFault(request.work.signature, m_settings.workFaultWorkers)) {
+        return;
+    }
+    blame(*request.failedOn.begin(), now);
+}
+
+void Scheduler::blame(const WorkerId &workerId, TimePoint now)
+{
+    const auto found = m_workers.find(workerId);
+    if (found == m_workers.end()) {
+        return;
+    }
+    auto &worker = found->second;
+    worker.health.addFailure(now, m_settings.health);
+    const auto *pool = m_table->findPool(worker.pool);
+    if (pool == nullptr) {
+        return;
+    }
+    routing::OutcomeCounts peers;
+    unsigned out = 0;
+    for (const auto index : pool->workers) {
+        const auto &peerId = m_table->workers()[index].id;
+        const auto &peer = m_workers.at(peerId);
+        out += peer.leaving || peer.health.isEjected(now) ? 1 : 0;
+        if (peerId != workerId) {
+            const auto counts = peer.health.counts(now, m_settings.health);
+            peers.successes += counts.successes;
+            peers.failures += counts.failures;
+        }
+    }
+    if (out < pool->maxUnavailable && out + 1 < pool->workers.size()
+        && worker.health.deservesEjection(now, peers, m_settings.health)) {
+        worker.health.eject(now, m_settings.health);
+    }
+}
+
+bool Scheduler::tryRetry(Request &request, CallVerdict verdict, TimePoint now)
+{
+    if (verdict == CallVerdict::Success || request.callerGone
+        || request.attempts >= m_settings.retry.maxAttempts) {
+        return false;
+    }
+    if (verdict != CallVerdict::NotRun && !request.route->idempotent) {
+        return false;
+    }
+    if (m_workFaults.isAtFault(request.work.signature, m_settings.workFaultWorkers)) {
+        return false;
+    }
+    const auto delay = fullJitterBackoff(request.attempts, m_settings.retry, m_random);
+    if (now + delay >= latestStart(request, now) || !poolOf(request).retries.tryTake()) {
+        return false;
+    }
+    request.state = State::BackingOff;
+    setWake(request, now + delay);
+    return true;
+}
+
+void Scheduler::endAfterCall(const Request &request, CallVerdict verdict, SchedulerActions &actions)
+{
+    const auto ticket = request.work.ticket;
+    if (verdict == CallVerdict::Success || verdict == CallVerdict::Failure) {
+        actions.push_back(RelayAnswer{ticket});
+        forget(ticket);
+        return;
+    }
+    if (request.mayHaveRun) {
+        giveUp(request, {ErrorKind::Unknown, "", ""}, std::chrono::seconds(0), actions);
+        return;
+    }
+    giveUp(request,
+           {ErrorKind::Unavailable, "no minion took the request",
+            "try again after the delay in Retry-After"},
+           shortRetryAfter, actions);
+}
+
+void Scheduler::giveUp(const Request &request, Error error, std::chrono::seconds retryAfter,
+                       SchedulerActions &actions)
+{
+    const auto ticket = request.work.ticket;
+    GiveUp action{ticket, Outcome::NotRun, std::move(error), retryAfter};
+    if (request.mayHaveRun) {
+        action.outcome = Outcome::Unknown;
+        action.error = {ErrorKind::Unknown, "no minion gave a whole answer; the work may have run",
+                        "find out whether the work took effect before you repeat it"};
+        action.retryAfter = std::chrono::seconds(0);
+    }
+    if (request.state == State::Queued) {
+        lineOf(request).remove(ticket);
+    }
+    actions.push_back(std::move(action));
+    forget(ticket);
+}
+
+void Scheduler::forget(Ticket ticket)
+{
+    const auto found = m_requests.find(ticket);
+    m_wakes.erase({found->second.wake, ticket});
+    m_requests.erase(found);
+}
+
+void Scheduler::probeEnded(Ticket ticket, unsigned attempt, bool answered, bool stillRunning,
+                           TimePoint now, SchedulerActions &actions)
+{
+    const auto found = m_requests.find(ticket);
+    if (found == m_requests.end() || found->second.state != State::Running
+        || found->second.attempts != attempt) {
+        return;
+    }
+    auto &request = found->second;
+    const bool connectionIsDead = answered && !stillRunning;
+    const bool minionIsDead = !answered && request.route->idempotent;
+    if (connectionIsDead || minionIsDead) {
+        actions.push_back(AbortCall{ticket});
+        return;
+    }
+    setWake(request, now + silenceLimit(request));
+}
+
+void Scheduler::workspaceAvailable(const WorkspaceId &workspace, TimePoint now,
+                                   SchedulerActions &actions)
+{
+    for (auto &[id, pool] : m_pools) {
+        pool.urgent.unpark(workspace);
+        pool.normal.unpark(workspace);
+        if (pool.urgent.size(workspace) + pool.normal.size(workspace) > 0) {
+            pump(id, now, actions);
+        }
+    }
+}
+
+void Scheduler::slotAvailable(const WorkerId &worker, TimePoint now, SchedulerActions &actions)
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end()) {
+        return;
+    }
+    found->second.slotsTakenUntil = now;
+    pump(found->second.pool, now, actions);
+}
+
+void Scheduler::timePassed(TimePoint now, SchedulerActions &actions)
+{
+    while (!m_holds.empty() && m_holds.begin()->first <= now) {
+        const auto hold = m_holds.begin()->second;
+        m_holds.erase(m_holds.begin());
+        releaseHold(hold, now, actions);
+    }
+    while (!m_poolWakes.empty() && m_poolWakes.begin()->first <= now) {
+        const auto pool = m_poolWakes.begin()->second;
+        m_poolWakes.erase(m_poolWakes.begin());
+        m_pools[pool].wakePending = false;
+        pump(pool, now, actions);
+    }
+    while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
+        wakeUp(m_wakes.begin()->second, now, actions);
+    }
+}
+
+void Scheduler::wakeUp(Ticket ticket, TimePoint now, SchedulerActions &actions)
+{
+    auto &request = m_requests.at(ticket);
+    switch (request.state) {
+    case State::Queued:
+        giveUp(request,
+               {ErrorKind::Overloaded, "the request could not start before its deadline",
+                "try again after the delay in Retry-After"},
+               retryDelay(request), actions);
+        return;
+    case State::BackingOff: {
+        if (!refreshRoute(request)) {
+            giveUp(request, {ErrorKind::NotFound, "the queue was removed", "use another queue"},
+                   std::chrono::seconds(0), actions);
+            return;
+        }
+        const auto pool = request.route->pool;
+        enqueue(request, now, true);
+        pump(pool, now, actions);
+        return;
+    }
+    case State::Running:
+        // Another probe only when this one gets lost.
+        setWake(request, now + m_settings.probeTimeout + silenceLimit(request));
+        actions.push_back(ProbeMinion{ticket, request.attempts, request.minionAddress});
+        return;
+    }
+}
+
+void Scheduler::setWake(Request &request, TimePoint wake)
+{
+    m_wakes.erase({request.wake, request.work.ticket});
+    request.wake = wake;
+    m_wakes.insert({wake, request.work.ticket});
+}
+
+std::optional<TimePoint> Scheduler::nextWake() const
+{
+    std::optional<TimePoint> next;
+    const auto consider = [&next](TimePoint time) { next = next ? std::min(*next, time) : time; };
+    if (!m_wakes.empty()) {
+        consider(m_wakes.begin()->first);
+    }
+    if (!m_holds.empty()) {
+        consider(m_holds.begin()->first);
+    }
+    if (!m_poolWakes.empty()) {
+        consider(m_poolWakes.begin()->first);
+    }
+    return next;
+}
+
+unsigned Scheduler::inFlight(const WorkerId &worker) const
+{
+    const auto found = m_workers.find(worker);
+    return found == m_workers.end() ? 0 : found->second.calls + found->second.mayStillRun;
+}
+
+bool Scheduler::isEjected(const WorkerId &worker, TimePoint now) const
+{
+    const auto found = m_workers.find(worker);
+    return found != m_workers.end() && found->second.health.isEjected(now);
+}
+
+std::size_t Scheduler::queued() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, pool] : m_pools) {
+        count += pool.urgent.size() + pool.normal.size();
+    }
+    return count;
+}
+
+} // namespace cyclamenlatch::dispatch
--- /dev/null
+++ b/src/dispatch/retrybudget.h
@@ -0,0 +1,60 @@
+// Bounds retries to a ratio of fresh requests, so that a dead pool does not get a multiple of its
+// traffic; and spreads them by full-jitter backoff. Pure.
+#pragma once
+
+#include "global/random.h"
+#include "global/time.h"
+
+#include <algorithm>
+
+namespace cyclamenlatch::dispatch {
+
+struct RetrySettings
+{
+    // Retries allowed for each fresh request.
+    double ratio = 0.1;
+    // Retries that may be saved up.
+    double maxSaved = 20;
+    Duration firstBackoff = std::chrono::milliseconds(20);
+    Duration longestBackoff = std::chrono::milliseconds(1000);
+    // Tries of one request, the first included.
+    unsigned maxAttempts = 4;
+};
+
+class RetryBudget
+{
+public:
+    explicit RetryBudget(double saved = 0)
+        : m_saved(saved)
+    {}
+
+    void addFresh(const RetrySettings &settings)
+    {
+        m_saved = std::min(settings.maxSaved, m_saved + settings.ratio);
+    }
+
+    bool tryTake()
+    {
+        if (m_saved < 1) {
+            return false;
+        }
+        m_saved -= 1;
+        return true;
+    }
+
+private:
+    // Retries that may start now.
+    double m_saved;
+};
+
+// Returns a uniform delay below firstBackoff * 2^(attempts - 1), capped.
+inline Duration fullJitterBackoff(unsigned attempts, const RetrySettings &settings, Random &random)
+{
+    const unsigned doublings = std::min(attempts > 0 ? attempts - 1 : 0U, 16U);
+    const Duration bound =
+            std::min<Duration>(settings.firstBackoff * (1LL << doublings), settings.longestBackoff);
+    return Duration(
+            static_cast<Duration::rep>(static_cast<double>(bound.count()) * uniformReal(random)));
+}
+
+} // namespace cyclamenlatch::dispatch
--- /dev/null
+++ b/src/dispatch/scheduler.h
@@ -0,0 +1,178 @@
+// Decides which request runs where and when, and how each one ends. Pure: events come in with the
+// time, actions come out; the dispatcher carries them out. A request is in exactly one of four
+// states: queued, backing off before another try, running, or ended (and forgotten).
+#pragma once
+
+#include "dispatch/callverdict.h"
+#include "dispatch/dispatchsettings.h"
+#include "dispatch/fairqueue.h"
+#include "dispatch/scheduleraction.h"
+#include "dispatch/schedulerwork.h"
+#include "dispatch/startpermits.h"
+#include "dispatch/workfaults.h"
+#include "global/random.h"
+#include "routing/routingtable.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+
+namespace cyclamenlatch::dispatch {
+
+class Scheduler
+{
+public:
+    Scheduler(DispatchSettings settings, StartPermits permits, std::uint64_t seed);
+
+    // Events. Each appends what is to be done.
+    void setTable(std::shared_ptr<const routing::RoutingTable> table, TimePoint now,
+                  SchedulerActions &actions);
+    void setLeaving(std::set<WorkerId> leaving);
+    // Number of live entries, which share the connections to each minion.
+    void setLiveEntries(unsigned entries);
+    void submit(const SchedulerWork &work, TimePoint now, SchedulerActions &actions);
+    // The caller is gone. A queued request is dropped; a running one ends as it will.
+    void cancel(Ticket ticket, SchedulerActions &actions);
+    void callEnded(Ticket ticket, CallVerdict verdict, TimePoint now, SchedulerActions &actions);
+    void probeEnded(Ticket ticket, unsigned attempt, bool answered, bool stillRunning,
+                    TimePoint now, SchedulerActions &actions);
+    void workspaceAvailable(const WorkspaceId &workspace, TimePoint now, SchedulerActions &actions);
+    void slotAvailable(const WorkerId &worker, TimePoint now, SchedulerActions &actions);
+    void timePassed(TimePoint now, SchedulerActions &actions);
+
+    // Queries.
+    // When timePassed must be called next, if nothing else happens.
+    std::optional<TimePoint> nextWake() const;
+    // Calls that run on a worker, or may still run there after an unknown outcome.
+    unsigned inFlight(const WorkerId &worker) const;
+    bool isEjected(const WorkerId &worker, TimePoint now) const;
+    std::size_t queued() const;
+    std::size_t open() const { return m_requests.size(); }
+    // Connections that this entry may have to one minion.
+    unsigned connectionShare() const;
+
+private:
+    enum class State { Queued, BackingOff, Running };
+    struct WorkerState
+    {
+        PoolId pool;
+        unsigned slots = 0;
+        bool leaving = false;
+        // Slots in use: calls in flight, and for a short while those of unknown outcome.
+        unsigned outstanding = 0;
+        unsigned calls = 0;
+        // Calls of unknown outcome that may still run.
+        unsigned mayStillRun = 0;
+        // Other entries hold the minion's slots until about then.
+        TimePoint slotsTakenUntil{};
+        routing::WorkerHealth health;
+    };
+    struct QueueState
+    {
+        // Moving average of a successful run, in seconds; 0 before the first.
+        double meanSeconds = 0;
+        // Decaying longest run, in seconds.
+        double longestSeconds = 0;
+    };
+    struct PoolState
+    {
+        FairQueue urgent;
+        FairQueue normal;
+        RetryBudget retries;
+        // Calls of this pool in flight.
+        unsigned running = 0;
+        // Moving average of a successful run, in seconds; 0 before the first.
+        double meanSeconds = 0;
+        bool wakePending = false;
+    };
+    struct Request
+    {
+        SchedulerWork work;
+        const routing::QueueRoute *route = nullptr;
+        // Keeps the route alive.
+        std::shared_ptr<const routing::RoutingTable> table;
+        State state = State::Queued;
+        unsigned attempts = 0;
+        // A try ended with an unknown outcome, so that it can't end as not-run any more.
+        bool mayHaveRun = false;
+        bool callerGone = false;
+        std::set<WorkerId> failedOn;
+        // Of the current try.
+        WorkerId worker;
+        std::string minionAddress;
+        TimePoint startedAt{};
+        double chargedSeconds = 0;
+        TimePoint wake{};
+    };
+    // The worker's slot is taken back early, since over-use there costs only time.
+    struct SlotHold
+    {
+        WorkerId worker;
+    };
+    // The workspace's unit is kept until the work must have ended.
+    struct WorkspaceHold
+    {
+        WorkspaceId workspace;
+        WorkerId worker;
+    };
+    using Hold = std::variant<SlotHold, WorkspaceHold>;
+
+    // Points a request at the newest table. Returns false when its queue is gone.
+    bool refreshRoute(Request &request);
+    PoolState &poolOf(const Request &request) { return m_pools[request.route->pool]; }
+    FairQueue &lineOf(const Request &request);
+    void enqueue(Request &request, TimePoint now, bool front);
+    void pump(const PoolId &pool, TimePoint now, SchedulerActions &actions);
+    FairQueue::Start tryStart(Ticket ticket, TimePoint now, SchedulerActions &actions);
+    // Chooses a worker and takes one of its slots.
+    const routing::RoutedWorker *reserveWorker(const Request &request, TimePoint now);
+    double loadOf(const WorkerState &worker, TimePoint now) const;
+    void start(Request &request, const routing::RoutedWorker &worker, TimePoint now,
+               SchedulerActions &actions);
+    bool acquireWorkspace(const WorkspaceId &workspace);
+    void releaseWorkspace(const WorkspaceId &workspace);
+    void releaseSlot(const WorkerId &worker);
+    void freeUnits(const Request &request, CallVerdict verdict, TimePoint now);
+    void learnDuration(const Request &request, double seconds);
+    void learnHealth(Request &request, CallVerdict verdict, TimePoint now);
+    void learnFinalHealth(const Request &request, TimePoint now);
+    void blame(const WorkerId &worker, TimePoint now);
+    bool tryRetry(Request &request, CallVerdict verdict, TimePoint now);
+    void endAfterCall(const Request &request, CallVerdict verdict, SchedulerActions &actions);
+    void giveUp(const Request &request, Error error, std::chrono::seconds retryAfter,
+                SchedulerActions &actions);
+    bool hasUsableWorker(const Request &request) const;
+    bool refuseEarly(const Request &request, TimePoint now, SchedulerActions &actions);
+    std::chrono::seconds retryDelay(const Request &request) const;
+    void forget(Ticket ticket);
+    void setWake(Request &request, TimePoint wake);
+    void wakeUp(Ticket ticket, TimePoint now, SchedulerActions &actions);
+    Duration estimatedWait(const Request &request) const;
+    Duration estimatedRun(const Request &request) const;
+    TimePoint latestStart(const Request &request, TimePoint now) const;
+    Duration silenceLimit(const Request &request) const;
+    void releaseHold(const Hold &hold, TimePoint now, SchedulerActions &actions);
+
+    DispatchSettings m_settings;
+    StartPermits m_permits;
+    Random m_random;
+    std::shared_ptr<const routing::RoutingTable> m_table;
+    std::set<WorkerId> m_leaving;
+    unsigned m_liveEntries = 1;
+    std::unordered_map<WorkerId, WorkerState> m_workers;
+    std::unordered_map<PoolId, PoolState> m_pools;
+    std::unordered_map<QueueId, QueueState> m_queues;
+    std::unordered_map<Ticket, Request> m_requests;
+    // Invariant: one element for each open request, at its wake time.
+    std::set<std::pair<TimePoint, Ticket>> m_wakes;
+    std::multimap<TimePoint, Hold> m_holds;
+    // Pools with queued requests are looked at again then, since load also falls with time.
+    std::set<std::pair<TimePoint, PoolId>> m_poolWakes;
+    WorkFaults m_workFaults;
+};
+
+} // namespace cyclamenlatch::dispatch
--- /dev/null
+++ b/src/dispatch/startpermits.h
@@ -0,0 +1,20 @@
+// Fleet-wide permission to start a request: one unit of its workspace's limit and one slot of its
+// minion. Left empty, only this entry's own counts bound the work.
+#pragma once
+
+#include "global/ids.h"
+
+#include <functional>
+
+namespace cyclamenlatch::dispatch {
+
+struct StartPermits
+{
+    // These are called with the dispatcher's lock held and must not call back into it.
+    std::function<bool(const WorkspaceId &)> acquireWorkspace;
+    std::function<void(const WorkspaceId &)> releaseWorkspace;
+    std::function<bool(const WorkerId &)> acquireSlot;
+    std::function<void(const WorkerId &)> releaseSlot;
+};
+
+} // namespace cyclamenlatch::dispatch
--- a/src/net/httpcallresult.h
+++ b/src/net/httpcallresult.h
@@ -1,6 +1,7 @@
 // How an outgoing HTTP call ended, with proof of whether the peer can have seen any of it.
 #pragma once
 
+#include "net/httpcall.h"
 #include "net/httpreply.h"
 
 #include <optional>
@@ -22,6 +23,8 @@
     std::optional<HttpReply> reply;
     // Why there is no reply; empty when there is one.
     std::string failure;
+    // The call as it was sent, so that its body can be sent again without a copy.
+    HttpCall call;
 };
 
 } // namespace cyclamenlatch::net
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -1,13 +1,22 @@
-// Drives libcurl's multi socket interface from one Asio thread.
+// Drives libcurl's multi socket interface from one Asio thread for each part of the hosts.
 #include "net/httpclient.h"
 
+#include "net/internal/connectiontable.h"
+
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
 
+#include <algorithm>
+#include <charconv>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -19,6 +28,12 @@
 // Idle connections older than this are not reused, so that one which something in between has
 // forgotten is seldom chosen.
 constexpr long maxIdleSeconds = 20;
+// A connection whose peer acknowledges nothing for about these times is ended by the kernel.
+constexpr long keepAliveIdleSeconds = 5;
+constexpr long keepAliveIntervalSeconds = 2;
+constexpr int keepAliveProbes = 3;
+constexpr unsigned unacknowledgedMilliseconds = 10000;
+constexpr int firstFinalStatus = 200;
 
 struct Transfer
 {
@@ -28,6 +43,10 @@
     HttpClient::Completion completion;
     HttpReply reply;
     SendState sendState = SendState::NotSent;
+    // Status of the header block that is being read.
+    int status = 0;
+    // Why this client ended the call; empty when it did not.
+    std::string aborted;
 
     Transfer() = default;
     Transfer(const Transfer &) = delete;
@@ -50,8 +69,37 @@
 
 std::size_t receiveBody(char *data, std::size_t size, std::size_t count, void *context)
 {
-    static_cast<Transfer *>(context)->reply.body.append(data, size * count);
-    return size * count;
+    auto *transfer = static_cast<Transfer *>(context);
+    const std::size_t bytes = size * count;
+    if (transfer->reply.body.size() + bytes > transfer->call.maxReplyBytes) {
+        transfer->aborted = "the answer is too long";
+        return 0;
+    }
+    transfer->reply.body.append(data, bytes);
+    return bytes;
+}
+
+bool hasRequiredEcho(const Transfer &transfer)
+{
+    const auto &required = transfer.call.requiredEcho;
+    return !required || transfer.reply.headers.find(required->name) == required->value;
+}
+
+// Returns whether the end of the reply's body can be told from its headers.
+bool hasFraming(const HttpReply &reply)
+{
+    return reply.body.empty() || reply.headers.find("Content-Length")
+           || reply.headers.find("Transfer-Encoding");
+}
+
+void receiveStatusLine(Transfer &transfer, std::string_view line)
+{
+    transfer.reply.headers = HttpHeaders{};
+    transfer.status = 0;
+    const auto space = line.find(' ');
+    if (space != std::string_view::npos) {
+        std::from_chars(line.data() + space + 1, line.data() + line.size(), transfer.status);
+    }
 }
 
 std::size_t receiveHeader(char *data, std::size_t size, std::size_t count, void *context)
@@ -59,9 +107,14 @@
     auto *transfer = static_cast<Transfer *>(context);
     std::string_view line(data, size * count);
     if (line.starts_with("HTTP/")) {
-        transfer->reply.headers = HttpHeaders{};
+        receiveStatusLine(*transfer, line);
         return line.size();
     }
+    const bool endsHeaders = line == "\r\n" || line == "\n";
+    if (endsHeaders && transfer->status >= firstFinalStatus && !hasRequiredEcho(*transfer)) {
+        transfer->aborted = "the answer belongs to another request";
+        return 0;
+    }
     const auto colon = line.find(':');
     if (colon == std::string_view::npos) {
         return line.size();
@@ -75,6 +128,38 @@
     return line.size();
 }
 
+// Sets the kernel's own limits on a connection without acknowledgements.
+int setSocketOptions(void *, curl_socket_t socket, curlsocktype)
+{
+    const unsigned timeout = unacknowledgedMilliseconds;
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    const int probes = keepAliveProbes;
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    return CURL_SOCKOPT_OK;
+}
+
+// Returns "address:port" of a URL such as "http://address:port/path".
+std::string_view hostOf(std::string_view url)
+{
+    const auto scheme = url.find("://");
+    if (scheme != std::string_view::npos) {
+        url.remove_prefix(scheme + 3);
+    }
+    return url.substr(0, url.find('/'));
+}
+
+std::string hostOf(const curl_sockaddr &address)
+{
+    asio::ip::tcp::endpoint endpoint;
+    if (address.addrlen > endpoint.capacity()) {
+        return {};
+    }
+    std::copy_n(reinterpret_cast<const char *>(&address.addr), address.addrlen,
+                reinterpret_cast<char *>(endpoint.data()));
+    endpoint.resize(address.addrlen);
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 void initializeCurl()
 {
     static const CURLcode initialized = curl_global_init(CURL_GLOBAL_ALL);
@@ -120,6 +205,45 @@
                    });
     }
 
+    void cancel(std::uint64_t cancelKey)
+    {
+        asio::post(m_context, [this, cancelKey] {
+            const auto found = m_cancellable.find(cancelKey);
+            if (found == m_cancellable.end()) {
+                return;
+            }
+            CURL *easy = found->second;
+            m_transfers.at(easy)->aborted = "the call was cancelled";
+            finish(easy, CURLE_ABORTED_BY_CALLBACK);
+        });
+    }
+
+    void setMaxConnectionsPerHost(std::size_t count)
+    {
+        asio::post(m_context, [this, count] {
+            curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(count));
+        });
+    }
+
+    std::size_t connectionsOpen(const std::string &host) const { return m_connections.count(host); }
+
+    void closeIdle(const std::string &host)
+    {
+        asio::post(m_context, [this, host] {
+            const bool isUsed =
+                    std::any_of(m_transfers.begin(), m_transfers.end(), [&](const auto &item) {
+                        return hostOf(item.second->call.url) == host;
+                    });
+            if (isUsed) {
+                return;
+            }
+            // libcurl finds out and closes the socket before it would reuse the connection.
+            for (const int socket : m_connections.take(host)) {
+                ::shutdown(socket, SHUT_RDWR);
+            }
+        });
+    }
+
 private:
     struct Socket
     {
@@ -142,6 +266,9 @@
         transfer->easy = takeEasy();
         configure(*transfer);
         CURL *easy = transfer->easy;
+        if (transfer->call.cancelKey != 0) {
+            m_cancellable.emplace(transfer->call.cancelKey, easy);
+        }
         m_transfers.emplace(easy, std::move(transfer));
         curl_multi_add_handle(m_multi, easy);
     }
@@ -156,7 +283,7 @@
         return easy;
     }
 
-    static void configure(Transfer &transfer)
+    void configure(Transfer &transfer)
     {
         CURL *easy = transfer.easy;
         const auto &call = transfer.call;
@@ -166,6 +293,17 @@
         curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, keepAliveIdleSeconds);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, keepAliveIntervalSeconds);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Private::openSocket);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Private::closeSocket);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+        if (call.freshConnection) {
+            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        }
         curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                          static_cast<long>(call.connectTimeout.count()));
@@ -192,6 +330,22 @@
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headerList);
     }
 
+    static curl_socket_t openSocket(void *context, curlsocktype, curl_sockaddr *address)
+    {
+        const int type = address->socktype | SOCK_CLOEXEC;
+        const int socket = ::socket(address->family, type, address->protocol);
+        if (socket >= 0) {
+            static_cast<Private *>(context)->m_connections.add(socket, hostOf(*address));
+        }
+        return socket < 0 ? CURL_SOCKET_BAD : socket;
+    }
+
+    static int closeSocket(void *context, curl_socket_t socket)
+    {
+        static_cast<Private *>(context)->m_connections.remove(socket);
+        return ::close(socket);
+    }
+
     static int onSocket(CURL *, curl_socket_t handle, int what, void *context, void *)
     {
         static_cast<Private *>(context)->changeSocket(handle, what);
@@ -296,14 +450,21 @@
         auto transfer = std::move(node.mapped());
         HttpCallResult result;
         result.sendState = transfer->sendState;
-        if (code == CURLE_OK) {
-            long status = 0;
-            curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-            transfer->reply.status = static_cast<int>(status);
+        if (code == CURLE_OK && !hasFraming(transfer->reply)) {
+            transfer->aborted = "the answer's end can't be told";
+        }
+        if (!transfer->aborted.empty()) {
+            result.failure = std::move(transfer->aborted);
+        } else if (code == CURLE_OK) {
+            transfer->reply.status = transfer->status;
             result.reply = std::move(transfer->reply);
         } else {
             result.failure = curl_easy_strerror(code);
         }
+        if (transfer->call.cancelKey != 0) {
+            m_cancellable.erase(transfer->call.cancelKey);
+        }
+        result.call = std::move(transfer->call);
         curl_multi_remove_handle(m_multi, easy);
         curl_easy_reset(easy);
         m_idleEasy.push_back(easy);
@@ -330,19 +491,56 @@
     CURLM *m_multi = nullptr;
     std::unordered_map<CURL *, std::unique_ptr<Transfer>> m_transfers;
     std::unordered_map<curl_socket_t, SocketPointer> m_sockets;
+    // Calls in flight that have a cancel key.
+    std::unordered_map<std::uint64_t, CURL *> m_cancellable;
     std::vector<CURL *> m_idleEasy;
+    detail::ConnectionTable m_connections;
     std::thread m_thread;
 };
 
-HttpClient::HttpClient(std::size_t maxConnectionsPerHost)
-    : m_private(std::make_unique<Private>(maxConnectionsPerHost))
-{}
+HttpClient::HttpClient(std::size_t maxConnectionsPerHost, std::size_t threads)
+{
+    for (std::size_t index = 0; index < std::max<std::size_t>(threads, 1); ++index) {
+        m_privates.push_back(std::make_unique<Private>(maxConnectionsPerHost));
+    }
+}
 
 HttpClient::~HttpClient() = default;
 
+HttpClient::Private &HttpClient::privateOf(const std::string &url) const
+{
+    const auto host = hostOf(std::string_view(url));
+    return *m_privates[XXH64(host.data(), host.size(), 0) % m_privates.size()];
+}
+
 void HttpClient::send(HttpCall call, Completion completion)
 {
-    m_private->send(std::move(call), std::move(completion));
+    auto &part = privateOf(call.url);
+    part.send(std::move(call), std::move(completion));
+}
+
+void HttpClient::cancel(std::uint64_t cancelKey)
+{
+    for (const auto &part : m_privates) {
+        part->cancel(cancelKey);
+    }
+}
+
+void HttpClient::setMaxConnectionsPerHost(std::size_t count)
+{
+    for (const auto &part : m_privates) {
+        part->setMaxConnectionsPerHost(count);
+    }
+}
+
+std::size_t HttpClient::connectionsOpen(const std::string &host) const
+{
+    return privateOf(host).connectionsOpen(host);
+}
+
+void HttpClient::closeIdle(const std::string &host)
+{
+    privateOf(host).closeIdle(host);
 }
 
 } // namespace cyclamenlatch::net
