Plan long-lived jobs with a pure state machine

Change: tasks under leases on the stand-in platform, with checkpoint, throttle, stop, lagging usage and a ledger, and their client; records in the store, the machine of one job, blame of jobs and workers, best-fit placement with shares, limits and room for urgent jobs, and the book that keeps writes and quota units in step; a property test over interleavings with the stand-in platform's ledger as judge.

--- /dev/null
+++ b/src/jobs/internal/jobbook.cpp
@@ -0,0 +1,266 @@
+// Keeps records, tasks, writes under way and units in step.
+#include "jobs/jobbook.h"
+
+#include <charconv>
+#include <utility>
+
+namespace cyclamenlatch::jobs {
+
+namespace {
+
+constexpr std::chrono::milliseconds unitRetryDelay{100};
+
+struct TaskName
+{
+    JobId job;
+    std::uint32_t attempt = 0;
+};
+
+std::optional<TaskName> parseTask(const std::string &task)
+{
+    const auto dot = task.rfind('.');
+    if (dot == std::string::npos) {
+        return std::nullopt;
+    }
+    TaskName name;
+    const auto *end = task.data() + task.size();
+    const auto parsed = std::from_chars(task.data() + dot + 1, end, name.attempt);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    name.job = JobId(task.substr(0, dot));
+    return name;
+}
+
+} // namespace
+
+JobBook::JobBook(std::string self, quota::QuotaTable &quota)
+    : m_self(std::move(self))
+    , m_quota(quota)
+{}
+
+void JobBook::noteRecord(const JobRecord &record, platform::StoreRevision revision)
+{
+    auto &entry = m_jobs[record.id];
+    if (revision > entry.revision) {
+        entry = {record, revision};
+    }
+    settleUnit(record.id);
+}
+
+void JobBook::noteGone(const JobId &id)
+{
+    m_jobs.erase(id);
+    if (!m_pending.contains(id)) {
+        releaseUnit(id);
+    }
+}
+
+void JobBook::noteTasks(const platform::TaskListing &listing)
+{
+    for (const auto &task : listing.tasks) {
+        auto &known = m_tasks[task.id];
+        if (task.revision >= known.revision) {
+            known = task;
+        }
+    }
+    m_draining = {listing.draining.begin(), listing.draining.end()};
+}
+
+void JobBook::forgetTasks(const std::vector<std::string> &tasks)
+{
+    for (const auto &task : tasks) {
+        m_tasks.erase(task);
+    }
+}
+
+void JobBook::clear()
+{
+    m_jobs.clear();
+    m_tasks.clear();
+    m_draining.clear();
+    m_starting.clear();
+}
+
+JobPlanInput JobBook::makePlanInput(const CandidateIndex &candidates, const JobPolicy &policy,
+                                    WallTime now)
+{
+    JobPlanInput input;
+    input.candidates = &candidates;
+    input.policy = policy;
+    input.unavailable = m_draining;
+    input.self = m_self;
+    input.now = now;
+    std::erase_if(m_noUnitUntil, [now](const auto &item) { return item.second <= now; });
+    for (const auto &[workspace, until] : m_noUnitUntil) {
+        input.withoutUnit.insert(workspace);
+    }
+    input.jobs.reserve(m_jobs.size());
+    for (const auto &[id, entry] : m_jobs) {
+        JobView view{&entry.record, entry.revision, nullptr, m_starting.contains(id)};
+        // A write under way is planned with as if it had succeeded.
+        const auto pending = m_pending.find(id);
+        if (pending != m_pending.end()) {
+            view.record = &pending->second.write.next;
+            view.busy = true;
+        }
+        const auto task = m_tasks.find(taskOf(*view.record));
+        if (task != m_tasks.end()) {
+            view.task = &task->second;
+        }
+        input.jobs.push_back(view);
+    }
+    return input;
+}
+
+bool JobBook::beginWrite(const JobWrite &write, WallTime now)
+{
+    const auto &id = write.next.id;
+    if (m_pending.contains(id)) {
+        return false;
+    }
+    if (write.needsUnit && !m_units.contains(id)) {
+        if (!m_quota.tryAcquire(quota::limitOf(write.next.workspace))) {
+            m_noUnitUntil[write.next.workspace] = now + unitRetryDelay;
+            return false;
+        }
+        m_units[id] = write.next.workspace;
+    }
+    m_pending[id] = {write, false};
+    return true;
+}
+
+void JobBook::endWrite(const JobId &id, platform::StoreRevision revision)
+{
+    const auto pending = m_pending.find(id);
+    if (pending == m_pending.end()) {
+        return;
+    }
+    const auto record = std::move(pending->second.write.next);
+    m_pending.erase(pending);
+    noteRecord(record, revision);
+}
+
+void JobBook::abandonWrite(const JobId &id)
+{
+    m_pending.erase(id);
+    settleUnit(id);
+}
+
+void JobBook::resolveWrite(const JobId &id, const std::optional<JobRecord> &stored,
+                           platform::StoreRevision revision)
+{
+    m_pending.erase(id);
+    if (stored) {
+        noteRecord(*stored, revision);
+    } else {
+        noteGone(id);
+    }
+}
+
+void JobBook::markUnclear(const JobId &id)
+{
+    const auto pending = m_pending.find(id);
+    if (pending != m_pending.end()) {
+        pending->second.unclear = true;
+    }
+}
+
+std::vector<JobWrite> JobBook::unclearWrites() const
+{
+    std::vector<JobWrite> writes;
+    for (const auto &[id, pending] : m_pending) {
+        if (pending.unclear) {
+            writes.push_back(pending.write);
+        }
+    }
+    return writes;
+}
+
+void JobBook::settleUnit(const JobId &id)
+{
+    const auto found = m_jobs.find(id);
+    if (m_pending.contains(id) || found == m_jobs.end()) {
+        return;
+    }
+    const auto &record = found->second.record;
+    if (!isActive(record.state) || record.holder != m_self) {
+        releaseUnit(id);
+    }
+}
+
+void JobBook::releaseUnit(const JobId &id)
+{
+    const auto unit = m_units.find(id);
+    if (unit == m_units.end()) {
+        return;
+    }
+    m_quota.release(quota::limitOf(unit->second));
+    m_units.erase(unit);
+}
+
+JobBook::TaskPlace JobBook::placeOf(const std::string &task) const
+{
+    const auto name = parseTask(task);
+    const auto found = name ? m_jobs.find(name->job) : m_jobs.end();
+    if (found == m_jobs.end()) {
+        return TaskPlace::Unknown;
+    }
+    const auto &record = found->second.record;
+    const bool over = name->attempt < record.attempt
+                      || (name->attempt == record.attempt && !isActive(record.state));
+    return over ? TaskPlace::Over : TaskPlace::Current;
+}
+
+std::vector<std::string> JobBook::renewals() const
+{
+    std::vector<std::string> tasks;
+    for (const auto &[id, task] : m_tasks) {
+        if (task.state == platform::TaskState::Running && placeOf(id) != TaskPlace::Over) {
+            tasks.push_back(id);
+        }
+    }
+    return tasks;
+}
+
+std::vector<std::string> JobBook::endedTasks() const
+{
+    std::vector<std::string> tasks;
+    for (const auto &[id, task] : m_tasks) {
+        if (task.ended && placeOf(id) == TaskPlace::Over) {
+            tasks.push_back(id);
+        }
+    }
+    return tasks;
+}
+
+std::vector<std::string> JobBook::strayTasks() const
+{
+    std::vector<std::string> tasks;
+    for (const auto &[id, task] : m_tasks) {
+        if (!task.ended && placeOf(id) == TaskPlace::Over) {
+            tasks.push_back(id);
+        }
+    }
+    return tasks;
+}
+
+std::vector<std::pair<JobId, platform::StoreRevision>> JobBook::finalBefore(WallTime time) const
+{
+    std::vector<std::pair<JobId, platform::StoreRevision>> jobs;
+    for (const auto &[id, entry] : m_jobs) {
+        if (isFinal(entry.record.state) && entry.record.enteredAt < time
+            && !m_pending.contains(id)) {
+            jobs.emplace_back(id, entry.revision);
+        }
+    }
+    return jobs;
+}
+
+const JobRecord *JobBook::find(const JobId &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second.record;
+}
+
+} // namespace cyclamenlatch::jobs
--- /dev/null
+++ b/src/jobs/internal/jobdesk.cpp
@@ -0,0 +1,129 @@
+// Records submissions and cancellations by compare-and-swap.
+#include "jobs/jobdesk.h"
+
+#include "jobs/jobmachine.h"
+
+#include <utility>
+
+namespace cyclamenlatch::jobs {
+
+namespace {
+
+constexpr unsigned cancelTries = 8;
+
+boost::outcome_v2::failure_type<Error> noSuchJob()
+{
+    return failure(ErrorKind::NotFound, "the workspace has no job of this id",
+                   "check the id and the key");
+}
+
+JobRecord makeRecord(const JobSubmission &submission, WallTime now)
+{
+    JobRecord record;
+    record.id = idOf(submission);
+    record.workspace = submission.workspace;
+    record.queue = submission.queue;
+    record.resources = submission.resources;
+    record.body = submission.body;
+    record.submissionHash = hashOf(submission);
+    record.createdAt = now;
+    record.enteredAt = now;
+    record.notBefore = now;
+    return record;
+}
+
+} // namespace
+
+void JobDesk::submit(const JobSubmission &submission, Completion completion)
+{
+    const auto record = makeRecord(submission, wallNow());
+    m_store.compareAndSwap({jobKey(record.id), writeJobRecord(record), 0, ""},
+                           [this, record, completion = std::move(completion)](
+                                   Result<platform::StoreRevision> written) mutable {
+                               if (written) {
+                                   return completion(record);
+                               }
+                               const auto kind = written.error().kind;
+                               if (kind == ErrorKind::Conflict || kind == ErrorKind::Unknown) {
+                                   return confirmSubmission(record, std::move(completion));
+                               }
+                               completion(boost::outcome_v2::failure(written.error()));
+                           });
+}
+
+// The id is taken, or the write's answer was lost: what the store holds decides.
+void JobDesk::confirmSubmission(const JobRecord &record, Completion completion)
+{
+    m_store.get(jobKey(record.id), [record, completion = std::move(completion)](
+                                           Result<std::optional<platform::StoreItem>> item) {
+        const auto stored =
+                item && item.value() ? readJobRecord(item.value()->value) : std::nullopt;
+        if (!stored) {
+            return completion(failure(ErrorKind::Unknown,
+                                      "it is not known whether the job was recorded",
+                                      "send it again with the same Idempotency-Key"));
+        }
+        if (stored->submissionHash != record.submissionHash) {
+            return completion(failure(ErrorKind::Conflict,
+                                      "the Idempotency-Key was used for another job",
+                                      "use a new key for a new job"));
+        }
+        completion(*stored);
+    });
+}
+
+void JobDesk::find(const JobId &id, const WorkspaceId &workspace, Completion failed, Found found)
+{
+    m_store.get(jobKey(id), [workspace, failed = std::move(failed), found = std::move(found)](
+                                    Result<std::optional<platform::StoreItem>> item) {
+        if (!item) {
+            return failed(boost::outcome_v2::failure(item.error()));
+        }
+        const auto record = item.value() ? readJobRecord(item.value()->value) : std::nullopt;
+        if (!record || record->workspace != workspace) {
+            return failed(noSuchJob());
+        }
+        found(*record, item.value()->revision);
+    });
+}
+
+void JobDesk::show(const JobId &id, const WorkspaceId &workspace, Completion completion)
+{
+    find(id, workspace, completion,
+         [completion](const JobRecord &record, platform::StoreRevision) { completion(record); });
+}
+
+void JobDesk::cancel(const JobId &id, const WorkspaceId &workspace, Completion completion)
+{
+    cancelWithin(id, workspace, cancelTries, std::move(completion));
+}
+
+void JobDesk::cancelWithin(const JobId &id, const WorkspaceId &workspace, unsigned tries,
+                           Completion completion)
+{
+    find(id, workspace, completion,
+         [this, id, workspace, tries, completion](const JobRecord &record,
+                                                  platform::StoreRevision revision) {
+             if (isFinal(record.state) || record.cancelRequested) {
+                 return completion(record);
+             }
+             const auto next = cancelled(record, wallNow());
+             m_store.compareAndSwap({jobKey(id), writeJobRecord(next), revision, ""},
+                                    [this, id, workspace, tries, next,
+                                     completion](Result<platform::StoreRevision> written) {
+                                        if (written) {
+                                            return completion(next);
+                                        }
+                                        const auto kind = written.error().kind;
+                                        const bool again = kind == ErrorKind::Conflict
+                                                           || kind == ErrorKind::Unknown;
+                                        if (again && tries > 1) {
+                                            return cancelWithin(id, workspace, tries - 1,
+                                                                completion);
+                                        }
+                                        completion(boost::outcome_v2::failure(written.error()));
+                                    });
+         });
+}
+
+} // namespace cyclamenlatch::jobs
--- /dev/null
+++ b/src/jobs/jobbook.h
@@ -0,0 +1,96 @@
+// What a planning entry knows of all jobs and tasks, which writes it has under way, and which of
+// its quota units cover which job. Invariant: while the store may hold an active record whose
+// holder is this entry, a unit is in use for it here. Not thread-safe; no I/O.
+#pragma once
+
+#include "jobs/jobplan.h"
+#include "platform/taskstatus.h"
+#include "quota/quotatable.h"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace cyclamenlatch::jobs {
+
+class JobBook
+{
+public:
+    // self names this process in JobRecord::holder and differs for each start of it.
+    JobBook(std::string self, quota::QuotaTable &quota);
+
+    // Older revisions than the known one are ignored.
+    void noteRecord(const JobRecord &record, platform::StoreRevision revision);
+    void noteGone(const JobId &id);
+    void noteTasks(const platform::TaskListing &listing);
+    // The platform has dropped these tasks.
+    void forgetTasks(const std::vector<std::string> &tasks);
+    // Drops what was learned, for when another entry leads; units and writes under way stay.
+    void clear();
+
+    // The jobs are pointers into the book: use the input before the book changes.
+    JobPlanInput makePlanInput(const CandidateIndex &candidates, const JobPolicy &policy,
+                               WallTime now);
+
+    // Takes the unit that the write needs and marks it as under way. Returns false when there is
+    // no unit; the write must not be made then.
+    bool beginWrite(const JobWrite &write, WallTime now);
+    void endWrite(const JobId &id, platform::StoreRevision revision);
+    // The write certainly had no effect.
+    void abandonWrite(const JobId &id);
+    // Another value is stored; it may be this very write's if an earlier answer was lost.
+    void resolveWrite(const JobId &id, const std::optional<JobRecord> &stored,
+                      platform::StoreRevision revision);
+    // The write may have had its effect or may still have it: repeat it until that is known.
+    void markUnclear(const JobId &id);
+    std::vector<JobWrite> unclearWrites() const;
+
+    void beginStart(const JobId &id) { m_starting.insert(id); }
+    void endStart(const JobId &id) { m_starting.erase(id); }
+
+    // Running tasks whose lease is to be renewed.
+    std::vector<std::string> renewals() const;
+    // Tasks of attempts that are over: those that have ended, and those that run against the
+    // records and must be stopped.
+    std::vector<std::string> endedTasks() const;
+    std::vector<std::string> strayTasks() const;
+    // Final records that entered their state before the given time.
+    std::vector<std::pair<JobId, platform::StoreRevision>> finalBefore(WallTime time) const;
+
+    bool holdsUnits() const { return !m_units.empty(); }
+    std::size_t size() const { return m_jobs.size(); }
+    const JobRecord *find(const JobId &id) const;
+
+private:
+    struct Entry
+    {
+        JobRecord record;
+        platform::StoreRevision revision = 0;
+    };
+    struct Pending
+    {
+        JobWrite write;
+        bool unclear = false;
+    };
+    enum class TaskPlace { Current, Over, Unknown };
+
+    TaskPlace placeOf(const std::string &task) const;
+    void settleUnit(const JobId &id);
+    void releaseUnit(const JobId &id);
+
+    std::string m_self;
+    quota::QuotaTable &m_quota;
+    std::unordered_map<JobId, Entry> m_jobs;
+    std::unordered_map<JobId, Pending> m_pending;
+    std::unordered_set<JobId> m_starting;
+    std::unordered_map<std::string, platform::TaskStatus> m_tasks;
+    std::unordered_set<WorkerId> m_draining;
+    // Workspace of each job that a unit is in use for.
+    std::unordered_map<JobId, WorkspaceId> m_units;
+    // When a workspace without a free unit is tried again.
+    std::unordered_map<WorkspaceId, WallTime> m_noUnitUntil;
+};
+
+} // namespace cyclamenlatch::jobs
--- a/standins/platform/platformserver.cpp
+++ b/standins/platform/platformserver.cpp
@@ -67,6 +67,7 @@
             m_store.expireLeases(steadyNow());
         }
         answerWatches();
+        m_tasks.tick();
         tick();
     });
 }
@@ -76,6 +77,9 @@
     if (request.path == "/control") {
         return respond(answerControl(request));
     }
+    if (m_tasks.handle(request, respond)) {
+        return;
+    }
     if (auto refusal = refuse()) {
         return respond(std::move(*refusal));
     }
--- a/standins/platform/platformserver.h
+++ b/standins/platform/platformserver.h
@@ -4,6 +4,7 @@
 
 #include "net/httpserver.h"
 #include "standins/platform/storemodel.h"
+#include "standins/platform/taskserver.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -59,6 +60,8 @@
 
     asio::io_context &m_context;
     asio::steady_timer m_timer;
+    // Locks for itself; never called under m_mutex.
+    TaskServer m_tasks;
     std::mutex m_mutex;
     // All below are guarded by m_mutex.
     StoreModel m_store;
