Follow records and tasks with the jobs controller

Cause: the planning pass needs its I/O. Task ids carry the job's time of creation, so that an id whose record is gone is never taken up again.

--- a/src/jobs/internal/jobbook.cpp
+++ b/src/jobs/internal/jobbook.cpp
@@ -13,22 +13,31 @@
 struct TaskName
 {
     JobId job;
+    std::int64_t created = 0;
     std::uint32_t attempt = 0;
 };
 
+template<typename Number>
+bool parseNumber(std::string_view text, Number &number)
+{
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+}
+
 std::optional<TaskName> parseTask(const std::string &task)
 {
-    const auto dot = task.rfind('.');
-    if (dot == std::string::npos) {
+    const std::string_view text = task;
+    const auto dot = text.rfind('.');
+    const auto dash = text.substr(0, dot).rfind('-');
+    if (dot == std::string_view::npos || dash == std::string_view::npos) {
         return std::nullopt;
     }
     TaskName name;
-    const auto *end = task.data() + task.size();
-    const auto parsed = std::from_chars(task.data() + dot + 1, end, name.attempt);
-    if (parsed.ec != std::errc() || parsed.ptr != end) {
+    name.job = JobId(task.substr(0, dash));
+    if (!parseNumber(text.substr(dash + 1, dot - dash - 1), name.created)
+        || !parseNumber(text.substr(dot + 1), name.attempt)) {
         return std::nullopt;
     }
-    name.job = JobId(task.substr(0, dot));
     return name;
 }
 
@@ -166,11 +175,11 @@
     }
 }
 
-std::vector<JobWrite> JobBook::unclearWrites() const
+std::vector<JobWrite> JobBook::takeUnclearWrites()
 {
     std::vector<JobWrite> writes;
-    for (const auto &[id, pending] : m_pending) {
-        if (pending.unclear) {
+    for (auto &[id, pending] : m_pending) {
+        if (std::exchange(pending.unclear, false)) {
             writes.push_back(pending.write);
         }
     }
@@ -207,6 +216,9 @@
         return TaskPlace::Unknown;
     }
     const auto &record = found->second.record;
+    if (record.createdAt != WallTime(std::chrono::milliseconds(name->created))) {
+        return TaskPlace::Over;
+    }
     const bool over = name->attempt < record.attempt
                       || (name->attempt == record.attempt && !isActive(record.state));
     return over ? TaskPlace::Over : TaskPlace::Current;
--- a/src/jobs/internal/jobrecord.cpp
+++ b/src/jobs/internal/jobrecord.cpp
@@ -43,9 +43,14 @@
     return std::string(jobKeyPrefix) + id.value();
 }
 
+std::string runOf(const JobRecord &record)
+{
+    return fmt::format("{}-{}", record.id.value(), toNumber(record.createdAt));
+}
+
 std::string taskOf(const JobRecord &record)
 {
-    return fmt::format("{}.{}", record.id.value(), record.attempt);
+    return fmt::format("{}.{}", runOf(record), record.attempt);
 }
 
 std::string writeJobRecord(const JobRecord &record)
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -45,7 +45,8 @@
                       platform::StoreRevision revision);
     // The write may have had its effect or may still have it: repeat it until that is known.
     void markUnclear(const JobId &id);
-    std::vector<JobWrite> unclearWrites() const;
+    // The unclear writes to be repeated now; each counts as under way again.
+    std::vector<JobWrite> takeUnclearWrites();
 
     void beginStart(const JobId &id) { m_starting.insert(id); }
     void endStart(const JobId &id) { m_starting.erase(id); }
--- /dev/null
+++ b/src/jobs/jobcontroller.h
@@ -0,0 +1,110 @@
+// Keeps the fleet's jobs alive: the entry that leads follows records and tasks, plans, and makes
+// the plan's writes and calls. Every entry runs one; while the store is down, all of them renew
+// the leases of running tasks, since that needs no record and does no harm.
+// Lock order: m_mutex is never held over a call to the store, the platform or Leadership.
+#pragma once
+
+#include "jobs/jobbook.h"
+#include "jobs/leadership.h"
+#include "platform/taskclient.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace cyclamenlatch::jobs {
+
+struct JobControllerSettings
+{
+    EntryId entry;
+    // Differs for each start of the process.
+    std::uint64_t incarnation = 0;
+    JobPolicy policy;
+    std::chrono::milliseconds taskLease{15000};
+    std::chrono::milliseconds leaderLease{3000};
+    // How often leases and waiting calls are looked after.
+    std::chrono::milliseconds tickInterval{100};
+    // A planning pass at least this often, and soon after each change.
+    std::chrono::milliseconds planInterval{1000};
+    // Between two passes, at least; at most maxPlanGap when passes take long.
+    std::chrono::milliseconds minPlanGap{10};
+    std::chrono::milliseconds maxPlanGap{200};
+    // How long a job that has ended can be shown.
+    std::chrono::hours retention{24};
+};
+
+class JobController
+{
+public:
+    JobController(asio::io_context &context, platform::StoreClient &store,
+                  platform::TaskClient &tasks, quota::QuotaTable &quota,
+                  JobControllerSettings settings);
+
+    void setFleet(const std::shared_ptr<const fleet::FleetDocument> &fleet);
+    void start();
+    // Lets another entry lead; jobs go on.
+    void stop();
+    bool leads() const { return m_leadership.leads(steadyNow()); }
+
+private:
+    void tick();
+    void noteLeading(bool leads);
+    void dropWhenIdle(bool storeDown);
+    void followRecords();
+    void takeRecords(const platform::StoreListing &listing);
+    void followTasks();
+    void renewTasks(TimePoint now);
+    void returnUnits(TimePoint now);
+    // Lets a pass run as soon as the gap since the last one allows.
+    void requestPlan();
+    void plan();
+    void repeatUnclearWrites();
+    void logWrite(const JobWrite &write) const;
+    void sendWrite(const JobWrite &write);
+    void resolveConflict(const JobId &id);
+    void sendStart(const JobRecord &record);
+    void sendCommands(platform::TaskCommand command, const std::vector<std::string> &tasks);
+    void forgetEnded(const std::vector<std::string> &tasks);
+    void removeOld(WallTime now);
+    bool isStoreDown(TimePoint now) const;
+
+    platform::StoreClient &m_store;
+    platform::TaskClient &m_taskClient;
+    const JobControllerSettings m_settings;
+    Leadership m_leadership;
+    asio::steady_timer m_timer;
+    // Used by tick only.
+    TimePoint m_nextRegularPlan;
+    // Guarded by m_mutex.
+    asio::steady_timer m_planTimer;
+    std::atomic<bool> m_stopping = false;
+
+    mutable std::mutex m_mutex;
+    // All below are guarded by m_mutex.
+    JobBook m_book;
+    Random m_random;
+    std::shared_ptr<const CandidateIndex> m_candidates;
+    std::set<WorkerId> m_blamed;
+    bool m_leading = false;
+    // Counts the times that this entry began to lead; answers of an earlier one are dropped.
+    std::uint64_t m_term = 0;
+    WallTime m_leadingSince;
+    bool m_planRequested = false;
+    TimePoint m_nextPlan;
+    bool m_recordsKnown = false;
+    platform::StoreRevision m_recordRevision = 0;
+    // Term for which a watch on the records is waiting.
+    std::uint64_t m_followedTerm = 0;
+    bool m_tasksKnown = false;
+    bool m_followingTasks = false;
+    platform::TaskRevision m_taskRevision = 0;
+    TimePoint m_nextRenewal;
+    TimePoint m_nextUnitLook;
+    TimePoint m_nextRemoval;
+};
+
+} // namespace cyclamenlatch::jobs
--- a/src/jobs/jobrecord.h
+++ b/src/jobs/jobrecord.h
@@ -61,6 +61,9 @@
 inline constexpr std::string_view jobKeyPrefix = "jobs/";
 
 std::string jobKey(const JobId &id);
+// The common part of the ids of the job's tasks. The time of creation tells a job from an earlier
+// one of the same Idempotency-Key whose record is gone already.
+std::string runOf(const JobRecord &record);
 // Id of the task that runs the record's current attempt.
 std::string taskOf(const JobRecord &record);
 
--- a/standins/platform/taskmodel.h
+++ b/standins/platform/taskmodel.h
@@ -25,7 +25,7 @@
     std::set<WorkerId> cut;
 };
 
-// What one job did, by the ids of its tasks ("<job>.<attempt>").
+// What one job did, by the ids of its tasks ("<run>.<attempt>").
 struct JobLedger
 {
     unsigned starts = 0;
@@ -86,7 +86,7 @@
     TaskFaults m_faults;
 };
 
-// "job-1.2" belongs to job-1.
+// The run "j-1" has the tasks "j-1.1", "j-1.2" and so on.
 std::string jobOfTask(const std::string &task);
 
 } // namespace cyclamenlatch::standins
--- a/tests/jobs/jobinterleavings_tests.cpp
+++ b/tests/jobs/jobinterleavings_tests.cpp
@@ -106,7 +106,7 @@
         for (const auto &[job, ledger] : m_tasks.ledger()) {
             RC_ASSERT(ledger.mostAtOnce <= 1U);
             RC_ASSERT(ledger.completions <= 1U);
-            running[m_workspaceOf.at(job)] += ledger.runningNow;
+            running[m_workspaceOf.at(job.substr(0, job.rfind('-')))] += ledger.runningNow;
         }
         for (const auto &[workspace, count] : running) {
             RC_ASSERT(count <= limit);
@@ -140,7 +140,7 @@
         RC_ASSERT(allFinal());
         for (const auto &[job, workspace] : m_workspaceOf) {
             const auto record = stored(job);
-            const auto found = m_tasks.ledger().find(job);
+            const auto found = m_tasks.ledger().find(runOf(*record));
             const unsigned completions =
                     found == m_tasks.ledger().end() ? 0 : found->second.completions;
             RC_ASSERT((record->state == JobState::Completed) == (completions == 1U));
@@ -349,7 +349,7 @@
                 entry.outbox.push_back({Sending::Write, write, {}, {}, {}});
             }
         }
-        for (const auto &write : entry.book.unclearWrites()) {
+        for (const auto &write : entry.book.takeUnclearWrites()) {
             entry.outbox.push_back({Sending::Write, write, {}, {}, {}});
         }
     }
