--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -21,6 +21,12 @@
     target_compile_features(${target} ${scope} cxx_std_20)
     target_link_libraries(${target} ${scope} ${MODULE_DEPENDS} ${MODULE_LINKS})
 
+    install(TARGETS ${target} EXPORT cyclamenlatchTargets
+        ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
+    install(DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR}
+        DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/cyclamenlatch
+        FILES_MATCHING PATTERN "*.h" PATTERN internal EXCLUDE PATTERN tests EXCLUDE)
+
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*_tests.cpp)
     if(tests)
         cyclamenlatch_tests(${name}_tests SOURCES ${tests} LINKS ${target})
--- a/src/membership/peermessage.h
+++ b/src/membership/peermessage.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "global/ids.h"
+#include "membership/boundedinputarchive.h"
 #include "membership/peertopic.h"
 
 #include <cereal/archives/portable_binary.hpp>
@@ -47,8 +48,7 @@
 std::optional<Value> decode(const std::string &bytes)
 {
     try {
-        std::istringstream stream(bytes);
-        cereal::PortableBinaryInputArchive archive(stream);
+        BoundedInputArchive archive(bytes);
         Value value;
         archive(value);
         return value;
