Grant each idempotency key once and tell callers' connections

Cause: a caller that repeated a request through another entry could run it twice, work went on for callers that had gone, and a stopping entry could close a connection whose reply was still being written.

Change: a key names its home data centre and time. Its owner by rendezvous hash remembers outcomes; an owner that can't prove that it has owned the key since it was made answers unknown. Entries claim a key before they start and report the end. The HTTP server tells when a caller's connection closes and counts replies until they are written. SIGTERM: unready, a drain delay in which replies close their connections, true refusals, then stop. Metrics in Prometheus text at /metrics.

--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -4,6 +4,7 @@
 #include "app/entrysettings.h"
 #include "callerapi/callerapi.h"
 #include "dispatch/dispatcher.h"
+#include "dispatch/outcomeservice.h"
 #include "global/result.h"
 #include "membership/peerbus.h"
 #include "net/httpclient.h"
@@ -40,6 +41,7 @@
     membership::PeerBus m_peers;
     quota::QuotaTable m_quotas;
     dispatch::Dispatcher m_dispatcher;
+    dispatch::OutcomeService m_outcomes;
     callerapi::CallerApi m_callerApi;
     net::HttpServer m_callerServer;
     operatorapi::OperatorApi m_operatorApi;
--- a/src/app/entrysettings.h
+++ b/src/app/entrysettings.h
@@ -41,6 +41,9 @@
     // Without it there is no operator interface.
     std::optional<OperatorSettings> operators;
     unsigned threads = 4;
+    // Time after SIGTERM in which requests are still taken, so that the balancer sees /readyz
+    // fail and moves away.
+    std::chrono::milliseconds drainDelay{1000};
     // Time that open requests have to finish after SIGTERM.
     std::chrono::milliseconds shutdownDeadline{30000};
 };
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -64,7 +64,8 @@
     , m_peers(m_threads.context(), m_settings.peers)
     , m_dispatcher(m_threads.context(), m_minionHttp, dispatch::DispatchSettings{},
                    dispatch::quotaPermits(m_quotas), randomSeed())
-    , m_callerApi(m_dispatcher)
+    , m_outcomes(m_threads.context(), m_peers, dispatch::OutcomeServiceSettings{})
+    , m_callerApi(m_dispatcher, m_outcomes)
     , m_callerServer(m_threads.context(), callerServerSettings(m_settings),
                      [this](net::HttpRequest request, net::HttpResponder respond) {
                          m_callerApi.handle(std::move(request), std::move(respond));
@@ -87,6 +88,7 @@
 Result<void> Entry::start()
 {
     BOOST_OUTCOME_TRY(m_peers.start());
+    m_outcomes.start();
     BOOST_OUTCOME_TRY(m_callerServer.start());
     if (m_operatorServer) {
         BOOST_OUTCOME_TRY(m_operatorServer->start());
@@ -157,11 +159,14 @@
     logEvent(entryLeaving, "{} requests in flight", m_callerApi.inFlight());
     m_stopping = true;
     m_callerApi.setLeaving();
+    std::this_thread::sleep_for(m_settings.drainDelay);
+    m_callerApi.setRefusing();
     const auto deadline = steadyNow() + m_settings.shutdownDeadline;
-    while (m_callerApi.inFlight() > 0 && steadyNow() < deadline) {
+    while (m_callerServer.openRequests() > 0 && steadyNow() < deadline) {
         std::this_thread::sleep_for(drainPollInterval);
     }
-    logEvent(entryStopped, "{} requests cut", m_callerApi.inFlight());
+    logEvent(entryStopped, "{} requests cut", m_callerServer.openRequests());
+    m_outcomes.stop();
     m_store.stop();
     m_callerServer.stop();
     if (m_operatorServer) {
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -121,6 +121,8 @@
                               maxPlatformCallsPerSecond);
         settings.operators = readOperators(reader, reading.mistakes);
         settings.threads = reader.count("threads", settings.threads, 1, maxThreads);
+        settings.drainDelay = std::chrono::milliseconds(
+                reader.count("drainDelayMs", 1000, 0, maxShutdownMilliseconds));
         settings.shutdownDeadline = std::chrono::milliseconds(
                 reader.count("shutdownDeadlineMs", 30000, 1, maxShutdownMilliseconds));
         reader.refuseUnknownFields();
--- a/src/callerapi/internal/callerapi.cpp
+++ b/src/callerapi/internal/callerapi.cpp
@@ -3,6 +3,7 @@
 
 #include "admission/admission.h"
 #include "callerapi/problem.h"
+#include "dispatch/claimoutcome.h"
 
 #include <fmt/format.h>
 
@@ -60,7 +61,7 @@
 net::HttpReply makeReply(dispatch::DispatchAnswer answer, const std::string &requestId)
 {
     if (answer.error) {
-        return makeProblem(*answer.error, answer.outcome, requestId);
+        return makeProblem(*answer.error, answer.outcome, requestId, answer.retryAfter);
     }
     net::HttpReply reply;
     reply.status = answer.status;
@@ -85,8 +86,9 @@
 
 } // namespace
 
-CallerApi::CallerApi(dispatch::Dispatcher &dispatcher)
+CallerApi::CallerApi(dispatch::Dispatcher &dispatcher, dispatch::OutcomeService &outcomes)
     : m_dispatcher(dispatcher)
+    , m_outcomes(outcomes)
 {}
 
 void CallerApi::setFleet(std::shared_ptr<const fleet::FleetDocument> fleet)
@@ -113,6 +115,9 @@
         return respond(currentFleet() ? makeText(200, "ready\n")
                                       : makeText(503, "no configuration yet\n"));
     }
+    if (request.path == "/metrics") {
+        return respond(makeText(200, metricsText()));
+    }
     const auto queueId = queueOf(request.path);
     if (!queueId) {
         return respond(makeProblem({ErrorKind::NotFound, "nothing is served at this address",
@@ -133,51 +138,126 @@
     std::string requestId(request.headers.find("Request-Id").value_or(""));
     if (requestId.empty()) {
         requestId = fmt::format("r-{}", m_nextRequest++);
-    }
-    const auto refuse = [&requestId, &respond](const Error &error) {
-        respond(makeProblem(error, dispatch::Outcome::NotRun, requestId));
-    };
-    if (requestId.size() > maxRequestIdBytes) {
+    } else if (requestId.size() > maxRequestIdBytes) {
         requestId.clear();
-        return refuse({ErrorKind::InvalidInput, "Request-Id is too long",
-                       fmt::format("send at most {} bytes", maxRequestIdBytes)});
+    }
+    auto admitted = admit(queueId, request, requestId);
+    if (!admitted) {
+        m_metrics.addRefused();
+        auto refusal = makeProblem(admitted.error(), dispatch::Outcome::NotRun, requestId);
+        refusal.closeConnection = m_leaving;
+        return respond(std::move(refusal));
+    }
+    auto shared = std::make_shared<Admitted>(std::move(admitted.value()));
+    shared->respond = std::move(respond);
+    shared->connection = std::move(request.connection);
+    ++m_inFlight;
+    if (shared->key) {
+        return claim(std::move(shared));
+    }
+    run(std::move(shared), std::nullopt);
+}
+
+Result<CallerApi::Admitted> CallerApi::admit(const QueueId &queueId, net::HttpRequest &request,
+                                             const std::string &requestId)
+{
+    if (m_refusing) {
+        return failure(ErrorKind::Unavailable, "this entry is stopping", "use another entry");
+    }
+    if (requestId.empty()) {
+        return failure(ErrorKind::InvalidInput, "Request-Id is too long",
+                       fmt::format("send at most {} bytes", maxRequestIdBytes));
     }
     if (request.body.size() > maxBodyBytes) {
-        return refuse({ErrorKind::TooLarge, "the body is too large",
-                       fmt::format("send at most {} bytes", maxBodyBytes)});
+        return failure(ErrorKind::TooLarge, "the body is too large",
+                       fmt::format("send at most {} bytes", maxBodyBytes));
     }
     const auto fleet = currentFleet();
     if (!fleet) {
-        return refuse({ErrorKind::Unavailable, "this entry has no configuration yet",
-                       "try another entry, or again later"});
+        return failure(ErrorKind::Unavailable, "this entry has no configuration yet",
+                       "try another entry, or again later");
     }
     const auto *queue = fleet->findQueue(queueId);
     if (queue == nullptr) {
-        return refuse({ErrorKind::NotFound, "the queue does not exist",
-                       "check the queue's name in the address"});
+        return failure(ErrorKind::NotFound, "the queue does not exist",
+                       "check the queue's name in the address");
     }
-    const auto workspace = admission::admit(*fleet, *queue, presentedKey(request));
-    if (!workspace) {
-        return refuse(workspace.error());
+    BOOST_OUTCOME_TRY(workspace, admission::admit(*fleet, *queue, presentedKey(request)));
+    BOOST_OUTCOME_TRY(timeout, timeoutOf(request, *queue));
+    Admitted admitted;
+    if (const auto header = request.headers.find("Idempotency-Key")) {
+        BOOST_OUTCOME_TRY(key, dispatch::parseIdempotencyKey(*header));
+        admitted.key = std::move(key);
     }
-    const auto timeout = timeoutOf(request, *queue);
-    if (!timeout) {
-        return refuse(timeout.error());
+    admitted.timeout = timeout;
+    admitted.arrivedAt = steadyNow();
+    admitted.work.requestId = requestId;
+    admitted.work.queue = queueId;
+    admitted.work.workspace = workspace;
+    admitted.work.contentType = std::string(request.headers.find("Content-Type").value_or(""));
+    admitted.work.body = std::move(request.body);
+    admitted.work.deadline = admitted.arrivedAt + timeout;
+    return admitted;
+}
+
+void CallerApi::claim(std::shared_ptr<Admitted> admitted)
+{
+    dispatch::ClaimRequest request;
+    request.key = *admitted->key;
+    request.workspace = admitted->work.workspace;
+    request.queue = admitted->work.queue;
+    request.fingerprint = dispatch::bodyFingerprint(admitted->work.body);
+    request.timeout = admitted->timeout;
+    m_outcomes.claim(request,
+                     [this, admitted = std::move(admitted)](
+                             std::optional<dispatch::ClaimVerdict> verdict,
+                             dispatch::ClaimTicket ticket, dispatch::KeptAnswer kept) mutable {
+                         if (verdict == dispatch::ClaimVerdict::Granted) {
+                             return run(std::move(admitted), std::move(ticket));
+                         }
+                         reply(*admitted, dispatch::answerWithoutRun(verdict, std::move(kept)));
+                     });
+}
+
+void CallerApi::run(std::shared_ptr<Admitted> admitted,
+                    std::optional<dispatch::ClaimTicket> claimTicket)
+{
+    auto work = std::move(admitted->work);
+    admitted->work.requestId = work.requestId;
+    admitted->work.queue = work.queue;
+    const auto connection = admitted->connection;
+    const auto ticket = m_dispatcher.submit(
+            std::move(work),
+            [this, admitted = std::move(admitted),
+             claimTicket = std::move(claimTicket)](dispatch::DispatchAnswer answer) {
+                if (claimTicket) {
+                    m_outcomes.report(*claimTicket, answer);
+                }
+                reply(*admitted, std::move(answer));
+            });
+    // Tickets are never used again: cancelling one that has ended does nothing.
+    if (connection) {
+        connection->addCallback([this, ticket] { m_dispatcher.cancel(ticket); });
     }
+}
 
-    dispatch::DispatchRequest work;
-    work.requestId = requestId;
-    work.queue = queueId;
-    work.workspace = workspace.value();
-    work.contentType = std::string(request.headers.find("Content-Type").value_or(""));
-    work.body = std::move(request.body);
-    work.deadline = steadyNow() + timeout.value();
-    ++m_inFlight;
-    m_dispatcher.submit(std::move(work), [this, requestId, respond = std::move(respond)](
-                                                 dispatch::DispatchAnswer answer) {
-        respond(makeReply(std::move(answer), requestId));
-        --m_inFlight;
-    });
+void CallerApi::reply(const Admitted &admitted, dispatch::DispatchAnswer answer)
+{
+    m_metrics.add(admitted.work.queue, answer.outcome, steadyNow() - admitted.arrivedAt);
+    auto made = makeReply(std::move(answer), admitted.work.requestId);
+    made.closeConnection = m_leaving;
+    admitted.respond(std::move(made));
+    --m_inFlight;
+}
+
+std::string CallerApi::metricsText() const
+{
+    return m_metrics.toText()
+           + fmt::format("# TYPE cyclamenlatch_requests_in_flight gauge\n"
+                         "cyclamenlatch_requests_in_flight {}\n"
+                         "# TYPE cyclamenlatch_requests_queued gauge\n"
+                         "cyclamenlatch_requests_queued {}\n",
+                         m_inFlight.load(), m_dispatcher.queued());
 }
 
 } // namespace cyclamenlatch::callerapi
--- a/src/callerapi/internal/problem.cpp
+++ b/src/callerapi/internal/problem.cpp
@@ -3,10 +3,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <string>
+
 namespace cyclamenlatch::callerapi {
 
 namespace {
 
+constexpr std::chrono::seconds defaultRetryAfter{1};
+
 int statusOf(ErrorKind kind)
 {
     switch (kind) {
@@ -45,7 +50,7 @@
 } // namespace
 
 net::HttpReply makeProblem(const Error &error, dispatch::Outcome outcome,
-                           const std::string &requestId)
+                           const std::string &requestId, std::chrono::seconds retryAfter)
 {
     const nlohmann::json body{
             {"type", "urn:cyclamenlatch:problem:" + std::string(errorKindNames.name(error.kind))},
@@ -61,8 +66,9 @@
     if (!requestId.empty()) {
         reply.headers.add("Request-Id", requestId);
     }
-    if (waitingHelps(error.kind)) {
-        reply.headers.add("Retry-After", "1");
+    if (retryAfter.count() > 0 || waitingHelps(error.kind)) {
+        const auto delay = std::max(retryAfter, defaultRetryAfter);
+        reply.headers.add("Retry-After", std::to_string(delay.count()));
     }
     reply.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return reply;
--- /dev/null
+++ b/src/dispatch/idempotencykey.h
@@ -0,0 +1,25 @@
+// An idempotency key as callers send it: "<dataCentre>-<unixMillis>-<random>". It names the data
+// centre whose entries remember its outcome and the time at which the caller made it.
+#pragma once
+
+#include "global/ids.h"
+#include "global/result.h"
+#include "global/time.h"
+
+#include <string>
+#include <string_view>
+
+namespace cyclamenlatch::dispatch {
+
+struct IdempotencyKey
+{
+    DataCentreId home;
+    WallTime mintedAt;
+    // The whole key.
+    std::string text;
+};
+
+// The random part has 8 to 64 letters and digits.
+Result<IdempotencyKey> parseIdempotencyKey(std::string_view text);
+
+} // namespace cyclamenlatch::dispatch
--- /dev/null
+++ b/src/dispatch/keptanswer.h
@@ -0,0 +1,26 @@
+// The answer of a finished request as an owner keeps it for callers that ask again.
+#pragma once
+
+#include <cereal/types/string.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace cyclamenlatch::dispatch {
+
+struct KeptAnswer
+{
+    // False when the body was too large to be kept.
+    bool isWhole = false;
+    std::int32_t status = 0;
+    std::string contentType;
+    std::string body;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(isWhole, status, contentType, body);
+    }
+};
+
+} // namespace cyclamenlatch::dispatch
--- /dev/null
+++ b/src/dispatch/outcomemessage.h
@@ -0,0 +1,53 @@
+// The messages of topic Outcome between entries.
+#pragma once
+
+#include "dispatch/outcomeclaim.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+
+#include <string>
+#include <variant>
+
+namespace cyclamenlatch::dispatch {
+
+// The owner has taken the report in.
+struct ReportReceipt
+{
+    std::string attempt;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(attempt);
+    }
+};
+
+// A new entry asks another one of its data centre to count it in.
+struct RosterHello
+{
+    std::uint64_t incarnation = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(incarnation);
+    }
+};
+
+// The sender counts the entry of that incarnation in.
+struct RosterAcknowledgement
+{
+    std::uint64_t incarnation = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(incarnation);
+    }
+};
+
+using OutcomeMessage = std::variant<OutcomeClaim, ClaimAnswer, OutcomeReport, ReportReceipt,
+                                    RosterHello, RosterAcknowledgement>;
+
+} // namespace cyclamenlatch::dispatch
--- /dev/null
+++ b/src/dispatch/outcomeservice.h
@@ -0,0 +1,142 @@
+// Asks the owner of an idempotency key for leave to run, and answers as owner: the shell around
+// OutcomeLedger and OwnerRoster. Messages may be lost, so claims and reports are sent again.
+// Lock order: m_mutex is the only lock and is never held while a completion runs.
+#pragma once
+
+#include "dispatch/dispatchanswer.h"
+#include "dispatch/outcomeledger.h"
+#include "dispatch/outcomemessage.h"
+#include "dispatch/ownerroster.h"
+#include "membership/peerbus.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cyclamenlatch::dispatch {
+
+struct OutcomeServiceSettings
+{
+    LedgerSettings ledger;
+    // Longest wait for the owner's answer to a claim.
+    Duration claimTimeout = std::chrono::milliseconds(1000);
+    Duration resendInterval = std::chrono::milliseconds(100);
+    // How long a report is sent again without a receipt.
+    Duration reportTimeout = std::chrono::seconds(20);
+    // Answers with larger bodies are not kept.
+    std::size_t maxKeptBody = std::size_t{16} * 1024;
+};
+
+struct ClaimRequest
+{
+    IdempotencyKey key;
+    WorkspaceId workspace;
+    QueueId queue;
+    std::uint64_t fingerprint = 0;
+    std::chrono::milliseconds timeout{0};
+};
+
+// Names a granted attempt for the report of its end.
+struct ClaimTicket
+{
+    std::string scope;
+    std::string key;
+    std::string attempt;
+    EntryId owner;
+};
+
+class OutcomeService
+{
+public:
+    // No verdict means that no owner answered; the request must not be started.
+    using ClaimCompletion =
+            std::function<void(std::optional<ClaimVerdict>, ClaimTicket, KeptAnswer)>;
+
+    // Subscribes to the bus, so it must be made before the bus starts.
+    OutcomeService(asio::io_context &context, membership::PeerBus &bus,
+                   OutcomeServiceSettings settings);
+
+    // Call once the bus has started.
+    void start();
+    void stop();
+    // Thread-safe. The completion runs exactly once unless the service stops.
+    void claim(const ClaimRequest &request, ClaimCompletion completion);
+    // Thread-safe. Must be called for every granted claim.
+    void report(const ClaimTicket &ticket, const DispatchAnswer &answer);
+
+private:
+    struct PendingClaim
+    {
+        OutcomeClaim claim;
+        DataCentreId home;
+        ClaimCompletion completion;
+        TimePoint givenUpAt;
+    };
+    struct PendingReport
+    {
+        OutcomeReport report;
+        EntryId owner;
+        TimePoint givenUpAt;
+    };
+    struct Outgoing
+    {
+        EntryId to;
+        OutcomeMessage message;
+    };
+    struct Ended
+    {
+        ClaimCompletion completion;
+        std::optional<ClaimVerdict> verdict;
+        ClaimTicket ticket;
+        KeptAnswer answer;
+    };
+    // What is to be done once the lock is released.
+    struct Work
+    {
+        std::vector<Outgoing> messages;
+        std::vector<Ended> ended;
+    };
+
+    void receive(const membership::PeerMessage &message);
+    void handle(const membership::PeerMessage &from, const OutcomeClaim &claim, Work &work);
+    void handle(const membership::PeerMessage &from, const ClaimAnswer &answer, Work &work);
+    void handle(const membership::PeerMessage &from, const OutcomeReport &report, Work &work);
+    void handle(const membership::PeerMessage &from, const ReportReceipt &receipt, Work &work);
+    void handle(const membership::PeerMessage &from, const RosterHello &hello, Work &work);
+    void handle(const membership::PeerMessage &from, const RosterAcknowledgement &acknowledgement,
+                Work &work);
+    void scheduleTick();
+    void tick();
+    void refreshRosters();
+    std::optional<EntryId> ownerOfClaim(const PendingClaim &pending) const;
+    void sendClaim(const PendingClaim &pending, Work &work);
+    void endClaim(const std::string &attempt, const EntryId &owner,
+                  std::optional<ClaimVerdict> verdict, KeptAnswer answer, Work &work);
+    void perform(Work work);
+    WallTime monotonicWallTime() const;
+
+    asio::io_context &m_context;
+    membership::PeerBus &m_bus;
+    const OutcomeServiceSettings m_settings;
+    const TimePoint m_startedAt;
+    const WallTime m_startedAtWall;
+    std::mutex m_mutex;
+    // All below are guarded by m_mutex.
+    OutcomeLedger m_ledger;
+    OwnerRoster m_roster;
+    std::map<DataCentreId, std::set<EntryId>> m_rosters;
+    std::map<std::string, PendingClaim> m_claims;
+    std::map<std::string, PendingReport> m_reports;
+    std::uint64_t m_nextAttempt = 1;
+    bool m_stopped = false;
+    asio::steady_timer m_timer;
+};
+
+} // namespace cyclamenlatch::dispatch
--- a/src/net/httpreply.h
+++ b/src/net/httpreply.h
@@ -12,6 +12,8 @@
     int status = 200;
     HttpHeaders headers;
     std::string body;
+    // Asks the server to close the connection after this reply.
+    bool closeConnection = false;
 };
 
 } // namespace cyclamenlatch::net
--- a/src/net/httprequest.h
+++ b/src/net/httprequest.h
@@ -1,8 +1,10 @@
 // A whole HTTP request as the server hands it to its handler.
 #pragma once
 
+#include "net/connectionwatch.h"
 #include "net/httpheaders.h"
 
+#include <memory>
 #include <string>
 
 namespace cyclamenlatch::net {
@@ -16,6 +18,8 @@
     std::string query;
     HttpHeaders headers;
     std::string body;
+    // Tells when the caller is gone; may be empty. Shared with the server's connection.
+    std::shared_ptr<ConnectionWatch> connection;
 };
 
 } // namespace cyclamenlatch::net
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -8,6 +8,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -30,6 +31,8 @@
     // Starts to listen; fails when the address is taken or not ours.
     Result<void> start();
     std::uint16_t port() const;
+    // Requests whose reply has not been handed to the system whole.
+    std::size_t openRequests() const;
     // Stops accepting connections and closes those that are open.
     void stop();
 
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -1,29 +1,53 @@
 // RESTinio behind HttpServer: converts messages and binds the listening socket.
 #include "net/httpserver.h"
 
+#include "net/internal/connectionwatches.h"
+
 #include <fmt/format.h>
 #include <restinio/all.hpp>
 
+#include <atomic>
 #include <utility>
 
 namespace cyclamenlatch::net {
 
 namespace {
 
+// Keeps a watch for each open connection.
+class ConnectionListener
+{
+public:
+    explicit ConnectionListener(detail::ConnectionWatches &watches)
+        : m_watches(watches)
+    {}
+
+    // NOLINTNEXTLINE(readability-identifier-naming): RESTinio calls it by this name.
+    void state_changed(const restinio::connection_state::notice_t &notice) noexcept
+    {
+        const auto cause = notice.cause();
+        if (restinio::holds_alternative<restinio::connection_state::accepted_t>(cause)) {
+            m_watches.open(notice.connection_id());
+        } else if (restinio::holds_alternative<restinio::connection_state::closed_t>(cause)) {
+            m_watches.close(notice.connection_id());
+        }
+    }
+
+private:
+    detail::ConnectionWatches &m_watches;
+};
+
 struct ServerTraits : restinio::default_traits_t
 {
     // NOLINTBEGIN(readability-identifier-naming): RESTinio looks for these names.
     using request_handler_t =
             std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+    using connection_state_listener_t = ConnectionListener;
     static constexpr bool use_connection_count_limiter = true;
     // NOLINTEND(readability-identifier-naming)
 };
 
 using Server = restinio::http_server_t<ServerTraits>;
 
-// Requests that a client may send ahead on one connection.
-constexpr std::size_t maxPipelinedRequests = 4;
-
 HttpRequest convertRequest(const restinio::request_handle_t &handle)
 {
     HttpRequest request;
@@ -73,7 +97,8 @@
     }
 }
 
-void sendReply(const restinio::request_handle_t &handle, HttpReply reply)
+void sendReply(const restinio::request_handle_t &handle, HttpReply reply,
+               std::atomic<std::size_t> &openRequests)
 {
     const restinio::http_status_line_t statusLine(
             restinio::http_status_code_t(static_cast<std::uint16_t>(reply.status)),
@@ -82,8 +107,11 @@
     for (const auto &header : reply.headers.all()) {
         response.append_header(header.name, header.value);
     }
+    if (reply.closeConnection) {
+        response.connection_close();
+    }
     response.set_body(std::move(reply.body));
-    response.done();
+    response.done([&openRequests](const asio::error_code &) { --openRequests; });
 }
 
 } // namespace
@@ -113,6 +141,7 @@
     }
 
     std::uint16_t port() const { return m_port; }
+    std::size_t openRequests() const { return m_openRequests; }
 
     void stop()
     {
@@ -146,10 +175,14 @@
                 .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
                     m_port = acceptor.local_endpoint().port();
                 })
+                .connection_state_listener(std::make_shared<ConnectionListener>(m_watches))
                 .request_handler([this](restinio::request_handle_t handle) {
+                    ++m_openRequests;
                     auto request = convertRequest(handle);
-                    m_handler(std::move(request),
-                              [handle](HttpReply reply) { sendReply(handle, std::move(reply)); });
+                    request.connection = m_watches.find(handle->connection_id());
+                    m_handler(std::move(request), [this, handle](HttpReply reply) {
+                        sendReply(handle, std::move(reply), m_openRequests);
+                    });
                     return restinio::request_accepted();
                 });
         return settings;
@@ -158,6 +191,8 @@
     asio::io_context &m_context;
     HttpServerSettings m_settings;
     HttpHandler m_handler;
+    detail::ConnectionWatches m_watches;
+    std::atomic<std::size_t> m_openRequests = 0;
     std::unique_ptr<Server> m_server;
     std::uint16_t m_port = 0;
 };
@@ -178,6 +213,11 @@
     return m_private->port();
 }
 
+std::size_t HttpServer::openRequests() const
+{
+    return m_private->openRequests();
+}
+
 void HttpServer::stop()
 {
     m_private->stop();
