Take jobs over HTTP and keep them alive in the entry

Cause: callers need the job half of the interface. Change: POST /v1/queues/{queue}/jobs with Idempotency-Key, GET and DELETE /v1/jobs/{id} for the key's own workspace, the command job, and the controller in the entry.

--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -9,6 +9,7 @@
 
 int runServe();
 int runCheck(int argc, char **argv);
+int runJob(int argc, char **argv);
 int runLoad();
 
 } // namespace cyclamenlatch::app
--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "app/entrysettings.h"
+#include "app/jobservice.h"
 #include "callerapi/callerapi.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/outcomeservice.h"
@@ -49,6 +50,7 @@
     std::unique_ptr<net::HttpServer> m_operatorServer;
     platform::StoreClient m_store;
     asio::steady_timer m_watchRetry;
+    JobService m_jobs;
     // Declared last, so that their completions end before what they use does.
     net::HttpClient m_minionHttp;
     net::HttpClient m_platformHttp;
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -68,11 +68,16 @@
     , m_callerApi(m_dispatcher, m_outcomes)
     , m_callerServer(m_threads.context(), callerServerSettings(m_settings),
                      [this](net::HttpRequest request, net::HttpResponder respond) {
+                         if (callerapi::JobRoutes::isJobPath(request.path)) {
+                             return m_jobs.routes().handle(request, std::move(respond));
+                         }
                          m_callerApi.handle(std::move(request), std::move(respond));
                      })
     , m_operatorApi(operatorKeys(m_settings))
     , m_store(m_threads.context(), m_platformHttp, storeSettings(m_settings))
     , m_watchRetry(m_threads.context())
+    , m_jobs(m_threads.context(), m_store, m_platformHttp, m_settings.platformUrl, m_quotas,
+             {m_settings.entry, m_peers.incarnation()})
     , m_minionHttp(maxConnectionsPerMinion)
 {
     dispatch::tellAvailable(m_quotas, m_threads.context(), m_dispatcher);
@@ -96,6 +101,7 @@
     logEvent(entryStarted, "{} in {} on {}:{}", m_settings.entry.value(),
              m_settings.dataCentre.value(), m_settings.callers.address, m_callerServer.port());
     watchFleet(0);
+    m_jobs.start();
     return success();
 }
 
@@ -133,6 +139,7 @@
         holdQuotas(*fleet);
         m_dispatcher.setFleet(fleet);
         m_callerApi.setFleet(fleet);
+        m_jobs.setFleet(fleet);
         logEvent(fleetTaken, "revision {}", item.revision);
     }
 }
@@ -167,6 +174,7 @@
     }
     logEvent(entryStopped, "{} requests cut", m_callerServer.openRequests());
     m_outcomes.stop();
+    m_jobs.stop();
     m_store.stop();
     m_callerServer.stop();
     if (m_operatorServer) {
--- /dev/null
+++ b/src/app/internal/jobcommand.cpp
@@ -0,0 +1,101 @@
+// "job submit|show|cancel": long-lived jobs through an entry's callers' interface.
+#include "app/commands.h"
+#include "app/internal/readfile.h"
+#include "net/httpclient.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <future>
+#include <iostream>
+#include <string_view>
+
+DECLARE_string(queue);
+DECLARE_string(key);
+DEFINE_string(caller_url, "http://127.0.0.1:8101", "job: an entry's address for callers");
+DEFINE_string(body, "", "job submit: the job's body");
+DEFINE_string(body_file, "", "job submit: file with the job's body");
+DEFINE_string(idempotency_key, "", "job submit: the same key gives the same job");
+DEFINE_double(processors, 1, "job submit: cores that the job needs");
+DEFINE_double(memory_mib, 0, "job submit: memory that the job needs, in MiB");
+DEFINE_int32(accelerators, 0, "job submit: accelerators that the job needs");
+DEFINE_string(job_output, "text", "job: text or json");
+
+namespace cyclamenlatch::app {
+
+namespace {
+
+constexpr std::chrono::milliseconds callTimeout{10000};
+
+int sendAndPrint(net::HttpCall call)
+{
+    call.headers.add("Authorization", "Bearer " + FLAGS_key);
+    call.timeout = callTimeout;
+    net::HttpClient http;
+    std::promise<net::HttpCallResult> promise;
+    http.send(std::move(call),
+              [&promise](net::HttpCallResult result) { promise.set_value(std::move(result)); });
+    const auto result = promise.get_future().get();
+    if (!result.reply) {
+        std::cerr << "no answer from " << FLAGS_caller_url << ": " << result.failure << "\n";
+        return exitFailure;
+    }
+    const auto &reply = *result.reply;
+    const bool good = reply.status == 200 || reply.status == 202;
+    const auto body = nlohmann::json::parse(reply.body, nullptr, false);
+    if (FLAGS_job_output == "json" || !body.is_object()) {
+        std::cout << reply.body << "\n";
+    } else if (good) {
+        std::cout << fmt::format("{}  {}  attempt {}  {}  {}\n", body.value("id", ""),
+                                 body.value("state", ""), body.value("attempt", 0),
+                                 body.value("worker", ""), body.value("reason", ""));
+    } else {
+        std::cerr << fmt::format("{}; {}\n", body.value("title", ""), body.value("remedy", ""));
+    }
+    return good ? exitSuccess : exitFailure;
+}
+
+int submitJob()
+{
+    net::HttpCall call;
+    call.method = "POST";
+    call.url = fmt::format("{}/v1/queues/{}/jobs", FLAGS_caller_url, FLAGS_queue);
+    call.headers.add("Job-Processors", fmt::format("{}", FLAGS_processors));
+    call.headers.add("Job-Memory-Mib", fmt::format("{}", FLAGS_memory_mib));
+    call.headers.add("Job-Accelerators", fmt::format("{}", FLAGS_accelerators));
+    if (!FLAGS_idempotency_key.empty()) {
+        call.headers.add("Idempotency-Key", FLAGS_idempotency_key);
+    }
+    call.body = FLAGS_body;
+    if (!FLAGS_body_file.empty()) {
+        const auto text = detail::readFile(FLAGS_body_file);
+        if (!text) {
+            std::cerr << text.error().toString() << "\n";
+            return exitUsage;
+        }
+        call.body = text.value();
+    }
+    return sendAndPrint(std::move(call));
+}
+
+} // namespace
+
+int runJob(int argc, char **argv)
+{
+    const std::string_view verb = argc > 2 ? argv[2] : "";
+    if (verb == "submit") {
+        return submitJob();
+    }
+    if (argc > 3 && (verb == "show" || verb == "cancel")) {
+        net::HttpCall call;
+        call.method = verb == "show" ? "GET" : "DELETE";
+        call.url = fmt::format("{}/v1/jobs/{}", FLAGS_caller_url, argv[3]);
+        return sendAndPrint(std::move(call));
+    }
+    std::cerr << "usage: cyclamenlatch job submit --caller_url URL --key KEY --queue NAME ...\n"
+                 "       cyclamenlatch job show|cancel ID --caller_url URL --key KEY\n";
+    return exitUsage;
+}
+
+} // namespace cyclamenlatch::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -12,6 +12,7 @@
 constexpr const char *usage = "cyclamenlatch COMMAND [--flags]\n"
                               "  serve --config FILE    run an entry\n"
                               "  check FILE...          validate settings or fleet documents\n"
+                              "  job submit|show|cancel hand in and follow long-lived work\n"
                               "  load --queue NAME ...  send requests and check every answer\n"
                               "See cyclamenlatch --help for the flags.\n";
 
@@ -32,6 +33,9 @@
     if (command == "check") {
         return runCheck(argc, argv);
     }
+    if (command == "job") {
+        return runJob(argc, argv);
+    }
     if (command == "load") {
         return runLoad();
     }
