Spread configuration and key withdrawals between entries

Cause: every entry watched one store key on its own, could go back after a restart, could not start while the store was down, and a withdrawn key was unknown.

Change: module configuration. A revision is a head (hashes of parts below 90 KB, written first) put in force by one compare-and-swap; a document that lies whole under config/fleet is still taken. One relay per data centre, by rendezvous among those that lately had contact, watches the store; the rest learn from digests, ask one peer of each data centre every 500 ms and pull missing parts in chunks. After a start an entry asks its peers before it uses a revision. Withdrawn key ids are a growing set, sent to every peer at once and merged into the store by the relay. Evidence that no withdrawal was missed counts from when the question was sent, so that held-back answers and paused processes can't make it look fresh; past 3 s keyed work is refused as not-run unless the workspace has serveWhenIsolated. /readyz says why there is no configuration. Look-ups in the fleet document use an index.

Found and fixed: a range-for over a member of a destroyed temporary in the spread (the compiler's warning; the property test runs through it).

Conclusion: the mechanism runs in the entry; operator commands come next.

--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -3,8 +3,6 @@
 
 #include "admission/keysecret.h"
 
-#include <algorithm>
-
 namespace cyclamenlatch::admission {
 
 namespace {
@@ -15,17 +13,18 @@
                    "send \"Authorization: Bearer <key>\" with a key that an operator gave you");
 }
 
-const fleet::Key *findKey(const fleet::FleetDocument &fleet, const KeyId &id)
+boost::outcome_v2::failure_type<Error> evidenceStale()
 {
-    const auto found = std::find_if(fleet.keys.begin(), fleet.keys.end(),
-                                    [&id](const fleet::Key &key) { return key.id == id; });
-    return found == fleet.keys.end() ? nullptr : &*found;
+    return failure(ErrorKind::Unavailable,
+                   "this data centre is cut off and can't tell whether the key was withdrawn",
+                   "try an entry in another data centre, or again after the delay in Retry-After; "
+                   "operators may set serveWhenIsolated for the workspace");
 }
 
 } // namespace
 
 Result<WorkspaceId> admit(const fleet::FleetDocument &fleet, const fleet::Queue &queue,
-                          std::string_view presentedKey)
+                          std::string_view presentedKey, const KeyGate *gate)
 {
     if (presentedKey.empty() && queue.open) {
         return WorkspaceId();
@@ -35,12 +34,23 @@
         return keyRefused();
     }
     static const std::string absentHash = hashSecret("no key has this hash");
-    const auto *key = findKey(fleet, presented->id);
+    const auto *key = fleet.findKey(presented->id);
     const auto &stored = key == nullptr ? absentHash : key->hash;
     const bool equal = hashesEqual(hashSecret(presented->secret), stored);
     if (key == nullptr || !equal) {
         return keyRefused();
     }
+    if (gate == nullptr) {
+        return key->workspace;
+    }
+    if (gate->isWithdrawn(key->id)) {
+        return keyRefused();
+    }
+    const auto *workspace = fleet.findWorkspace(key->workspace);
+    const bool mayServeIsolated = workspace != nullptr && workspace->serveWhenIsolated;
+    if (!mayServeIsolated && !gate->isFresh(steadyNow())) {
+        return evidenceStale();
+    }
     return key->workspace;
 }
 
--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -1,9 +1,11 @@
 // One entry process: composes the modules and runs until it is told to stop.
 #pragma once
 
+#include "admission/keygate.h"
 #include "app/entrysettings.h"
 #include "app/jobservice.h"
 #include "callerapi/callerapi.h"
+#include "configuration/configuration.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/outcomeservice.h"
 #include "global/result.h"
@@ -15,8 +17,6 @@
 #include "platform/storeclient.h"
 #include "quota/quotatable.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <atomic>
 #include <memory>
 
@@ -32,8 +32,7 @@
     void stop();
 
 private:
-    void watchFleet(platform::StoreRevision after);
-    void takeFleet(const platform::StoreListing &listing);
+    void takeFleet(const configuration::FleetRevision &revision);
     void holdQuotas(const fleet::FleetDocument &fleet);
 
     EntrySettings m_settings;
@@ -49,7 +48,8 @@
     // Absent when the settings name no operator interface.
     std::unique_ptr<net::HttpServer> m_operatorServer;
     platform::StoreClient m_store;
-    asio::steady_timer m_watchRetry;
+    admission::KeyGate m_keyGate;
+    configuration::Configuration m_configuration;
     JobService m_jobs;
     // Declared last, so that their completions end before what they use does.
     net::HttpClient m_minionHttp;
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -3,7 +3,6 @@
 
 #include "app/appevents.h"
 #include "dispatch/quotapermits.h"
-#include "fleet/fleetyaml.h"
 #include "quota/staticsplit.h"
 
 #include <random>
@@ -15,10 +14,7 @@
 
 constexpr std::size_t maxConnectionsPerMinion = 64;
 constexpr std::chrono::milliseconds storeTimeout{2000};
-constexpr std::chrono::milliseconds watchWait{10000};
-constexpr std::chrono::milliseconds watchRetryDelay{500};
 constexpr std::chrono::milliseconds drainPollInterval{20};
-constexpr const char *fleetKey = "config/fleet";
 
 net::HttpServerSettings callerServerSettings(const EntrySettings &settings)
 {
@@ -75,12 +71,19 @@
                      })
     , m_operatorApi(operatorKeys(m_settings))
     , m_store(m_threads.context(), m_platformHttp, storeSettings(m_settings))
-    , m_watchRetry(m_threads.context())
+    , m_configuration(
+              m_threads.context(), m_peers, m_store,
+              {[this](const configuration::FleetRevision &revision) { takeFleet(revision); },
+               [this](const std::vector<KeyId> &ids) { m_keyGate.addWithdrawn(ids); }})
     , m_jobs(m_threads.context(), m_store, m_platformHttp, m_settings.platformUrl, m_quotas,
              {m_settings.entry, m_peers.incarnation()})
     , m_minionHttp(maxConnectionsPerMinion)
 {
     dispatch::tellAvailable(m_quotas, m_threads.context(), m_dispatcher);
+    m_keyGate.setEvidence([this] { return m_configuration.evidenceAt(); },
+                          configuration::freshnessBound);
+    m_callerApi.setKeyGate(&m_keyGate);
+    m_callerApi.setUnreadyReason([this] { return m_configuration.unreadyReason(); });
     if (m_settings.operators) {
         m_operatorServer = std::make_unique<net::HttpServer>(
                 m_threads.context(), operatorServerSettings(*m_settings.operators),
@@ -100,48 +103,17 @@
     }
     logEvent(entryStarted, "{} in {} on {}:{}", m_settings.entry.value(),
              m_settings.dataCentre.value(), m_settings.callers.address, m_callerServer.port());
-    watchFleet(0);
+    m_configuration.start();
     m_jobs.start();
     return success();
 }
 
-void Entry::watchFleet(platform::StoreRevision after)
+void Entry::takeFleet(const configuration::FleetRevision &revision)
 {
-    if (m_stopping) {
-        return;
-    }
-    m_store.watch(fleetKey, after, watchWait,
-                  [this, after](Result<platform::StoreListing> listing) {
-                      if (!listing) {
-                          m_watchRetry.expires_after(watchRetryDelay);
-                          m_watchRetry.async_wait(
-                                  [this, after](const asio::error_code &) { watchFleet(after); });
-                          return;
-                      }
-                      takeFleet(listing.value());
-                      watchFleet(listing.value().revision);
-                  });
-}
-
-void Entry::takeFleet(const platform::StoreListing &listing)
-{
-    for (const auto &item : listing.items) {
-        if (item.key != fleetKey || item.deleted) {
-            continue;
-        }
-        auto reading = fleet::readFleet(item.value);
-        if (!reading.mistakes.empty()) {
-            logEvent(fleetRefused, "revision {}: {}", item.revision,
-                     reading.mistakes.front().toString());
-            continue;
-        }
-        auto fleet = std::make_shared<const fleet::FleetDocument>(std::move(reading.document));
-        holdQuotas(*fleet);
-        m_dispatcher.setFleet(fleet);
-        m_callerApi.setFleet(fleet);
-        m_jobs.setFleet(fleet);
-        logEvent(fleetTaken, "revision {}", item.revision);
-    }
+    holdQuotas(*revision.fleet);
+    m_dispatcher.setFleet(revision.fleet);
+    m_callerApi.setFleet(revision.fleet);
+    m_jobs.setFleet(revision.fleet);
 }
 
 void Entry::holdQuotas(const fleet::FleetDocument &fleet)
@@ -174,6 +146,7 @@
     }
     logEvent(entryStopped, "{} requests cut", m_callerServer.openRequests());
     m_outcomes.stop();
+    m_configuration.stop();
     m_jobs.stop();
     m_store.stop();
     m_callerServer.stop();
--- a/src/callerapi/callerapi.h
+++ b/src/callerapi/callerapi.h
@@ -1,6 +1,7 @@
 // The callers' HTTP interface: takes requests and relays whole answers with their outcome.
 #pragma once
 
+#include "admission/keygate.h"
 #include "callerapi/requestmetrics.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/outcomeservice.h"
@@ -8,10 +9,12 @@
 #include "net/httpserver.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace cyclamenlatch::callerapi {
 
@@ -21,6 +24,14 @@
     CallerApi(dispatch::Dispatcher &dispatcher, dispatch::OutcomeService &outcomes);
 
     void setFleet(std::shared_ptr<const fleet::FleetDocument> fleet);
+    // Refuses withdrawn keys and, while a withdrawal may have been missed, all keys. Set before
+    // requests come in.
+    void setKeyGate(const admission::KeyGate *gate) { m_keyGate = gate; }
+    // Tells why there is no configuration yet. Set before requests come in.
+    void setUnreadyReason(std::function<std::string()> reason)
+    {
+        m_unreadyReason = std::move(reason);
+    }
     // A leaving entry answers /readyz with 503, so that the balancer sends callers elsewhere.
     void setLeaving() { m_leaving = true; }
     // From now on requests are refused as not-run, so that none is open when the server stops.
@@ -55,6 +66,8 @@
     dispatch::Dispatcher &m_dispatcher;
     dispatch::OutcomeService &m_outcomes;
     RequestMetrics m_metrics;
+    const admission::KeyGate *m_keyGate = nullptr;
+    std::function<std::string()> m_unreadyReason;
     std::mutex m_mutex;
     // Guarded by m_mutex; the document itself never changes.
     std::shared_ptr<const fleet::FleetDocument> m_fleet;
--- a/src/callerapi/internal/callerapi.cpp
+++ b/src/callerapi/internal/callerapi.cpp
@@ -112,8 +112,11 @@
         if (m_leaving) {
             return respond(makeText(503, "leaving\n"));
         }
-        return respond(currentFleet() ? makeText(200, "ready\n")
-                                      : makeText(503, "no configuration yet\n"));
+        if (!currentFleet()) {
+            const auto reason = m_unreadyReason ? m_unreadyReason() : std::string();
+            return respond(makeText(503, fmt::format("no configuration yet: {}\n", reason)));
+        }
+        return respond(makeText(200, "ready\n"));
     }
     if (request.path == "/metrics") {
         return respond(makeText(200, metricsText()));
@@ -182,7 +185,8 @@
         return failure(ErrorKind::NotFound, "the queue does not exist",
                        "check the queue's name in the address");
     }
-    BOOST_OUTCOME_TRY(workspace, admission::admit(*fleet, *queue, presentedKey(request)));
+    BOOST_OUTCOME_TRY(workspace,
+                      admission::admit(*fleet, *queue, presentedKey(request), m_keyGate));
     BOOST_OUTCOME_TRY(timeout, timeoutOf(request, *queue));
     Admitted admitted;
     if (const auto header = request.headers.find("Idempotency-Key")) {
--- a/src/fleet/fleetdocument.h
+++ b/src/fleet/fleetdocument.h
@@ -9,10 +9,25 @@
 #include "fleet/worker.h"
 #include "fleet/workspace.h"
 
+#include <memory>
 #include <vector>
 
 namespace cyclamenlatch::fleet {
 
+namespace detail {
+
+struct FleetIndex;
+
+// Positions by id. Takes no part in comparisons: it says nothing that the items don't.
+struct FleetIndexHolder
+{
+    std::shared_ptr<const FleetIndex> index;
+
+    bool operator==(const FleetIndexHolder &) const { return true; }
+};
+
+} // namespace detail
+
 struct FleetDocument
 {
     std::vector<DataCentre> dataCentres;
@@ -23,8 +38,17 @@
     std::vector<Workspace> workspaces;
     std::vector<Key> keys;
 
+    detail::FleetIndexHolder indexHolder;
+
     bool operator==(const FleetDocument &) const = default;
 
+    // Makes look-ups by id independent of the document's size. Without it, or after changes to
+    // the items, they are still right but may scan.
+    void buildIndex();
+
+    const Pool *findPool(const PoolId &id) const;
+    const Key *findKey(const KeyId &id) const;
+    const DataCentre *findDataCentre(const DataCentreId &id) const;
     const Queue *findQueue(const QueueId &id) const;
     const Service *findService(const ServiceId &id) const;
     const Workspace *findWorkspace(const WorkspaceId &id) const;
--- a/src/fleet/fleetyaml.h
+++ b/src/fleet/fleetyaml.h
@@ -20,4 +20,10 @@
 FleetReading readFleet(std::string_view yaml);
 std::string writeFleet(const FleetDocument &document);
 
+// Splits the document into YAML texts of one section each, none above maxBytes unless a single
+// item is.
+std::vector<std::string> writeFleetParts(const FleetDocument &document, std::size_t maxBytes);
+// Joins the texts of writeFleetParts and checks the whole as readFleet does.
+FleetReading readFleetParts(const std::vector<std::string> &parts);
+
 } // namespace cyclamenlatch::fleet
--- a/src/fleet/internal/fleetyaml.cpp
+++ b/src/fleet/internal/fleetyaml.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace cyclamenlatch::fleet {
@@ -230,6 +232,9 @@
 void writeSection(YAML::Emitter &out, const char *section, const std::vector<Item> &items,
                   const WriteItem &writeItem)
 {
+    if (items.empty()) {
+        return;
+    }
     out << YAML::Key << section << YAML::Value << YAML::BeginSeq;
     for (const auto &item : items) {
         out << YAML::Flow << YAML::BeginMap;
@@ -240,6 +245,45 @@
     out << YAML::EndSeq;
 }
 
+template<typename Item>
+void append(std::vector<Item> &items, std::vector<Item> more)
+{
+    std::move(more.begin(), more.end(), std::back_inserter(items));
+}
+
+void appendDocument(FleetDocument &document, FleetDocument more)
+{
+    append(document.dataCentres, std::move(more.dataCentres));
+    append(document.pools, std::move(more.pools));
+    append(document.workers, std::move(more.workers));
+    append(document.services, std::move(more.services));
+    append(document.queues, std::move(more.queues));
+    append(document.workspaces, std::move(more.workspaces));
+    append(document.keys, std::move(more.keys));
+}
+
+// Writes one section, halving the number of items in a part until each part is small enough.
+template<typename Item>
+void writeParts(const FleetDocument &document, std::vector<Item> FleetDocument::*section,
+                std::size_t maxBytes, std::vector<std::string> &parts)
+{
+    const auto &items = document.*section;
+    std::size_t first = 0;
+    std::size_t count = items.size();
+    while (first < items.size()) {
+        count = std::min(count, items.size() - first);
+        FleetDocument part;
+        (part.*section).assign(items.begin() + first, items.begin() + first + count);
+        auto text = writeFleet(part);
+        if (text.size() > maxBytes && count > 1) {
+            count = count / 2;
+            continue;
+        }
+        parts.push_back(std::move(text));
+        first += count;
+    }
+}
+
 } // namespace
 
 FleetReading readFleet(std::string_view yaml)
@@ -252,9 +296,42 @@
         return reading;
     }
     checkReferences(reading.document, reading.mistakes);
+    reading.document.buildIndex();
     return reading;
 }
 
+FleetReading readFleetParts(const std::vector<std::string> &parts)
+{
+    FleetReading whole;
+    for (const auto &part : parts) {
+        FleetReading reading;
+        try {
+            readSections(YAML::Load(part), reading);
+        } catch (const YAML::Exception &error) {
+            reading.mistakes.push_back({0, error.msg, "apply the fleet document again"});
+        }
+        std::move(reading.mistakes.begin(), reading.mistakes.end(),
+                  std::back_inserter(whole.mistakes));
+        appendDocument(whole.document, std::move(reading.document));
+    }
+    checkReferences(whole.document, whole.mistakes);
+    whole.document.buildIndex();
+    return whole;
+}
+
+std::vector<std::string> writeFleetParts(const FleetDocument &document, std::size_t maxBytes)
+{
+    std::vector<std::string> parts;
+    writeParts(document, &FleetDocument::dataCentres, maxBytes, parts);
+    writeParts(document, &FleetDocument::pools, maxBytes, parts);
+    writeParts(document, &FleetDocument::workers, maxBytes, parts);
+    writeParts(document, &FleetDocument::services, maxBytes, parts);
+    writeParts(document, &FleetDocument::queues, maxBytes, parts);
+    writeParts(document, &FleetDocument::workspaces, maxBytes, parts);
+    writeParts(document, &FleetDocument::keys, maxBytes, parts);
+    return parts;
+}
+
 std::string writeFleet(const FleetDocument &document)
 {
     YAML::Emitter out;
