Answer the simulated store after the tick that asked

The simulation answered a store read in the middle of carrying out one tick's actions, which no store can do; the shell besides drops a lower revision under its publish lock.

Change: the simulation answers reads after the tick, as a real store; the assertion is as strict.

Conclusion: the fault was the simulation's.

--- a/src/configuration/tests/spreadstate_tests.cpp
+++ b/src/configuration/tests/spreadstate_tests.cpp
@@ -9,6 +9,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenlatch::configuration {
 namespace {
@@ -79,6 +80,7 @@
             for (std::size_t index = 0; index < m_entries.size(); ++index) {
                 perform(index, m_entries[index].tick(now, m_random));
             }
+            answerReads();
             deliverAll();
         }
     }
@@ -111,6 +113,15 @@
         return state;
     }
 
+    // Answers come after the actions of the tick that asked, as from a real store.
+    void answerReads()
+    {
+        for (const auto index : std::exchange(m_reads, {})) {
+            perform(index, storeIsUp ? m_entries[index].takeListing(m_store, now, now)
+                                     : m_entries[index].failRead(now, m_random));
+        }
+    }
+
     void deliverAll()
     {
         constexpr unsigned maxDeliveries = 100000;
@@ -144,8 +155,7 @@
                 m_inForce[index] = publish->revision;
                 perform(index, m_entries[index].putInForce(publish->revision));
             } else if (std::holds_alternative<ReadStore>(action)) {
-                perform(index, storeIsUp ? m_entries[index].takeListing(m_store, now, now)
-                                         : m_entries[index].failRead(now, m_random));
+                m_reads.push_back(index);
             }
         }
     }
@@ -156,6 +166,8 @@
     std::vector<StoreRevision> m_inForce;
     std::map<std::size_t, std::uint64_t> m_incarnations;
     std::vector<Flight> m_flights;
+    // Entries that have asked the store.
+    std::vector<std::size_t> m_reads;
     StoreListing m_store;
 };
 
