Carry out waves over the peer bus and the platform's hosts

Cause: the wave machine needs a shell: leadership, records kept by a watch, confirmations from every entry, reboots and operators' commands. Change: a leader per data centre under a store lease, a drain coordinator that asks every entry what is in flight, a host client, wave commands, and stand-in hosts that drain and reboot. Conclusion: ready to be composed into the entry.

--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -11,5 +11,6 @@
 int runCheck(int argc, char **argv);
 int runJob(int argc, char **argv);
 int runLoad();
+int runWave(int argc, char **argv);
 
 } // namespace cyclamenlatch::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -14,6 +14,7 @@
                               "  check FILE...          validate settings or fleet documents\n"
                               "  job submit|show|cancel hand in and follow long-lived work\n"
                               "  load --queue NAME ...  send requests and check every answer\n"
+                              "  wave VERB NAME ...     plan, start, pause, resume or show a wave\n"
                               "See cyclamenlatch --help for the flags.\n";
 
 } // namespace
@@ -39,6 +40,9 @@
     if (command == "load") {
         return runLoad();
     }
+    if (command == "wave") {
+        return runWave(argc, argv);
+    }
     std::cerr << usage;
     return exitUsage;
 }
--- a/src/maintenance/internal/waveplanner.cpp
+++ b/src/maintenance/internal/waveplanner.cpp
@@ -266,12 +266,12 @@
     void setAside(const Versioned<HostRecord> &host)
     {
         const auto &worker = host.record.worker;
-        if (m_wave.state == WaveState::Done) {
-            return removeClaims(worker);
-        }
         if (m_view.observed.finishedReboots.contains(host.record.rebootAttempt())
             && !m_view.observed.unhealthy.contains(worker)) {
-            moveTo(host, HostStep::SlowStart, "came back late");
+            return moveTo(host, HostStep::SlowStart, "came back late");
+        }
+        if (m_wave.state == WaveState::Done) {
+            removeClaims(worker);
         }
     }
 
--- /dev/null
+++ b/src/maintenance/maintenancecontroller.h
@@ -0,0 +1,90 @@
+// Carries out waves on the entry that leads its data centre: plans, writes records, asks entries
+// what is in flight and the platform for reboots. All state is touched on the strand only.
+#pragma once
+
+#include "fleet/fleetdocument.h"
+#include "maintenance/draincoordinator.h"
+#include "maintenance/hosthealth.h"
+#include "maintenance/maintenancerecords.h"
+#include "maintenance/maintenancesettings.h"
+#include "maintenance/waveaction.h"
+#include "net/httpclient.h"
+#include "platform/hostclient.h"
+#include "platform/leaderlease.h"
+#include "platform/storeclient.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace cyclamenlatch::maintenance {
+
+class MaintenanceController
+{
+public:
+    MaintenanceController(asio::io_context &context, MaintenanceSettings settings,
+                          platform::StoreClient &store, platform::HostClient &hosts,
+                          DrainCoordinator &drains, net::HttpClient &probes);
+
+    void start();
+    // Gives leadership back; what is under way goes on from the records.
+    void stop();
+    // Thread-safe.
+    void setFleet(std::shared_ptr<const fleet::FleetDocument> fleet);
+
+private:
+    using Strand = asio::strand<asio::io_context::executor_type>;
+    using WaveEntry = Versioned<WaveRecord>;
+
+    void loadMarks();
+
+    void onLeadership(bool held);
+    void readRecords(unsigned reading);
+    void watchRecords(unsigned reading);
+    void retryRecords(unsigned reading);
+    void armTick();
+    void tick();
+    bool isActive(const WaveEntry &wave) const;
+
+    void askEntries();
+    std::vector<LeavingMark> ownMarks() const;
+    void listHosts();
+    void probeHosts();
+    void probe(const fleet::Worker &worker);
+
+    void planWaves();
+    WaveView viewOf(const WaveEntry &wave) const;
+    void perform(const platform::StoreWrite &write);
+    void perform(const RebootRequest &request);
+    void logStep(const platform::StoreWrite &write) const;
+
+    Strand m_strand;
+    const MaintenanceSettings m_settings;
+    platform::StoreClient &m_store;
+    platform::HostClient &m_hosts;
+    DrainCoordinator &m_drains;
+    net::HttpClient &m_probes;
+    platform::LeaderLease m_lease;
+    asio::steady_timer m_timer;
+    asio::steady_timer m_recordsTimer;
+    bool m_stopped = false;
+    std::shared_ptr<const fleet::FleetDocument> m_fleet;
+
+    // Used while leading. A reading ends with the leadership that began it.
+    unsigned m_reading = 0;
+    MaintenanceRecords m_records;
+    HostHealth m_health;
+    // Keys with a write under way.
+    std::set<std::string> m_writing;
+    // Revisions written that the reading doesn't show yet.
+    std::unordered_map<std::string, platform::StoreRevision> m_written;
+    std::unordered_map<std::string, TimePoint> m_rebootAsked;
+    std::unordered_map<WorkerId, TimePoint> m_probed;
+    TimePoint m_hostsListed;
+};
+
+} // namespace cyclamenlatch::maintenance
--- /dev/null
+++ b/src/maintenance/maintenancerecords.h
@@ -0,0 +1,47 @@
+// The records of all waves as one reading of the store, kept up to date by a watch. Records are
+// only taken from the store's answers, in the store's order, never from the results of own
+// writes: the wave machine relies on a reading without gaps.
+#pragma once
+
+#include "maintenance/hostrecord.h"
+#include "maintenance/ledgerrecord.h"
+#include "maintenance/versioned.h"
+#include "maintenance/waverecord.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace cyclamenlatch::maintenance {
+
+class MaintenanceRecords
+{
+public:
+    // A listing older than what was taken is left alone; returns false then.
+    bool take(const platform::StoreListing &listing);
+
+    // Of the store when the reading was made.
+    platform::StoreRevision revision() const { return m_revision; }
+    // Of one key; 0 when the reading holds no such key.
+    platform::StoreRevision revisionOf(const std::string &key) const;
+    const std::map<WaveId, Versioned<WaveRecord>> &waves() const { return m_waves; }
+    const std::unordered_map<WorkerId, Versioned<HostRecord>> &hosts(const WaveId &wave) const;
+    const std::unordered_map<std::string, Versioned<LedgerRecord>> &ledgers() const
+    {
+        return m_ledgers;
+    }
+
+private:
+    void takeItem(const platform::StoreItem &item);
+    void takeWave(const platform::StoreItem &item);
+    void takeHost(const platform::StoreItem &item);
+    void takeLedger(const platform::StoreItem &item);
+
+    platform::StoreRevision m_revision = 0;
+    std::unordered_map<std::string, platform::StoreRevision> m_revisions;
+    std::map<WaveId, Versioned<WaveRecord>> m_waves;
+    std::unordered_map<WaveId, std::unordered_map<WorkerId, Versioned<HostRecord>>> m_hosts;
+    std::unordered_map<std::string, Versioned<LedgerRecord>> m_ledgers;
+};
+
+} // namespace cyclamenlatch::maintenance
--- a/standins/minion/minionserver.cpp
+++ b/standins/minion/minionserver.cpp
@@ -42,7 +42,8 @@
         return respond(answerControl(request));
     }
     if (request.path == "/healthz") {
-        return respond(jsonReply(200, json::object()));
+        const std::lock_guard lock(m_mutex);
+        return respond(jsonReply(m_faults.down ? 503 : 200, json::object()));
     }
     respond(jsonReply(404, {{"error", "no such address"}}));
 }
@@ -58,7 +59,8 @@
     {
         const std::lock_guard lock(m_mutex);
         faults = m_faults;
-        if (!faults.refuse) {
+        m_sentWhileDown += faults.down ? 1 : 0;
+        if (!faults.refuse && !faults.down) {
             ++m_runsByNonce[nonce];
             m_mostRunning = std::max(m_mostRunning, ++m_running);
             auto &ledger = m_workspaces[workspace];
@@ -66,6 +68,9 @@
             ledger.mostRunning = std::max(ledger.mostRunning, ++ledger.running);
         }
     }
+    if (faults.down) {
+        return respond(jsonReply(503, {{"error", "down"}}));
+    }
     if (faults.refuse) {
         auto reply = jsonReply(503, {{"error", "refused"}});
         reply.headers.add("Request-Id", requestId);
@@ -119,6 +124,9 @@
                            {"duplicates", duplicates},
                            {"running", m_running},
                            {"mostRunning", m_mostRunning},
+                           {"cut", m_cut},
+                           {"sentWhileDown", m_sentWhileDown},
+                           {"reboots", m_reboots},
                            {"workspaces", std::move(workspaces)}});
 }
 
@@ -132,6 +140,12 @@
     m_faults.failFast = body.value("failFast", m_faults.failFast);
     m_faults.refuse = body.value("refuse", m_faults.refuse);
     m_faults.crossAnswers = body.value("crossAnswers", m_faults.crossAnswers);
+    const bool down = body.value("down", m_faults.down);
+    if (down && !m_faults.down) {
+        m_cut += m_running;
+        ++m_reboots;
+    }
+    m_faults.down = down;
     m_faults.slowdown = body.value("slowdown", m_faults.slowdown);
     return jsonReply(200, json::object());
 }
--- a/standins/minion/minionserver.h
+++ b/standins/minion/minionserver.h
@@ -23,6 +23,8 @@
     bool refuse = false;
     // Answers with the id of another request.
     bool crossAnswers = false;
+    // Is rebooting: answers nothing with success.
+    bool down = false;
     // Multiplies the time that work takes.
     double slowdown = 1;
 };
@@ -55,6 +57,11 @@
     MinionFaults m_faults;
     unsigned m_running = 0;
     unsigned m_mostRunning = 0;
+    // Work that was running when the minion went down.
+    unsigned m_cut = 0;
+    // Work that was sent while the minion was down.
+    unsigned m_sentWhileDown = 0;
+    unsigned m_reboots = 0;
     // Runs by nonce of the work; more than one is a duplicate run.
     std::map<std::string, unsigned> m_runsByNonce;
     std::map<std::string, WorkspaceLedger> m_workspaces;
--- a/standins/platform/platformserver.cpp
+++ b/standins/platform/platformserver.cpp
@@ -50,6 +50,7 @@
 
 PlatformServer::PlatformServer(asio::io_context &context)
     : m_context(context)
+    , m_hosts(context)
     , m_timer(context)
 {
     tick();
@@ -77,6 +78,9 @@
     if (request.path == "/control") {
         return respond(answerControl(request));
     }
+    if (HostServer::handles(request.path)) {
+        return respond(m_hosts.answer(request));
+    }
     if (m_tasks.handle(request, respond)) {
         return;
     }
--- a/standins/platform/platformserver.h
+++ b/standins/platform/platformserver.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "net/httpserver.h"
+#include "standins/platform/hostserver.h"
 #include "standins/platform/storemodel.h"
 #include "standins/platform/taskserver.h"
 
@@ -59,6 +60,7 @@
     void deliver(net::HttpReply reply, net::HttpResponder respond);
 
     asio::io_context &m_context;
+    HostServer m_hosts;
     asio::steady_timer m_timer;
     // Locks for itself; never called under m_mutex.
     TaskServer m_tasks;
