--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -12,5 +12,6 @@
 int runJob(int argc, char **argv);
 int runLoad();
 int runWave(int argc, char **argv);
+int runWorker(int argc, char **argv);
 
 } // namespace cyclamenlatch::app
--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -3,6 +3,7 @@
 
 #include "admission/keygate.h"
 #include "app/entrysettings.h"
+#include "app/internal/fleetkeeping.h"
 #include "app/jobservice.h"
 #include "callerapi/callerapi.h"
 #include "configuration/configuration.h"
@@ -33,6 +34,8 @@
 
 private:
     void takeFleet(const configuration::FleetRevision &revision);
+    // Takes the document with each worker in the pool that it is really in.
+    void useFleet(const std::shared_ptr<const fleet::FleetDocument> &fleet);
     void holdQuotas(const fleet::FleetDocument &fleet);
 
     EntrySettings m_settings;
@@ -49,6 +52,7 @@
     std::unique_ptr<net::HttpServer> m_operatorServer;
     platform::StoreClient m_store;
     admission::KeyGate m_keyGate;
+    detail::FleetKeeping m_fleetKeeping;
     configuration::Configuration m_configuration;
     JobService m_jobs;
     // Declared last, so that their completions end before what they use does.
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -71,6 +71,9 @@
                      })
     , m_operatorApi(operatorKeys(m_settings))
     , m_store(m_threads.context(), m_platformHttp, storeSettings(m_settings))
+    , m_fleetKeeping(
+              m_threads.context(), m_settings, m_store, m_peers, m_dispatcher,
+              [this](const std::shared_ptr<const fleet::FleetDocument> &fleet) { useFleet(fleet); })
     , m_configuration(
               m_threads.context(), m_peers, m_store,
               {[this](const configuration::FleetRevision &revision) { takeFleet(revision); },
@@ -84,6 +87,7 @@
                           configuration::freshnessBound);
     m_callerApi.setKeyGate(&m_keyGate);
     m_callerApi.setUnreadyReason([this] { return m_configuration.unreadyReason(); });
+    m_fleetKeeping.addRoutes(m_operatorApi);
     if (m_settings.operators) {
         m_operatorServer = std::make_unique<net::HttpServer>(
                 m_threads.context(), operatorServerSettings(*m_settings.operators),
@@ -95,6 +99,7 @@
 
 Result<void> Entry::start()
 {
+    m_fleetKeeping.start();
     BOOST_OUTCOME_TRY(m_peers.start());
     m_outcomes.start();
     BOOST_OUTCOME_TRY(m_callerServer.start());
@@ -110,10 +115,15 @@
 
 void Entry::takeFleet(const configuration::FleetRevision &revision)
 {
-    holdQuotas(*revision.fleet);
-    m_dispatcher.setFleet(revision.fleet);
-    m_callerApi.setFleet(revision.fleet);
-    m_jobs.setFleet(revision.fleet);
+    m_fleetKeeping.setFleet(revision.fleet);
+}
+
+void Entry::useFleet(const std::shared_ptr<const fleet::FleetDocument> &fleet)
+{
+    holdQuotas(*fleet);
+    m_dispatcher.setFleet(fleet);
+    m_callerApi.setFleet(fleet);
+    m_jobs.setFleet(fleet);
 }
 
 void Entry::holdQuotas(const fleet::FleetDocument &fleet)
@@ -138,6 +148,7 @@
     logEvent(entryLeaving, "{} requests in flight", m_callerApi.inFlight());
     m_stopping = true;
     m_callerApi.setLeaving();
+    m_fleetKeeping.stop();
     std::this_thread::sleep_for(m_settings.drainDelay);
     m_callerApi.setRefusing();
     const auto deadline = steadyNow() + m_settings.shutdownDeadline;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -15,6 +15,7 @@
                               "  job submit|show|cancel hand in and follow long-lived work\n"
                               "  load --queue NAME ...  send requests and check every answer\n"
                               "  wave VERB NAME ...     plan, start, pause, resume or show a wave\n"
+                              "  worker list|move ...   show workers, move one to a pool\n"
                               "See cyclamenlatch --help for the flags.\n";
 
 } // namespace
@@ -43,6 +44,9 @@
     if (command == "wave") {
         return runWave(argc, argv);
     }
+    if (command == "worker") {
+        return runWorker(argc, argv);
+    }
     std::cerr << usage;
     return exitUsage;
 }
--- /dev/null
+++ b/src/capacity/draining.h
@@ -0,0 +1,24 @@
+// What the pool controller needs from the part of the entry that drains workers.
+#pragma once
+
+#include "global/ids.h"
+#include "platform/storeitem.h"
+
+#include <functional>
+#include <unordered_map>
+
+namespace cyclamenlatch::capacity {
+
+// Workers with the revision of the record that says they drain.
+using DrainMarks = std::unordered_map<WorkerId, platform::StoreRevision>;
+
+// Both are thread-safe and don't block.
+struct Draining
+{
+    // Tells every entry which workers drain, as of a revision of the store.
+    std::function<void(platform::StoreRevision, const DrainMarks &)> ask;
+    // The marks that every entry has confirmed with nothing in flight and no connection open.
+    std::function<DrainMarks()> quiet;
+};
+
+} // namespace cyclamenlatch::capacity
--- /dev/null
+++ b/src/capacity/internal/poolcontroller.cpp
@@ -0,0 +1,279 @@
+// The I/O around the assignment planner.
+#include "capacity/poolcontroller.h"
+
+#include "capacity/capacityevents.h"
+
+#include <asio/post.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenlatch::capacity {
+
+namespace {
+
+constexpr const char *leaderKey = "pool-leaders/fleet";
+constexpr std::chrono::milliseconds tickInterval{250};
+constexpr std::chrono::milliseconds watchWait{10000};
+constexpr std::chrono::milliseconds watchRetryInterval{500};
+
+std::int64_t recordNow()
+{
+    return wallNow().time_since_epoch().count();
+}
+
+} // namespace
+
+PoolController::PoolController(asio::io_context &context, EntryId entry,
+                               platform::StoreClient &store, Draining draining,
+                               FleetListener listener)
+    : m_strand(asio::make_strand(context))
+    , m_entry(std::move(entry))
+    , m_store(store)
+    , m_draining(std::move(draining))
+    , m_listener(std::move(listener))
+    , m_lease(m_strand, store, leaderKey, m_entry.value(),
+              [this](bool held) {
+                  logEvent(held ? poolLeadershipTaken : poolLeadershipLost, "{}", m_entry.value());
+              })
+    , m_timer(m_strand)
+    , m_recordsTimer(m_strand)
+{}
+
+void PoolController::start()
+{
+    m_lease.start();
+    asio::post(m_strand, [this] {
+        readRecords();
+        armTick();
+    });
+}
+
+void PoolController::stop()
+{
+    asio::post(m_strand, [this] {
+        m_stopped = true;
+        m_lease.stop();
+        m_timer.cancel();
+        m_recordsTimer.cancel();
+    });
+}
+
+void PoolController::setFleet(std::shared_ptr<const fleet::FleetDocument> fleet)
+{
+    asio::post(m_strand, [this, fleet = std::move(fleet)] {
+        m_fleet = fleet;
+        publish();
+    });
+}
+
+void PoolController::readRecords()
+{
+    m_store.list(assignmentPrefix, [this](Result<platform::StoreListing> listing) {
+        asio::post(m_strand, [this, listing = std::move(listing)] {
+            if (m_stopped) {
+                return;
+            }
+            if (!listing) {
+                return retryRecords();
+            }
+            take(listing.value());
+            watchRecords();
+        });
+    });
+}
+
+void PoolController::watchRecords()
+{
+    m_store.watch(assignmentPrefix, m_revision, watchWait,
+                  [this](Result<platform::StoreListing> listing) {
+                      asio::post(m_strand, [this, listing = std::move(listing)] {
+                          if (m_stopped) {
+                              return;
+                          }
+                          if (!listing) {
+                              return retryRecords();
+                          }
+                          take(listing.value());
+                          watchRecords();
+                      });
+                  });
+}
+
+void PoolController::retryRecords()
+{
+    m_recordsTimer.expires_after(watchRetryInterval);
+    m_recordsTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            readRecords();
+        }
+    });
+}
+
+void PoolController::take(const platform::StoreListing &listing)
+{
+    if (listing.revision < m_revision) {
+        return;
+    }
+    m_revision = listing.revision;
+    bool changed = false;
+    for (const auto &item : listing.items) {
+        const WorkerId worker(item.key.substr(std::string_view(assignmentPrefix).size()));
+        if (item.deleted) {
+            changed = m_assignments.erase(worker) > 0 || changed;
+            continue;
+        }
+        auto assignment = readAssignment(item.value);
+        if (!assignment) {
+            logEvent(assignmentMalformed, "{}", item.key);
+            continue;
+        }
+        auto &kept = m_assignments[worker];
+        if (item.revision > kept.revision) {
+            changed = true;
+            kept = {std::move(assignment.value()), item.revision};
+        }
+    }
+    if (changed) {
+        publish();
+    }
+}
+
+void PoolController::publish()
+{
+    if (m_fleet) {
+        m_listener(std::make_shared<const fleet::FleetDocument>(
+                withAssignments(*m_fleet, m_assignments)));
+    }
+}
+
+void PoolController::armTick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const asio::error_code &error) {
+        if (error || m_stopped) {
+            return;
+        }
+        tick();
+        armTick();
+    });
+}
+
+void PoolController::tick()
+{
+    if (!m_lease.held() || !m_fleet || m_revision == 0) {
+        return;
+    }
+    DrainMarks marks;
+    for (const auto &[worker, found] : m_assignments) {
+        if (found.assignment.step == AssignmentStep::Draining) {
+            marks[worker] = found.revision;
+        }
+    }
+    if (!marks.empty() || m_asked) {
+        m_draining.ask(m_revision, marks);
+        m_asked = !marks.empty();
+    }
+    for (const auto &planned : planAssignments(view(), recordNow())) {
+        write(planned);
+    }
+}
+
+AssignmentView PoolController::view() const
+{
+    AssignmentView view;
+    view.fleet = m_fleet.get();
+    view.assignments = m_assignments;
+    view.quiet = m_draining.quiet();
+    return view;
+}
+
+void PoolController::write(const platform::StoreWrite &write)
+{
+    if (!m_writing.insert(write.key).second) {
+        return;
+    }
+    m_store.compareAndSwap(write, [this, write](Result<platform::StoreRevision> revision) {
+        asio::post(m_strand, [this, write, written = revision.has_value()] {
+            m_writing.erase(write.key);
+            if (!written) {
+                return;
+            }
+            const auto assignment = readAssignment(write.value).value();
+            const bool moved = assignment.step == AssignmentStep::Serving;
+            logEvent(moved ? workerMoved : assignmentStepped, "{} is {} in {}, should be in {}",
+                     assignment.worker.value(), assignmentStepNames.name(assignment.step),
+                     assignment.pool.value(), assignment.desired.value());
+        });
+    });
+}
+
+void PoolController::move(const WorkerId &worker, const PoolId &pool, const std::string &setBy,
+                          platform::StoreRevision revision, MoveCompletion completion)
+{
+    asio::post(m_strand, [this, worker, pool, setBy, revision, completion = std::move(completion)] {
+        auto changed = checkedMove(worker, pool, setBy, revision);
+        if (!changed) {
+            return completion(changed.error());
+        }
+        const auto &assignment = changed.value().assignment;
+        m_store.compareAndSwap(
+                {assignmentKey(worker), writeAssignment(assignment), changed.value().revision, ""},
+                [assignment, completion](Result<platform::StoreRevision> written) {
+                    if (!written) {
+                        return completion(written.error());
+                    }
+                    logEvent(moveDecided, "{} to {} by {}", assignment.worker.value(),
+                             assignment.desired.value(), assignment.setBy);
+                    completion(VersionedAssignment{assignment, written.value()});
+                });
+    });
+}
+
+Result<VersionedAssignment> PoolController::checkedMove(const WorkerId &worker, const PoolId &pool,
+                                                        const std::string &setBy,
+                                                        platform::StoreRevision revision) const
+{
+    if (!m_fleet || m_revision == 0) {
+        return failure(ErrorKind::Unavailable, "this entry does not know the workers yet",
+                       "wait until it is ready, or ask another entry");
+    }
+    const auto *known = m_fleet->findWorker(worker);
+    const bool knownPool =
+            std::any_of(m_fleet->pools.begin(), m_fleet->pools.end(),
+                        [&](const fleet::Pool &candidate) { return candidate.id == pool; });
+    if (known == nullptr || !knownPool) {
+        return failure(
+                ErrorKind::NotFound,
+                fmt::format("there is no worker {} or no pool {}", worker.value(), pool.value()),
+                "add it to the fleet document first, or correct the name");
+    }
+    auto found = assignmentOf(view(), *known);
+    if (revision != 0 && found.revision != revision) {
+        return failure(ErrorKind::Conflict,
+                       fmt::format("{} was sent to {} by {} meanwhile", worker.value(),
+                                   found.assignment.desired.value(), found.assignment.setBy),
+                       "look at worker list, then decide again");
+    }
+    found.assignment.desired = pool;
+    found.assignment.home = known->pool;
+    found.assignment.setBy = setBy;
+    return found;
+}
+
+void PoolController::list(ListCompletion completion)
+{
+    asio::post(m_strand, [this, completion = std::move(completion)] {
+        std::vector<VersionedAssignment> all;
+        if (m_fleet) {
+            const auto known = view();
+            for (const auto &worker : m_fleet->workers) {
+                all.push_back(assignmentOf(known, worker));
+            }
+        }
+        completion(std::move(all));
+    });
+}
+
+} // namespace cyclamenlatch::capacity
--- /dev/null
+++ b/src/capacity/poolcontroller.h
@@ -0,0 +1,83 @@
+// Keeps every worker in the pool where it should be. Every entry follows the records; the one
+// that holds the lease moves workers step by step. All state is touched on the strand only.
+#pragma once
+
+#include "capacity/assignmentplanner.h"
+#include "capacity/draining.h"
+#include "fleet/fleetdocument.h"
+#include "global/ids.h"
+#include "platform/leaderlease.h"
+#include "platform/storeclient.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamenlatch::capacity {
+
+class PoolController
+{
+public:
+    using Assignments = std::unordered_map<WorkerId, VersionedAssignment>;
+    using FleetListener = std::function<void(std::shared_ptr<const fleet::FleetDocument>)>;
+    using MoveCompletion = std::function<void(Result<VersionedAssignment>)>;
+    using ListCompletion = std::function<void(std::vector<VersionedAssignment>)>;
+
+    // The listener gets the document with each worker in the pool of its record, again whenever
+    // either changes.
+    PoolController(asio::io_context &context, EntryId entry, platform::StoreClient &store,
+                   Draining draining, FleetListener listener);
+
+    void start();
+    void stop();
+    // All below are thread-safe.
+    void setFleet(std::shared_ptr<const fleet::FleetDocument> fleet);
+    // Sets the pool that a worker should be in. With a revision other than 0 the move is made
+    // only if the worker's record still has it. Kind Conflict: somebody else changed it first.
+    void move(const WorkerId &worker, const PoolId &pool, const std::string &setBy,
+              platform::StoreRevision revision, MoveCompletion completion);
+    void list(ListCompletion completion);
+
+private:
+    using Strand = asio::strand<asio::io_context::executor_type>;
+
+    void readRecords();
+    void watchRecords();
+    void retryRecords();
+    void take(const platform::StoreListing &listing);
+    void publish();
+    void armTick();
+    void tick();
+    AssignmentView view() const;
+    void write(const platform::StoreWrite &write);
+    Result<VersionedAssignment> checkedMove(const WorkerId &worker, const PoolId &pool,
+                                            const std::string &setBy,
+                                            platform::StoreRevision revision) const;
+
+    Strand m_strand;
+    const EntryId m_entry;
+    platform::StoreClient &m_store;
+    const Draining m_draining;
+    const FleetListener m_listener;
+    platform::LeaderLease m_lease;
+    asio::steady_timer m_timer;
+    asio::steady_timer m_recordsTimer;
+    bool m_stopped = false;
+    std::shared_ptr<const fleet::FleetDocument> m_fleet;
+    // Of the store when the assignments were read; 0 before the first reading.
+    platform::StoreRevision m_revision = 0;
+    Assignments m_assignments;
+    // Keys with a write under way.
+    std::set<std::string> m_writing;
+    // Whether entries were told of draining workers and not yet that there are none.
+    bool m_asked = false;
+};
+
+} // namespace cyclamenlatch::capacity
--- a/src/maintenance/hosthealth.h
+++ b/src/maintenance/hosthealth.h
@@ -19,6 +19,8 @@
     static constexpr unsigned failuresToSuspect = 2;
 
     void takeList(const std::vector<platform::HostStatus> &hosts, TimePoint now);
+    // The host is probed from now on; hosts that are not are judged by the list alone.
+    void noteProbed(const WorkerId &worker) { m_hosts[worker].probed = true; }
     void takeProbe(const WorkerId &worker, bool answered, TimePoint asked);
 
     // Fills in the unhealthy workers and the finished reboots.
@@ -28,6 +30,7 @@
     struct Host
     {
         bool listedLive = true;
+        bool probed = false;
         std::string finishedReboot;
         // When finishedReboot was first seen.
         TimePoint rebootSeen;
@@ -37,7 +40,8 @@
 
         bool isHealthy() const
         {
-            const bool answeredSince = finishedReboot.empty() || lastAnswered >= rebootSeen;
+            const bool answeredSince =
+                    !probed || finishedReboot.empty() || lastAnswered >= rebootSeen;
             return listedLive && answeredSince && failedProbes < failuresToSuspect;
         }
     };
--- a/src/maintenance/internal/maintenancecontroller.cpp
+++ b/src/maintenance/internal/maintenancecontroller.cpp
@@ -232,6 +232,7 @@
     m_hostsListed = now;
     m_hosts.list([this](Result<std::vector<platform::HostStatus>> hosts) {
         if (!hosts) {
+            logEvent(hostListFailed, "{}", hosts.error().message);
             return;
         }
         asio::post(m_strand, [this, hosts = std::move(hosts.value())] {
@@ -272,6 +273,7 @@
     call.headers.add("Connection", "close");
     call.connectTimeout = m_settings.probeTimeout;
     call.timeout = m_settings.probeTimeout;
+    m_health.noteProbed(worker.id);
     const auto asked = steadyNow();
     m_probes.send(std::move(call),
                   [this, id = worker.id, asked](const net::HttpCallResult &result) {
--- a/src/maintenance/internal/waveplanner.cpp
+++ b/src/maintenance/internal/waveplanner.cpp
@@ -235,7 +235,9 @@
             return moveTo(host, HostStep::SlowStart, "");
         }
         if (isOverdue(host)) {
-            return moveTo(host, HostStep::SetAside, "the host did not come back from its reboot");
+            return moveTo(host, HostStep::SetAside,
+                          finished ? "rebooted, but its minion does not answer"
+                                   : "the platform has not finished its reboot");
         }
         if (!finished) {
             m_actions.push_back(RebootRequest{host.record.worker, host.record.rebootAttempt()});
--- a/src/maintenance/maintenanceevents.h
+++ b/src/maintenance/maintenanceevents.h
@@ -25,5 +25,8 @@
 inline constexpr Event recordMalformed{
         1407, Severity::Error, "maintenance-record-malformed",
         "A record in the store can't be read and is left alone. Remove or correct it."};
+inline constexpr Event hostListFailed{
+        1408, Severity::Warning, "host-list-failed",
+        "The platform did not list its hosts; a wave waits for reboots until it does."};
 
 } // namespace cyclamenlatch::maintenance
--- a/src/platform/internal/hostclient.cpp
+++ b/src/platform/internal/hostclient.cpp
@@ -25,7 +25,8 @@
     }
     try {
         std::vector<HostStatus> hosts;
-        for (const auto &value : json::parse(result.reply->body).at("hosts")) {
+        const auto body = json::parse(result.reply->body);
+        for (const auto &value : body.at("hosts")) {
             HostStatus host;
             host.worker = WorkerId(value.at("name"));
             host.live = value.at("live");
