Give operators apply, get, diff, key, worker, workspace and status

Cause: the fleet document could only be written into the store by hand, and an answer could not say where a change was in force.

Change: FleetCommands adds its routes to the operator interface; an apply names its revision, loses cleanly to a racing one and is told what changed; answers list in force and pending by data centre from the entries' acknowledgements. A withdrawal is taken during an outage and says so. Tests with real processes: racing applies; start from peers and withdrawal with the store down, which survives the replacement of every entry.

Conclusion: in force is said only after every live entry has acknowledged.

--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -14,6 +14,7 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/workerthreads.h"
+#include "operatorapi/fleetcommands.h"
 #include "operatorapi/operatorapi.h"
 #include "platform/storeclient.h"
 #include "quota/quotatable.h"
@@ -54,6 +55,7 @@
     admission::KeyGate m_keyGate;
     detail::FleetKeeping m_fleetKeeping;
     configuration::Configuration m_configuration;
+    operatorapi::FleetCommands m_fleetCommands;
     JobService m_jobs;
     // Declared last, so that their completions end before what they use does.
     net::HttpClient m_minionHttp;
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -78,11 +78,13 @@
               m_threads.context(), m_peers, m_store,
               {[this](const configuration::FleetRevision &revision) { takeFleet(revision); },
                [this](const std::vector<KeyId> &ids) { m_keyGate.addWithdrawn(ids); }})
+    , m_fleetCommands(m_configuration)
     , m_jobs(m_threads.context(), m_store, m_platformHttp, m_settings.platformUrl, m_quotas,
              {m_settings.entry, m_peers.incarnation()})
     , m_minionHttp(maxConnectionsPerMinion)
 {
     dispatch::tellAvailable(m_quotas, m_threads.context(), m_dispatcher);
+    m_fleetCommands.addRoutes(m_operatorApi);
     m_keyGate.setEvidence([this] { return m_configuration.evidenceAt(); },
                           configuration::freshnessBound);
     m_callerApi.setKeyGate(&m_keyGate);
--- /dev/null
+++ b/src/app/internal/operatorclient.cpp
@@ -0,0 +1,126 @@
+// The calling side of the operator interface.
+#include "app/internal/operatorclient.h"
+
+#include "app/commands.h"
+#include "net/httpclient.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+#include <future>
+#include <iostream>
+
+DECLARE_string(operator_url);
+DECLARE_string(operator_key);
+DECLARE_string(output);
+
+namespace cyclamenlatch::app::detail {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds answerTimeout{30000};
+
+std::string operatorKey()
+{
+    const char *fromEnvironment = std::getenv("CYCLAMENLATCH_OPERATOR_KEY");
+    if (!FLAGS_operator_key.empty() || fromEnvironment == nullptr) {
+        return FLAGS_operator_key;
+    }
+    return fromEnvironment;
+}
+
+void printError(const json &body)
+{
+    std::cerr << body.value("message", "the entry gave no reason") << "; "
+              << body.value("remedy", "look at the entry's log") << "\n";
+    for (const auto &mistake : body.value("mistakes", json::array())) {
+        std::cerr << "  line " << mistake.value("line", 0) << ": " << mistake.value("message", "")
+                  << "; " << mistake.value("remedy", "") << "\n";
+    }
+    for (const auto &change : body.value("changes", json::array())) {
+        std::cerr << "  " << change.value("kind", "") << " " << change.value("section", "") << " "
+                  << change.value("name", "") << "\n";
+    }
+}
+
+} // namespace
+
+Result<OperatorAnswer> askEntry(const std::string &method, const std::string &path,
+                                const std::string &body)
+{
+    net::HttpCall call;
+    call.method = method;
+    call.url = FLAGS_operator_url + path;
+    call.headers.add("Authorization", "Bearer " + operatorKey());
+    call.body = body;
+    call.timeout = answerTimeout;
+    std::promise<net::HttpCallResult> promise;
+    net::HttpClient http;
+    http.send(std::move(call),
+              [&promise](net::HttpCallResult result) { promise.set_value(std::move(result)); });
+    auto result = promise.get_future().get();
+    if (!result.reply) {
+        const bool mayHaveHappened =
+                method != "GET" && result.sendState == net::SendState::MaybeSent;
+        return failure(mayHaveHappened ? ErrorKind::Unknown : ErrorKind::Unavailable,
+                       fmt::format("no answer from {}: {}", FLAGS_operator_url, result.failure),
+                       mayHaveHappened ? "look with \"get\" or \"status\" whether it took effect"
+                                       : "name a running entry with --operator_url");
+    }
+    OperatorAnswer answer;
+    answer.status = result.reply->status;
+    answer.body = json::parse(result.reply->body, nullptr, false);
+    if (!answer.body.is_object()) {
+        return failure(ErrorKind::Internal, "the answer is not the operator interface's",
+                       "check that --operator_url names the port of \"operators\" in the settings");
+    }
+    return answer;
+}
+
+int finishAnswer(const Result<OperatorAnswer> &answer, bool &toShow)
+{
+    toShow = false;
+    if (!answer) {
+        if (FLAGS_output == "json") {
+            std::cout << json{{"error", errorKindNames.name(answer.error().kind)},
+                              {"message", answer.error().message},
+                              {"remedy", answer.error().remedy}}
+                                 .dump()
+                      << "\n";
+        } else {
+            std::cerr << answer.error().toString() << "\n";
+        }
+        return exitFailure;
+    }
+    const auto &value = answer.value();
+    if (FLAGS_output == "json") {
+        std::cout << value.body.dump() << "\n";
+        return value.isSuccess() ? exitSuccess : exitFailure;
+    }
+    if (!value.isSuccess()) {
+        printError(value.body);
+        return exitFailure;
+    }
+    toShow = true;
+    return exitSuccess;
+}
+
+std::string spreadText(const json &spread)
+{
+    auto text =
+            fmt::format("{} of {} entries", spread.value("inForce", 0), spread.value("entries", 0));
+    const auto dataCentres = spread.value("dataCentres", json::array());
+    for (const auto &dataCentre : dataCentres) {
+        const auto pending = dataCentre.value("pending", std::vector<std::string>());
+        if (!pending.empty()) {
+            text += fmt::format("; pending in {}: {}", dataCentre.value("dataCentre", ""),
+                                fmt::join(pending, ", "));
+        }
+    }
+    return text;
+}
+
+} // namespace cyclamenlatch::app::detail
--- /dev/null
+++ b/src/app/internal/operatorcommands.cpp
@@ -0,0 +1,255 @@
+// The operators' commands: get, apply, diff, key, worker, workspace and status.
+#include "app/commands.h"
+#include "app/internal/operatorclient.h"
+#include "app/internal/readfile.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+DEFINE_int64(from, -1, "apply: revision that the document was made from; default: its first line");
+
+namespace cyclamenlatch::app {
+
+namespace {
+
+using nlohmann::json;
+using Arguments = std::vector<std::string>;
+
+constexpr std::string_view revisionLine = "# revision: ";
+
+struct OperatorCommand
+{
+    // The words that choose the command, such as "key give".
+    std::string_view words;
+    std::string_view arguments;
+    std::size_t minArguments;
+    int (*run)(const Arguments &);
+};
+
+int fail(const Error &error)
+{
+    std::cerr << error.toString() << "\n";
+    return exitFailure;
+}
+
+int runGet(const Arguments &)
+{
+    bool toShow = false;
+    const auto answer = detail::askEntry("GET", "/v1/fleet");
+    const int status = detail::finishAnswer(answer, toShow);
+    if (toShow) {
+        const auto &body = answer.value().body;
+        std::cout << revisionLine << body.value("revision", 0) << "\n"
+                  << body.value("document", "");
+    }
+    return status;
+}
+
+std::optional<std::int64_t> revisionOf(const std::string &document)
+{
+    if (FLAGS_from >= 0) {
+        return FLAGS_from;
+    }
+    if (!document.starts_with(revisionLine)) {
+        return std::nullopt;
+    }
+    return std::strtoll(document.c_str() + revisionLine.size(), nullptr, 10);
+}
+
+void showAccepted(const json &body)
+{
+    std::cout << fmt::format("accepted as revision {}; in force at {}\n", body.value("revision", 0),
+                             detail::spreadText(body["spread"]));
+}
+
+int runApply(const Arguments &arguments)
+{
+    const auto document = detail::readFile(arguments[0]);
+    if (!document) {
+        return fail(document.error());
+    }
+    const auto from = revisionOf(document.value());
+    if (!from) {
+        return fail({ErrorKind::InvalidInput, "the document doesn't say which revision it changes",
+                     "start from \"cyclamenlatch get\", or name it with --from (0: the first)"});
+    }
+    bool toShow = false;
+    const auto answer =
+            detail::askEntry("PUT", fmt::format("/v1/fleet?from={}", *from), document.value());
+    const int status = detail::finishAnswer(answer, toShow);
+    if (toShow) {
+        showAccepted(answer.value().body);
+    }
+    return status;
+}
+
+int runDiff(const Arguments &arguments)
+{
+    const auto document = detail::readFile(arguments[0]);
+    if (!document) {
+        return fail(document.error());
+    }
+    bool toShow = false;
+    const auto answer = detail::askEntry("POST", "/v1/fleet/diff", document.value());
+    const int status = detail::finishAnswer(answer, toShow);
+    if (!toShow) {
+        return status;
+    }
+    for (const auto &change : answer.value().body["changes"]) {
+        std::cout << fmt::format("{} {} {}\n", change.value("kind", ""),
+                                 change.value("section", ""), change.value("name", ""));
+        if (!change.value("before", "").empty()) {
+            std::cout << "  - " << change.value("before", "") << "\n";
+        }
+        if (!change.value("after", "").empty()) {
+            std::cout << "  + " << change.value("after", "") << "\n";
+        }
+    }
+    return status;
+}
+
+int runKeyGive(const Arguments &arguments)
+{
+    bool toShow = false;
+    const json body{{"workspace", arguments[0]}, {"name", arguments[1]}};
+    const auto answer = detail::askEntry("POST", "/v1/keys", body.dump());
+    const int status = detail::finishAnswer(answer, toShow);
+    if (toShow) {
+        std::cout << answer.value().body.value("key", "") << "\n";
+        showAccepted(answer.value().body);
+    }
+    return status;
+}
+
+int runKeyWithdraw(const Arguments &arguments)
+{
+    bool toShow = false;
+    const auto answer = detail::askEntry("DELETE", "/v1/keys/" + arguments[0]);
+    const int status = detail::finishAnswer(answer, toShow);
+    if (toShow) {
+        const auto &body = answer.value().body;
+        std::cout << fmt::format("withdrawn: {} ({})\n", body.value("message", ""),
+                                 detail::spreadText(body["spread"]));
+    }
+    return status;
+}
+
+int changeWorker(const std::string &worker, const json &change)
+{
+    bool toShow = false;
+    const auto answer = detail::askEntry("POST", "/v1/workers/" + worker, change.dump());
+    const int status = detail::finishAnswer(answer, toShow);
+    if (toShow) {
+        showAccepted(answer.value().body);
+    }
+    return status;
+}
+
+int runWorkerLabel(const Arguments &arguments)
+{
+    json labels = json::object();
+    for (std::size_t index = 1; index < arguments.size(); ++index) {
+        const auto &text = arguments[index];
+        const auto equals = text.find('=');
+        if (equals != std::string::npos) {
+            labels[text.substr(0, equals)] = text.substr(equals + 1);
+        } else if (text.ends_with('-')) {
+            labels[text.substr(0, text.size() - 1)] = nullptr;
+        } else {
+            return fail({ErrorKind::InvalidInput, fmt::format("\"{}\" is no label change", text),
+                         "write label=value to set a label or label- to remove it"});
+        }
+    }
+    return changeWorker(arguments[0], {{"labels", labels}});
+}
+
+int runWorkspaceList(const Arguments &)
+{
+    bool toShow = false;
+    const auto answer = detail::askEntry("GET", "/v1/workspaces");
+    const int status = detail::finishAnswer(answer, toShow);
+    if (!toShow) {
+        return status;
+    }
+    for (const auto &workspace : answer.value().body["workspaces"]) {
+        std::cout << fmt::format("{:<20} weight {:<6} limit {:<6} keys {}\n",
+                                 workspace.value("name", ""), workspace.value("weight", 0.0),
+                                 workspace.value("limit", 0), workspace["keys"].dump());
+    }
+    return status;
+}
+
+int runStatus(const Arguments &)
+{
+    bool toShow = false;
+    const auto answer = detail::askEntry("GET", "/v1/status");
+    const int status = detail::finishAnswer(answer, toShow);
+    if (!toShow) {
+        return status;
+    }
+    const auto &body = answer.value().body;
+    std::cout << fmt::format("revision {} in force at {}\n", body.value("revision", 0),
+                             detail::spreadText(body["spread"]));
+    std::cout << "withdrawn keys known at " << detail::spreadText(body["withdrawnKeys"]) << "\n";
+    if (!body.value("keyedWorkAdmitted", false)) {
+        std::cout << "keyed work is refused here: the data centre is cut off\n";
+    }
+    if (body.contains("unready")) {
+        std::cout << "not ready: " << body.value("unready", "") << "\n";
+    }
+    return status;
+}
+
+constexpr OperatorCommand commands[] = {
+        {"get", "", 0, runGet},
+        {"apply", "FILE", 1, runApply},
+        {"diff", "FILE", 1, runDiff},
+        {"key give", "WORKSPACE NAME", 2, runKeyGive},
+        {"key withdraw", "NAME", 1, runKeyWithdraw},
+        {"worker label", "NAME label=value label- ...", 2, runWorkerLabel},
+        {"workspace list", "", 0, runWorkspaceList},
+        {"status", "", 0, runStatus},
+};
+
+} // namespace
+
+bool isOperatorCommand(std::string_view command)
+{
+    return std::any_of(std::begin(commands), std::end(commands), [command](const auto &known) {
+        return known.words.substr(0, known.words.find(' ')) == command;
+    });
+}
+
+int runOperator(int argc, char **argv)
+{
+    const Arguments words(argv + 1, argv + argc);
+    for (const auto &command : commands) {
+        const std::size_t count = command.words.find(' ') == std::string_view::npos ? 1 : 2;
+        if (words.size() < count
+            || command.words != (count == 1 ? words[0] : words[0] + " " + words[1])) {
+            continue;
+        }
+        const Arguments arguments(words.begin() + static_cast<std::ptrdiff_t>(count), words.end());
+        if (arguments.size() < command.minArguments) {
+            std::cerr << fmt::format("usage: cyclamenlatch {} {}\n", command.words,
+                                     command.arguments);
+            return exitUsage;
+        }
+        return command.run(arguments);
+    }
+    for (const auto &command : commands) {
+        if (command.words.starts_with(words[0])) {
+            std::cerr << fmt::format("usage: cyclamenlatch {} {}\n", command.words,
+                                     command.arguments);
+        }
+    }
+    return exitUsage;
+}
+
+} // namespace cyclamenlatch::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -16,6 +16,10 @@
                               "  load --queue NAME ...  send requests and check every answer\n"
                               "  wave VERB NAME ...     plan, start, pause, resume or show a wave\n"
                               "  worker list|move ...   show workers, move one to a pool\n"
+                              "  worker label NAME label=value label- ...\n"
+                              "  get | apply FILE | diff FILE       the fleet document\n"
+                              "  key give WORKSPACE NAME | key withdraw NAME\n"
+                              "  workspace list | status\n"
                               "See cyclamenlatch --help for the flags.\n";
 
 } // namespace
@@ -44,9 +48,12 @@
     if (command == "wave") {
         return runWave(argc, argv);
     }
-    if (command == "worker") {
+    if (command == "worker" && (argc < 3 || std::string_view(argv[2]) != "label")) {
         return runWorker(argc, argv);
     }
+    if (isOperatorCommand(command)) {
+        return runOperator(argc, argv);
+    }
     std::cerr << usage;
     return exitUsage;
 }
