--- a/src/capacity/assignmentplanner.h
+++ b/src/capacity/assignmentplanner.h
@@ -20,6 +20,8 @@
     std::unordered_map<WorkerId, platform::StoreRevision> quiet;
     // Workers of one pool that may drain at once.
     unsigned drainsPerPool = 1;
+    // Workers without a record that may get one in this pass; bounds the writes of a new fleet.
+    unsigned newRecords = 20;
 };
 
 // The writes that bring each worker one step nearer to where it should be.
--- a/src/capacity/burstestimate.h
+++ b/src/capacity/burstestimate.h
@@ -11,7 +11,8 @@
 class BurstEstimate
 {
 public:
-    // Takes whether the pool is overloaded now; time in seconds, never going back.
+    // Takes whether the pool's own workers, without those lent to it, would be overloaded now;
+    // time in seconds, never going back.
     void observe(bool overloaded, double now)
     {
         if (overloaded && !m_since) {
--- a/src/capacity/internal/assignmentplanner.cpp
+++ b/src/capacity/internal/assignmentplanner.cpp
@@ -48,6 +48,7 @@
 {
     std::vector<platform::StoreWrite> writes;
     auto draining = countDraining(view);
+    auto newRecords = view.newRecords;
     for (const auto &worker : view.fleet->workers) {
         const auto found = assignmentOf(view, worker);
         auto changed = found.assignment;
@@ -68,7 +69,10 @@
             changed.step = AssignmentStep::Serving;
             changed.joined = now;
         }
-        if (changed != found.assignment) {
+        // A worker is recorded in its first pool, so that a later document means a move.
+        const bool isNew = found.revision == 0 && newRecords > 0;
+        newRecords -= isNew ? 1 : 0;
+        if (isNew || changed != found.assignment) {
             writes.push_back(writeOf(found, changed));
         }
     }
--- a/src/capacity/moveplanner.h
+++ b/src/capacity/moveplanner.h
@@ -17,7 +17,7 @@
     // The saved wait must exceed the cost by this factor.
     double hysteresis = 1.5;
     // A lent worker stays at least this many move times.
-    double dwellFactor = 5;
+    double dwellFactor = 2;
     // Use, with one lent worker fewer, below which the worker goes back.
     double returnBelow = 0.6;
 };
--- a/src/capacity/moveweights.h
+++ b/src/capacity/moveweights.h
@@ -9,8 +9,6 @@
     double moves = 1;
     // Seconds of saved wait that a second of a missing spare worker is worth, when none is left.
     double buffer = 1;
-    // Seconds of saved wait that a second by which a pool falls short of its share is worth.
-    double share = 1;
 };
 
 } // namespace cyclamenlatch::capacity
