Read leaving marks again when the store is down at an entry's start

Cause: found on rereading: an entry that started during a store outage gave up on the leaving marks after one try and learned them only from a leader. Change: it tries again until the store answers. Conclusion: such an entry still takes requests before it knows the marks.

--- a/src/maintenance/internal/maintenancecontroller.cpp
+++ b/src/maintenance/internal/maintenancecontroller.cpp
@@ -45,6 +45,7 @@
               [this](bool held) { onLeadership(held); })
     , m_timer(m_strand)
     , m_recordsTimer(m_strand)
+    , m_marksTimer(m_strand)
 {}
 
 void MaintenanceController::start()
@@ -61,6 +62,7 @@
         m_lease.stop();
         m_timer.cancel();
         m_recordsTimer.cancel();
+        m_marksTimer.cancel();
     });
 }
 
@@ -74,6 +76,7 @@
 {
     m_store.list(hostPrefix, [this](Result<platform::StoreListing> listing) {
         if (!listing) {
+            asio::post(m_strand, [this] { retryMarks(); });
             return;
         }
         std::map<DataCentreId, DrainPoll> polls;
@@ -92,6 +95,19 @@
     });
 }
 
+void MaintenanceController::retryMarks()
+{
+    if (m_stopped) {
+        return;
+    }
+    m_marksTimer.expires_after(m_settings.watchRetryInterval);
+    m_marksTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            loadMarks();
+        }
+    });
+}
+
 void MaintenanceController::onLeadership(bool held)
 {
     if (m_stopped) {
--- a/src/maintenance/maintenancecontroller.h
+++ b/src/maintenance/maintenancecontroller.h
@@ -41,6 +41,7 @@
     using WaveEntry = Versioned<WaveRecord>;
 
     void loadMarks();
+    void retryMarks();
 
     void onLeadership(bool held);
     void readRecords(unsigned reading);
@@ -71,6 +72,7 @@
     platform::LeaderLease m_lease;
     asio::steady_timer m_timer;
     asio::steady_timer m_recordsTimer;
+    asio::steady_timer m_marksTimer;
     bool m_stopped = false;
     std::shared_ptr<const fleet::FleetDocument> m_fleet;
 
