--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -416,6 +416,9 @@
             m_timer.cancel();
             return;
         }
+        if (delayMilliseconds == 0) {
+            return actSoon();
+        }
         m_timer.expires_after(std::chrono::milliseconds(delayMilliseconds));
         m_timer.async_wait([this](const asio::error_code &error) {
             if (!error) {
@@ -424,6 +427,21 @@
         });
     }
 
+    // libcurl asks for this at the start of each call; a timer would cost a system call.
+    void actSoon()
+    {
+        m_timer.cancel();
+        if (std::exchange(m_actPosted, true)) {
+            return;
+        }
+        asio::post(m_context, [this] {
+            m_actPosted = false;
+            if (m_multi != nullptr) {
+                act(CURL_SOCKET_TIMEOUT, 0);
+            }
+        });
+    }
+
     void act(curl_socket_t handle, int events)
     {
         int running = 0;
@@ -481,6 +499,7 @@
         }
         m_idleEasy.clear();
         curl_multi_cleanup(m_multi);
+        m_multi = nullptr;
         m_timer.cancel();
         m_sockets.clear();
     }
@@ -489,6 +508,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     asio::steady_timer m_timer;
     CURLM *m_multi = nullptr;
+    bool m_actPosted = false;
     std::unordered_map<CURL *, std::unique_ptr<Transfer>> m_transfers;
     std::unordered_map<curl_socket_t, SocketPointer> m_sockets;
     // Calls in flight that have a cancel key.
