Prove outcomes with real processes while links and processes fail

Cause: the caller's promises were shown only by the pure code and by in-process minions. Change: a test fleet of real processes (platform, 3 or 6 entries in 3 data centres, minions behind the fault proxy) and callers that follow /readyz as a balancer does; cases for rolling replacement, silent connections, truncated, crossed and reset answers, a store outage, and kill -9 with a retry under the same idempotency key. The minions' ledgers judge runs; a not-run answer is checked against them by nonce.

--- a/standins/minion/minionserver.cpp
+++ b/standins/minion/minionserver.cpp
@@ -1,6 +1,8 @@
 // Runs work by waiting, and answers with the work's nonce and workspace.
 #include "standins/minion/minionserver.h"
 
+#include "standins/queryfields.h"
+
 #include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
@@ -38,6 +40,9 @@
     if (request.path == "/ledger") {
         return respond(answerLedger());
     }
+    if (request.path == "/runs") {
+        return respond(answerRuns(queryText(request.query, "nonce")));
+    }
     if (request.path == "/control") {
         return respond(answerControl(request));
     }
@@ -105,6 +110,13 @@
     respond(std::move(reply));
 }
 
+net::HttpReply MinionServer::answerRuns(const std::string &nonce)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_runsByNonce.find(nonce);
+    return jsonReply(200, {{"runs", found == m_runsByNonce.end() ? 0U : found->second}});
+}
+
 net::HttpReply MinionServer::answerLedger()
 {
     const std::lock_guard lock(m_mutex);
--- a/standins/minion/minionserver.h
+++ b/standins/minion/minionserver.h
@@ -48,6 +48,8 @@
     void finish(const std::string &requestId, const std::string &workspace,
                 const std::string &nonce, const net::HttpResponder &respond);
     net::HttpReply answerLedger();
+    // How often the work of the nonce was started here.
+    net::HttpReply answerRuns(const std::string &nonce);
     net::HttpReply answerControl(const net::HttpRequest &request);
 
     asio::io_context &m_context;
--- /dev/null
+++ b/tests/integration/failures_tests.cpp
@@ -0,0 +1,147 @@
+// The promises to callers with real processes, while links and processes fail.
+#include "tests/integration/callerload.h"
+#include "tests/integration/testfleet.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace cyclamenlatch {
+namespace {
+
+using testing::CallerAnswer;
+using testing::CallerLoad;
+using testing::TestFleet;
+
+std::string keyMintedNow(const std::string &home, const std::string &name)
+{
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+    return fmt::format("{}-{}-{}", home, now.count(), name);
+}
+
+// What was said not to have run has not run, and nothing ran twice.
+void expectTrueOutcomes(TestFleet &fleet, const testing::LoadCounts &counts)
+{
+    EXPECT_EQ(counts.wrong, 0U);
+    EXPECT_EQ(fleet.ledgerSum("duplicates"), 0U);
+    for (const auto &nonce : counts.notRunNonces) {
+        EXPECT_EQ(fleet.runsOf(nonce), 0U) << nonce;
+    }
+}
+
+TEST(Failures, rollingReplacementOfAllEntriesCutsNoRequest)
+{
+    TestFleet fleet(2, 3);
+    CallerLoad load(fleet, "once", 20, 6);
+    load.awaitCompleted(50);
+    for (std::size_t entry = 0; entry < fleet.entryCount(); ++entry) {
+        fleet.stopEntry(entry);
+        fleet.startEntry(entry);
+        TestFleet::await([&] { return fleet.isReady(entry); });
+        load.awaitCompleted(20);
+    }
+    const auto counts = load.stop();
+    EXPECT_EQ(counts.lost, 0U);
+    EXPECT_EQ(counts.unknown, 0U);
+    expectTrueOutcomes(fleet, counts);
+}
+
+TEST(Failures, connectionsThatGoSilentAreReplacedByNewOnes)
+{
+    TestFleet fleet(1, 2);
+    CallerLoad load(fleet, "again", 5, 4);
+    load.awaitCompleted(50);
+    fleet.actOnLink(0, "silence");
+    fleet.actOnLink(1, "silence");
+    load.awaitCompleted(100);
+    const auto counts = load.stop();
+    EXPECT_EQ(counts.wrong, 0U);
+    EXPECT_EQ(counts.lost, 0U);
+}
+
+TEST(Failures, truncatedAnswersAreNeverRelayed)
+{
+    TestFleet fleet(1, 2);
+    CallerLoad load(fleet, "once", 5, 4);
+    load.awaitCompleted(20);
+    fleet.setLink(0, {{"truncateAfter", 90}});
+    load.awaitCompleted(100);
+    const auto counts = load.stop();
+    EXPECT_EQ(counts.lost, 0U);
+    expectTrueOutcomes(fleet, counts);
+}
+
+TEST(Failures, crossedAnswersAreNeverRelayed)
+{
+    TestFleet fleet(1, 2);
+    CallerLoad load(fleet, "once", 5, 6);
+    load.awaitCompleted(20);
+    fleet.setLink(0, {{"cross", true}});
+    load.awaitCompleted(60);
+    fleet.setLink(0, {{"cross", false}});
+    load.awaitCompleted(40);
+    const auto counts = load.stop();
+    EXPECT_EQ(counts.lost, 0U);
+    expectTrueOutcomes(fleet, counts);
+}
+
+TEST(Failures, resetConnectionsEndWithTrueOutcomes)
+{
+    TestFleet fleet(1, 2);
+    CallerLoad load(fleet, "once", 30, 6);
+    for (int round = 0; round < 10; ++round) {
+        load.awaitCompleted(10);
+        fleet.actOnLink(round % 2, "reset");
+    }
+    const auto counts = load.stop();
+    EXPECT_EQ(counts.lost, 0U);
+    expectTrueOutcomes(fleet, counts);
+}
+
+TEST(Failures, storeOutageCutsNoRequest)
+{
+    TestFleet fleet(1, 2);
+    CallerLoad load(fleet, "once", 5, 4);
+    load.awaitCompleted(50);
+    fleet.setPlatform({{"outage", true}});
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(6);
+    TestFleet::await([&] { return std::chrono::steady_clock::now() >= end; });
+    load.awaitCompleted(50);
+    fleet.setPlatform({{"outage", false}});
+    load.awaitCompleted(50);
+    const auto counts = load.stop();
+    EXPECT_EQ(counts.lost, 0U);
+    EXPECT_EQ(counts.unknown, 0U);
+    EXPECT_EQ(counts.notRun, 0U);
+    expectTrueOutcomes(fleet, counts);
+}
+
+TEST(Failures, requestOfKilledEntryRunsOnceWhenItsCallerTriesAgain)
+{
+    TestFleet fleet(2, 2);
+    constexpr int rounds = 4;
+    for (int round = 0; round < rounds; ++round) {
+        const auto nonce = fmt::format("killed-{}", round);
+        const auto key = keyMintedNow("dc-b", fmt::format("round{:05}", round));
+        std::promise<CallerAnswer> promise;
+        fleet.submitLater(0, "once", nonce, 300, key,
+                          [&promise](CallerAnswer answer) { promise.set_value(answer); });
+        auto first = promise.get_future();
+        TestFleet::await([&] {
+            return fleet.runsOf(nonce) > 0
+                   || first.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+        });
+        fleet.killEntry(0);
+        first.wait();
+        const auto again = fleet.submit(2, "once", nonce, 300, key);
+        EXPECT_NE(again.outcome, "");
+        EXPECT_LE(fleet.runsOf(nonce), 1U);
+        fleet.startEntry(0);
+        TestFleet::await([&] { return fleet.isReady(0); });
+    }
+}
+
+} // namespace
+} // namespace cyclamenlatch
