--- a/src/fleet/internal/fleetyaml.cpp
+++ b/src/fleet/internal/fleetyaml.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <set>
 
 namespace cyclamenlatch::fleet {
@@ -18,10 +19,14 @@
 constexpr double maxWeight = 1e6;
 constexpr unsigned maxTimeoutMilliseconds = 3600000;
 
+// Where each item stands, by "section/name".
+using ItemLines = std::map<std::string, int>;
+
 // Reads one section: a sequence of mappings, each turned into an item by readItem.
 template<typename Item, typename ReadItem>
 std::vector<Item> readSection(YamlReader &root, const std::string &section,
-                              std::vector<Mistake> &mistakes, const ReadItem &readItem)
+                              std::vector<Mistake> &mistakes, ItemLines &lines,
+                              const ReadItem &readItem)
 {
     std::vector<Item> items;
     std::set<std::string> names;
@@ -44,6 +49,7 @@
                     fmt::format("{} has two items named \"{}\"", section, item.id.value()),
                     "remove or rename one of them");
         }
+        lines.emplace(section + "/" + item.id.value(), reader.line());
         items.push_back(std::move(item));
     }
     return items;
@@ -162,54 +168,127 @@
     return names;
 }
 
-void requireReference(const std::set<std::string> &names, const std::string &name,
-                      std::string_view from, std::string_view kind, std::vector<Mistake> &mistakes)
+// Collects the mistakes between items, each with the line of the item that makes it.
+class CrossCheck
 {
-    if (name.empty() || names.contains(name)) {
-        return;
+public:
+    CrossCheck(const FleetDocument &document, const ItemLines &lines,
+               std::vector<Mistake> &mistakes)
+        : m_document(document)
+        , m_lines(lines)
+        , m_mistakes(mistakes)
+    {}
+
+    void run()
+    {
+        checkWorkers();
+        checkServices();
+        checkQueues();
+        const auto workspaces = namesOf(m_document.workspaces);
+        for (const auto &key : m_document.keys) {
+            requireReference(workspaces, key.workspace.value(), "keys", key.id.value(),
+                             "workspace");
+        }
     }
-    mistakes.push_back(
-            {0, fmt::format("{} names the {} \"{}\", which does not exist", from, kind, name),
-             fmt::format("add the {} or correct the name", kind)});
-}
 
-void checkReferences(const FleetDocument &document, std::vector<Mistake> &mistakes)
-{
-    const auto dataCentres = namesOf(document.dataCentres);
-    const auto pools = namesOf(document.pools);
-    const auto services = namesOf(document.services);
-    const auto workspaces = namesOf(document.workspaces);
-    for (const auto &worker : document.workers) {
-        const auto from = fmt::format("worker \"{}\"", worker.id.value());
-        requireReference(dataCentres, worker.dataCentre.value(), from, "data centre", mistakes);
-        requireReference(pools, worker.pool.value(), from, "pool", mistakes);
+private:
+    void add(const std::string &section, const std::string &name, const std::string &message,
+             std::string remedy)
+    {
+        const auto line = m_lines.find(section + "/" + name);
+        m_mistakes.push_back({line == m_lines.end() ? 0 : line->second,
+                              fmt::format("{} \"{}\" {}", section, name, message),
+                              std::move(remedy)});
     }
-    for (const auto &service : document.services) {
-        requireReference(pools, service.pool.value(),
-                         fmt::format("service \"{}\"", service.id.value()), "pool", mistakes);
+
+    void requireReference(const std::set<std::string> &names, const std::string &name,
+                          const std::string &section, const std::string &from,
+                          std::string_view kind)
+    {
+        if (name.empty() || names.contains(name)) {
+            return;
+        }
+        add(section, from, fmt::format("names the {} \"{}\", which does not exist", kind, name),
+            fmt::format("add the {} or correct the name", kind));
     }
-    for (const auto &queue : document.queues) {
-        requireReference(services, queue.service.value(),
-                         fmt::format("queue \"{}\"", queue.id.value()), "service", mistakes);
+
+    void checkWorkers()
+    {
+        const auto dataCentres = namesOf(m_document.dataCentres);
+        const auto pools = namesOf(m_document.pools);
+        std::map<std::string, std::string> workersByAddress;
+        for (const auto &worker : m_document.workers) {
+            const auto &name = worker.id.value();
+            requireReference(dataCentres, worker.dataCentre.value(), "workers", name,
+                             "data centre");
+            requireReference(pools, worker.pool.value(), "workers", name, "pool");
+            m_workersByPool[worker.pool].push_back(&worker);
+            const auto known = workersByAddress.emplace(worker.minionAddress, name);
+            if (!known.second && !worker.minionAddress.empty()) {
+                add("workers", name,
+                    fmt::format("has the minion address of \"{}\"", known.first->second),
+                    "give each worker its own address");
+            }
+        }
     }
-    for (const auto &key : document.keys) {
-        requireReference(workspaces, key.workspace.value(),
-                         fmt::format("key \"{}\"", key.id.value()), "workspace", mistakes);
+
+    void checkServices()
+    {
+        const auto pools = namesOf(m_document.pools);
+        for (const auto &service : m_document.services) {
+            requireReference(pools, service.pool.value(), "services", service.id.value(), "pool");
+            m_poolOfService[service.id] = service.pool;
+            const auto size = m_workersByPool[service.pool].size();
+            // A pool of one worker could never be maintained without an outage of its service.
+            if (size > 1 && service.maxUnavailable >= size) {
+                add("services", service.id.value(),
+                    fmt::format("lets {} of the pool's {} workers be out at once",
+                                service.maxUnavailable, size),
+                    fmt::format("set maxUnavailable to at most {}", size - 1));
+            }
+        }
     }
-}
 
-void readSections(const YAML::Node &root, FleetReading &reading)
+    void checkQueues()
+    {
+        const auto services = namesOf(m_document.services);
+        for (const auto &queue : m_document.queues) {
+            requireReference(services, queue.service.value(), "queues", queue.id.value(),
+                             "service");
+            const auto &workers = m_workersByPool[m_poolOfService[queue.service]];
+            const bool matchesOne = std::any_of(workers.begin(), workers.end(), [&](auto *worker) {
+                return queue.selector.matches(worker->labels);
+            });
+            if (!workers.empty() && !matchesOne) {
+                add("queues", queue.id.value(),
+                    fmt::format("has the selector \"{}\", which matches no worker of its pool",
+                                queue.selector.toString()),
+                    "correct the selector or label a worker");
+            }
+        }
+    }
+
+    const FleetDocument &m_document;
+    const ItemLines &m_lines;
+    std::vector<Mistake> &m_mistakes;
+    std::map<PoolId, std::vector<const Worker *>> m_workersByPool;
+    std::map<ServiceId, PoolId> m_poolOfService;
+};
+
+void readSections(const YAML::Node &root, FleetReading &reading, ItemLines &lines)
 {
     auto &document = reading.document;
     auto &mistakes = reading.mistakes;
     YamlReader reader(root, "the fleet document", mistakes);
-    document.dataCentres = readSection<DataCentre>(reader, "dataCentres", mistakes, readDataCentre);
-    document.pools = readSection<Pool>(reader, "pools", mistakes, readPool);
-    document.workers = readSection<Worker>(reader, "workers", mistakes, readWorker);
-    document.services = readSection<Service>(reader, "services", mistakes, readService);
-    document.queues = readSection<Queue>(reader, "queues", mistakes, readQueue);
-    document.workspaces = readSection<Workspace>(reader, "workspaces", mistakes, readWorkspace);
-    document.keys = readSection<Key>(reader, "keys", mistakes, readKey);
+    document.dataCentres =
+            readSection<DataCentre>(reader, "dataCentres", mistakes, lines, readDataCentre);
+    document.pools = readSection<Pool>(reader, "pools", mistakes, lines, readPool);
+    document.workers = readSection<Worker>(reader, "workers", mistakes, lines, readWorker);
+    document.services = readSection<Service>(reader, "services", mistakes, lines, readService);
+    document.queues = readSection<Queue>(reader, "queues", mistakes, lines, readQueue);
+    document.workspaces =
+            readSection<Workspace>(reader, "workspaces", mistakes, lines, readWorkspace);
+    document.keys = readSection<Key>(reader, "keys", mistakes, lines, readKey);
     reader.refuseUnknownFields();
 }
 
@@ -289,13 +368,14 @@
 FleetReading readFleet(std::string_view yaml)
 {
     FleetReading reading;
+    ItemLines lines;
     try {
-        readSections(YAML::Load(std::string(yaml)), reading);
+        readSections(YAML::Load(std::string(yaml)), reading, lines);
     } catch (const YAML::Exception &error) {
         reading.mistakes.push_back({error.mark.line + 1, error.msg, "correct the YAML there"});
         return reading;
     }
-    checkReferences(reading.document, reading.mistakes);
+    CrossCheck(reading.document, lines, reading.mistakes).run();
     reading.document.buildIndex();
     return reading;
 }
@@ -303,10 +383,12 @@
 FleetReading readFleetParts(const std::vector<std::string> &parts)
 {
     FleetReading whole;
+    // Lines of a part are of no use to an operator.
+    ItemLines lines;
     for (const auto &part : parts) {
         FleetReading reading;
         try {
-            readSections(YAML::Load(part), reading);
+            readSections(YAML::Load(part), reading, lines);
         } catch (const YAML::Exception &error) {
             reading.mistakes.push_back({0, error.msg, "apply the fleet document again"});
         }
@@ -314,7 +396,7 @@
                   std::back_inserter(whole.mistakes));
         appendDocument(whole.document, std::move(reading.document));
     }
-    checkReferences(whole.document, whole.mistakes);
+    CrossCheck(whole.document, {}, whole.mistakes).run();
     whole.document.buildIndex();
     return whole;
 }
--- a/src/fleet/tests/fleetyaml_tests.cpp
+++ b/src/fleet/tests/fleetyaml_tests.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <sstream>
+
 namespace cyclamenlatch::fleet {
 namespace {
 
@@ -51,6 +54,46 @@
     }
 }
 
+TEST(FleetYaml, reportsMistakesBetweenItemsWithTheirLines)
+{
+    const auto reading = readFleet(R"(
+dataCentres: [{name: dc-a}]
+pools: [{name: p}, {name: q}]
+workers:
+  - {name: w-1, dataCentre: dc-a, rack: r-1, pool: p, minion: "127.0.0.1:1"}
+  - {name: w-2, dataCentre: dc-a, rack: r-1, pool: p, minion: "127.0.0.1:1"}
+  - {name: w-1, dataCentre: dc-a, rack: r-1, pool: q, minion: "127.0.0.1:3"}
+services:
+  - {name: s, pool: p, maxUnavailable: 2}
+queues:
+  - {name: c, service: s, selector: "tier=gold"}
+  - {name: d, service: nowhere}
+)");
+    std::vector<int> lines;
+    for (const auto &mistake : reading.mistakes) {
+        lines.push_back(mistake.line);
+        EXPECT_FALSE(mistake.remedy.empty()) << mistake.message;
+    }
+    EXPECT_EQ(lines, (std::vector<int>{7, 6, 9, 11, 12}));
+}
+
+TEST(FleetYaml, exampleDeploymentsHaveNoMistakes)
+{
+    for (const std::string name : {"fremantle-quayside", "bep-chung"}) {
+        std::ifstream file(std::string(CYCLAMENLATCH_TEST_DATA) + "/../../../examples/" + name
+                           + ".yaml");
+        std::ostringstream text;
+        text << file.rdbuf();
+        const auto reading = readFleet(text.str());
+        EXPECT_TRUE(reading.mistakes.empty()) << reading.mistakes.front().toString();
+        EXPECT_EQ(reading.document.services.size(), 5U);
+        EXPECT_EQ(reading.document.workspaces.size(), 6U);
+        const auto parts = writeFleetParts(reading.document, 2000);
+        EXPECT_GT(parts.size(), 7U);
+        EXPECT_EQ(readFleetParts(parts).document, reading.document);
+    }
+}
+
 TEST(FleetYaml, refusesBrokenYamlWithItsLine)
 {
     const auto reading = readFleet("pools:\n  - {name: [");
