--- a/src/configuration/internal/configuration.cpp
+++ b/src/configuration/internal/configuration.cpp
@@ -129,6 +129,10 @@
 
 void Configuration::start()
 {
+    act([&](SpreadState &state) {
+        state.setPeers(m_peers.peers());
+        return SpreadActions{};
+    });
     scheduleTick();
 }
 
@@ -228,6 +232,9 @@
         if (m_stopping) {
             return;
         }
+        if (!listing) {
+            logEvent(storeReadFailed, "{}", listing.error().message);
+        }
         act([&](SpreadState &state) {
             return listing ? state.takeListing(listing.value(), sentAt, steadyNow())
                            : state.failRead(steadyNow(), m_random);
@@ -352,7 +359,10 @@
 
 void Configuration::withdraw(const KeyId &id, DoneCompletion done)
 {
-    act([&](SpreadState &state) { return state.withdraw({id}); });
+    act([&](SpreadState &state) {
+        state.setPeers(m_peers.peers());
+        return state.withdraw({id});
+    });
     storeWithdrawn({id}, std::move(done));
 }
 
@@ -443,8 +453,11 @@
 
 void Configuration::wait(Waiter waiter)
 {
+    // A peer that joined since the last tick has to acknowledge as well.
+    const auto peers = m_peers.peers();
     {
         const std::lock_guard lock(m_mutex);
+        m_state.setPeers(peers);
         m_waiters.push_back(std::move(waiter));
     }
     answerWaiters();
