Trade workspace limits between entries as escrowed units

Cause: an equal split leaves most of a limit unused while demand moves between entries. Change: a pure state machine per entry (trades with running totals, asks, promises, surplus to a steward) and records in the store (a ledger per workspace, a registry of holders with the proofs that some are gone and what crossed between them and each live holder). Not yet wired to the network. Property tests run with a fixed seed under ctest, so that the verdict repeats.

--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -43,5 +43,7 @@
     target_link_libraries(${name} PRIVATE ${TESTS_LINKS} rapidcheck GTest::gtest GTest::gtest_main)
     target_compile_definitions(${name} PRIVATE
         CYCLAMENLATCH_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/tests")
-    gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST PROPERTIES TIMEOUT ${TESTS_TIMEOUT})
+    # A fixed seed gives the same verdict on every run; set RC_PARAMS to explore by hand.
+    gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST
+        PROPERTIES TIMEOUT ${TESTS_TIMEOUT} ENVIRONMENT "RC_PARAMS=seed=1")
 endfunction()
--- a/src/quota/internal/quotatable.cpp
+++ b/src/quota/internal/quotatable.cpp
@@ -1,37 +1,30 @@
-// Counts units in use against units held.
+// Serialises access to the agent and announces available units outside the lock.
 #include "quota/quotatable.h"
 
 #include <utility>
 
 namespace cyclamenlatch::quota {
 
+QuotaTable::QuotaTable()
+    : QuotaTable(QuotaAgentSettings{})
+{}
+
+QuotaTable::QuotaTable(QuotaAgentSettings settings)
+    : m_agent(std::move(settings))
+{}
+
 bool QuotaTable::tryAcquire(const QuotaResource &resource)
 {
     const std::lock_guard lock(m_mutex);
-    auto &holding = m_holdings[resource];
-    if (holding.running >= holding.held) {
-        ++holding.refused;
-        holding.wanted = true;
-        return false;
-    }
-    ++holding.running;
-    return true;
+    return m_agent.node().tryAcquire(resource);
 }
 
 void QuotaTable::release(const QuotaResource &resource)
 {
-    bool available = false;
-    {
-        const std::lock_guard lock(m_mutex);
-        auto &holding = m_holdings[resource];
-        if (holding.running > 0) {
-            --holding.running;
-        }
-        available = takeWant(holding);
-    }
-    if (available && m_onAvailable) {
-        m_onAvailable(resource);
-    }
+    update([&resource](QuotaAgent &agent) {
+        return agent.node().release(resource) ? std::vector{resource}
+                                              : std::vector<QuotaResource>{};
+    });
 }
 
 void QuotaTable::releaseAfter(const QuotaResource &resource, TimePoint until)
@@ -48,25 +41,15 @@
 QuotaUse QuotaTable::use(const QuotaResource &resource) const
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_holdings.find(resource);
-    if (found == m_holdings.end()) {
-        return {};
-    }
-    return {found->second.held, found->second.running, found->second.refused};
+    return m_agent.node().use(resource);
 }
 
 void QuotaTable::setHeld(const QuotaResource &resource, unsigned units)
 {
-    bool available = false;
-    {
-        const std::lock_guard lock(m_mutex);
-        auto &holding = m_holdings[resource];
-        holding.held = units;
-        available = takeWant(holding);
-    }
-    if (available && m_onAvailable) {
-        m_onAvailable(resource);
-    }
+    update([&resource, units](QuotaAgent &agent) {
+        return agent.node().setHeld(resource, units) ? std::vector{resource}
+                                                     : std::vector<QuotaResource>{};
+    });
 }
 
 void QuotaTable::expire(TimePoint now)
@@ -84,13 +67,13 @@
     }
 }
 
-bool QuotaTable::takeWant(Holding &holding)
+void QuotaTable::announce(const std::vector<QuotaResource> &available) const
 {
-    if (!holding.wanted || holding.running >= holding.held) {
-        return false;
+    for (const auto &resource : available) {
+        if (m_onAvailable) {
+            m_onAvailable(resource);
+        }
     }
-    holding.wanted = false;
-    return true;
 }
 
 } // namespace cyclamenlatch::quota
--- a/src/quota/quotatable.h
+++ b/src/quota/quotatable.h
@@ -5,31 +5,27 @@
 #pragma once
 
 #include "global/time.h"
+#include "quota/quotaagent.h"
 #include "quota/quotaresource.h"
 
 #include <functional>
 #include <mutex>
 #include <queue>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cyclamenlatch::quota {
 
-// How a resource stands at this entry.
-struct QuotaUse
-{
-    unsigned held = 0;
-    unsigned running = 0;
-    // Failed acquisitions so far.
-    unsigned refused = 0;
-};
-
 class QuotaTable
 {
 public:
     // Runs on the thread that made units available and must not block.
     using OnAvailable = std::function<void(const QuotaResource &)>;
 
+    // A table whose holdings are set by setHeld only.
+    QuotaTable();
+    explicit QuotaTable(QuotaAgentSettings settings);
+
     // Thread-safe, constant time. A failure records demand, which draws units from other entries.
     bool tryAcquire(const QuotaResource &resource);
     // The work is known to have ended.
@@ -40,21 +36,32 @@
     void setOnAvailable(OnAvailable onAvailable);
 
     QuotaUse use(const QuotaResource &resource) const;
-    // A holding below what runs is met as work ends: nothing new starts until then.
+    // For holdings that are not traded. One below what runs is met as work ends: nothing new
+    // starts until then.
     void setHeld(const QuotaResource &resource, unsigned units);
     // Releases units whose time given to releaseAfter has come.
     void expire(TimePoint now);
 
-private:
-    struct Holding
+    // Runs a function on the agent under the lock. It returns the resources that have become
+    // available, which are then announced.
+    template<typename Function>
+    void update(Function function)
     {
-        unsigned held = 0;
-        // Units in use. At most held, except while the holding is being lowered.
-        unsigned running = 0;
-        unsigned refused = 0;
-        // The last acquisition failed and the callback has not run since.
-        bool wanted = false;
-    };
+        std::vector<QuotaResource> available;
+        {
+            const std::lock_guard lock(m_mutex);
+            available = function(m_agent);
+        }
+        announce(available);
+    }
+    template<typename Function>
+    auto inspect(Function function) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return function(std::as_const(m_agent));
+    }
+
+private:
     struct PendingRelease
     {
         TimePoint until;
@@ -63,12 +70,11 @@
         bool operator>(const PendingRelease &other) const { return until > other.until; }
     };
 
-    // Returns whether the callback is due; clears the want.
-    static bool takeWant(Holding &holding);
+    void announce(const std::vector<QuotaResource> &available) const;
 
     mutable std::mutex m_mutex;
     // Guarded by m_mutex.
-    std::unordered_map<QuotaResource, Holding> m_holdings;
+    QuotaAgent m_agent;
     // Guarded by m_mutex.
     std::priority_queue<PendingRelease, std::vector<PendingRelease>, std::greater<>> m_pending;
     // Set before use.
--- /dev/null
+++ b/src/quota/tests/quotaagent_tests.cpp
@@ -0,0 +1,230 @@
+// No more runs than the limit whatever fails, and units follow demand when the network does not.
+#include "quota/tests/quotaworld.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cyclamenlatch::quota {
+namespace {
+
+constexpr Duration settleTime = std::chrono::seconds(2);
+constexpr unsigned limit = 60;
+// The stated target; under a flood a few units are on their way at any moment.
+constexpr unsigned usable = limit * 95 / 100;
+constexpr unsigned entries = 6;
+constexpr unsigned dataCentres = 3;
+
+QuotaWorld settledWorld(std::uint64_t seed)
+{
+    QuotaWorld world(entries, dataCentres, seed);
+    world.setLimit(limit);
+    world.run(settleTime);
+    return world;
+}
+
+TEST(QuotaAgent, unitsFollowDemandWithinTwoSeconds)
+{
+    auto world = settledWorld(1);
+    for (unsigned index = 0; index < entries; ++index) {
+        world.demand(index, 3 * limit);
+        world.run(settleTime);
+        EXPECT_GE(world.running(index), usable) << "entry " << index;
+        EXPECT_LE(world.totalRunning(), limit);
+        world.demand(index, 0);
+    }
+}
+
+TEST(QuotaAgent, everyEntryGetsUnitsWhileAllAskForMore)
+{
+    auto world = settledWorld(2);
+    world.demand(0, limit);
+    world.run(settleTime);
+    for (unsigned index = 0; index < entries; ++index) {
+        world.demand(index, limit);
+    }
+    world.run(settleTime * 2);
+    for (unsigned index = 0; index < entries; ++index) {
+        EXPECT_GT(world.running(index), 0U) << "entry " << index;
+    }
+}
+
+TEST(QuotaAgent, gracefulLeaveLocksNothing)
+{
+    auto world = settledWorld(3);
+    world.demand(0, limit);
+    world.run(settleTime);
+    world.leave(0);
+    world.demand(1, limit);
+    world.run(settleTime);
+    EXPECT_FALSE(world.alive(0));
+    EXPECT_EQ(world.running(1), limit);
+}
+
+TEST(QuotaAgent, lastEntryHandsUnitsBackToStore)
+{
+    auto world = settledWorld(4);
+    for (unsigned index = 0; index < entries; ++index) {
+        world.leave(index);
+    }
+    world.run(settleTime * 4);
+    EXPECT_EQ(world.ledger().out(), 0U);
+}
+
+TEST(QuotaAgent, killedEntrysUnitsReturnOnlyAfterItsLongestWork)
+{
+    auto world = settledWorld(5);
+    world.demand(0, limit);
+    world.run(settleTime);
+    ASSERT_EQ(world.running(0), limit);
+    world.kill(0);
+    world.demand(1, limit);
+    world.run(worldLongestWork * 3);
+    EXPECT_EQ(world.running(1), 0U) << "without a proof nothing may be freed";
+    world.start(0);
+    world.run(worldLongestWork / 2);
+    EXPECT_EQ(world.running(1), 0U) << "the work may still run";
+    world.run(worldLongestWork + settleTime);
+    EXPECT_EQ(world.running(1), limit);
+}
+
+TEST(QuotaAgent, nothingIsMintedTwiceWhenAllEntriesRestart)
+{
+    auto world = settledWorld(6);
+    for (unsigned index = 0; index < entries; ++index) {
+        world.demand(index, limit);
+    }
+    world.run(settleTime);
+    for (unsigned index = 0; index < entries; ++index) {
+        world.kill(index);
+        world.start(index);
+        world.demand(index, limit);
+    }
+    for (Duration passed{}; passed < worldLongestWork * 4; passed += worldStep) {
+        world.step();
+        ASSERT_LE(world.totalRunning(), limit);
+    }
+    EXPECT_GE(world.totalRunning(), usable);
+}
+
+TEST(QuotaAgent, loweredLimitComesIntoForceUnderLoad)
+{
+    auto world = settledWorld(7);
+    for (unsigned index = 0; index < entries; ++index) {
+        world.demand(index, limit);
+    }
+    world.run(settleTime);
+    world.setLimit(limit / 2);
+    world.run(settleTime * 4);
+    EXPECT_TRUE(world.ledger().inForce());
+    EXPECT_LE(world.totalRunning(), limit / 2);
+    world.setLimit(limit);
+    world.run(settleTime * 2);
+    EXPECT_GE(world.totalRunning(), usable);
+}
+
+TEST(QuotaAgent, isolatedDataCentreGoesOnWithWhatItHolds)
+{
+    auto world = settledWorld(8);
+    world.cut.insert(0);
+    world.demand(0, limit);
+    world.demand(1, limit);
+    world.run(settleTime * 2);
+    EXPECT_EQ(world.running(0), limit / dataCentres);
+    EXPECT_EQ(world.running(1), limit - limit / dataCentres);
+}
+
+TEST(QuotaAgent, unitsAreTradedWhileTheStoreIsDown)
+{
+    auto world = settledWorld(9);
+    world.storeDown = true;
+    world.demand(2, limit);
+    world.run(settleTime);
+    EXPECT_GE(world.running(2), usable);
+}
+
+// Mean of the work running over a while, in units.
+double meanRunning(QuotaWorld &world)
+{
+    constexpr unsigned steps = 100;
+    double sum = 0;
+    for (unsigned step = 0; step < steps; ++step) {
+        world.step();
+        sum += world.totalRunning();
+    }
+    return sum / steps;
+}
+
+void applyFault(QuotaWorld &world, unsigned fault, unsigned index, unsigned amount)
+{
+    switch (fault) {
+    case 0:
+        return world.demand(index, amount);
+    case 1:
+        return world.pause(index, true);
+    case 2:
+        return world.pause(index, false);
+    case 3:
+        return world.kill(index);
+    case 4:
+        return world.start(index);
+    case 5:
+        return world.setLimit(amount);
+    case 6:
+        world.cut.insert(index % dataCentres);
+        return;
+    case 7:
+        return world.cut.clear();
+    case 8:
+        world.storeDown = !world.storeDown;
+        return;
+    case 9:
+        return world.leave(index);
+    default:
+        return;
+    }
+}
+
+RC_GTEST_PROP(QuotaAgent, neverRunsMoreThanIsGivenOut, (std::uint64_t seed))
+{
+    constexpr unsigned faults = 120;
+    constexpr unsigned faultKinds = 11;
+    Random random(seed);
+    QuotaWorld world(entries, dataCentres, seed);
+    world.lossPercent = uniformBelow(random, 40);
+    world.repeatPercent = uniformBelow(random, 40);
+    world.maxDelaySteps = 1 + uniformBelow(random, 20);
+    world.loseAnswerPercent = uniformBelow(random, 40);
+    world.setLimit(limit);
+    for (unsigned fault = 0; fault < faults; ++fault) {
+        applyFault(world, uniformBelow(random, faultKinds), uniformBelow(random, entries),
+                   uniformBelow(random, 2 * limit));
+        const auto steps = uniformBelow(random, 20);
+        for (unsigned step = 0; step < steps; ++step) {
+            const auto before = world.ledger();
+            world.step();
+            const auto ledger = world.ledger();
+            RC_ASSERT(ledger.out() <= std::max(before.out(), ledger.limit));
+            RC_ASSERT(world.totalRunning() <= std::max(before.out(), ledger.out()));
+        }
+    }
+    // After every fault has ended, the limit is usable again.
+    world.cut.clear();
+    world.storeDown = false;
+    world.setLimit(limit);
+    for (unsigned index = 0; index < entries; ++index) {
+        world.pause(index, false);
+        world.kill(index);
+        world.start(index);
+        world.demand(index, limit);
+    }
+    world.lossPercent = 0;
+    world.repeatPercent = 0;
+    world.maxDelaySteps = 1;
+    world.loseAnswerPercent = 0;
+    world.run(worldLongestWork * 4 + std::chrono::seconds(40));
+    RC_ASSERT(world.totalRunning() <= limit);
+    RC_ASSERT(meanRunning(world) >= usable);
+}
+
+} // namespace
+} // namespace cyclamenlatch::quota
