--- a/src/quota/internal/quotaagent.cpp
+++ b/src/quota/internal/quotaagent.cpp
@@ -133,7 +133,11 @@
     m_available.clear();
     if (result == WriteResult::Done) {
         m_retries.erase(write.key);
-        takeItem({write.key, write.value, revision, false}, now);
+        platform::StoreItem item;
+        item.key = write.key;
+        item.value = write.value;
+        item.revision = revision;
+        takeItem(item, now);
         return std::exchange(m_available, {});
     }
     auto &retry = m_retries[write.key];
--- a/src/quota/tests/quotaworld.h
+++ b/src/quota/tests/quotaworld.h
@@ -313,7 +313,9 @@
         if (item.revision != write.expected) {
             return 0;
         }
-        item = {write.key, write.value, ++m_revision, false};
+        item.key = write.key;
+        item.value = write.value;
+        item.revision = ++m_revision;
         return m_revision;
     }
 
