Trade limits between running entries and follow who is alive

Cause: entries used an equal split of limits over the configured peers. Change: membership by bounded UDP digests (incarnations, local suspicion, final leave) keeps the bus's peers current; a trader feeds the quota agent with peers, messages, store records and time, and returns the units on a graceful stop after telling peers to send no more. New entry setting longestWorkMs. Entries that stopped together passed units to each other for 30 s; leaving is announced before units are returned. Conclusion: the equal split is gone.

--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -10,6 +10,7 @@
 #include "dispatch/dispatcher.h"
 #include "dispatch/outcomeservice.h"
 #include "global/result.h"
+#include "membership/membership.h"
 #include "membership/peerbus.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
@@ -18,6 +19,7 @@
 #include "operatorapi/operatorapi.h"
 #include "platform/storeclient.h"
 #include "quota/quotatable.h"
+#include "quota/quotatrader.h"
 
 #include <atomic>
 #include <memory>
@@ -37,12 +39,12 @@
     void takeFleet(const configuration::FleetRevision &revision);
     // Takes the document with each worker in the pool that it is really in.
     void useFleet(const std::shared_ptr<const fleet::FleetDocument> &fleet);
-    void holdQuotas(const fleet::FleetDocument &fleet);
 
     EntrySettings m_settings;
     net::WorkerThreads m_threads;
     std::atomic<bool> m_stopping = false;
     membership::PeerBus m_peers;
+    membership::Membership m_membership;
     quota::QuotaTable m_quotas;
     dispatch::Dispatcher m_dispatcher;
     dispatch::OutcomeService m_outcomes;
@@ -52,6 +54,7 @@
     // Absent when the settings name no operator interface.
     std::unique_ptr<net::HttpServer> m_operatorServer;
     platform::StoreClient m_store;
+    quota::QuotaTrader m_quotaTrader;
     admission::KeyGate m_keyGate;
     detail::FleetKeeping m_fleetKeeping;
     configuration::Configuration m_configuration;
--- a/src/app/entrysettings.h
+++ b/src/app/entrysettings.h
@@ -46,6 +46,9 @@
     std::chrono::milliseconds drainDelay{1000};
     // Time that open requests have to finish after SIGTERM.
     std::chrono::milliseconds shutdownDeadline{30000};
+    // No work runs longer on a minion. Units of a dead entry are freed this long after the proof
+    // that it is dead, so a value below the true one lets more run than a limit.
+    std::chrono::milliseconds longestWork{600000};
 };
 
 struct EntrySettingsReading
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -3,7 +3,8 @@
 
 #include "app/appevents.h"
 #include "dispatch/quotapermits.h"
-#include "quota/staticsplit.h"
+
+#include <fmt/format.h>
 
 #include <random>
 #include <thread>
@@ -15,6 +16,8 @@
 constexpr std::size_t maxConnectionsPerMinion = 64;
 constexpr std::chrono::milliseconds storeTimeout{2000};
 constexpr std::chrono::milliseconds drainPollInterval{20};
+// Time to return units, after the shutdown deadline of open requests.
+constexpr std::chrono::milliseconds returnTime{5000};
 
 net::HttpServerSettings callerServerSettings(const EntrySettings &settings)
 {
@@ -46,6 +49,20 @@
     return store;
 }
 
+quota::QuotaAgentSettings quotaSettings(const EntrySettings &settings,
+                                        const membership::PeerBus &peers)
+{
+    quota::QuotaAgentSettings quotas;
+    quotas.self = {settings.entry, peers.incarnation()};
+    quotas.dataCentre = settings.dataCentre;
+    quotas.longestWork = settings.longestWork;
+    // A port that the system chooses is no proof that an earlier life has ended.
+    const auto port = settings.peers.self.port;
+    quotas.address = port > 0 ? fmt::format("{}:{}", settings.peers.self.address, port)
+                              : fmt::format("incarnation {}", peers.incarnation());
+    return quotas;
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -58,6 +75,8 @@
     : m_settings(std::move(settings))
     , m_threads(m_settings.threads)
     , m_peers(m_threads.context(), m_settings.peers)
+    , m_membership(m_threads.context(), m_peers, m_settings.peers.seeds, randomSeed())
+    , m_quotas(quotaSettings(m_settings, m_peers))
     , m_dispatcher(m_threads.context(), m_minionHttp, dispatch::DispatchSettings{},
                    dispatch::quotaPermits(m_quotas), randomSeed())
     , m_outcomes(m_threads.context(), m_peers, dispatch::OutcomeServiceSettings{})
@@ -71,6 +90,7 @@
                      })
     , m_operatorApi(operatorKeys(m_settings))
     , m_store(m_threads.context(), m_platformHttp, storeSettings(m_settings))
+    , m_quotaTrader(m_threads.context(), m_peers, m_store, m_quotas, randomSeed())
     , m_fleetKeeping(
               m_threads.context(), m_settings, m_store, m_peers, m_dispatcher,
               [this](const std::shared_ptr<const fleet::FleetDocument> &fleet) { useFleet(fleet); })
@@ -110,6 +130,10 @@
     }
     logEvent(entryStarted, "{} in {} on {}:{}", m_settings.entry.value(),
              m_settings.dataCentre.value(), m_settings.callers.address, m_callerServer.port());
+    m_membership.setOnChange(
+            [this](const std::vector<membership::Member> &live) { m_quotaTrader.setLive(live); });
+    m_membership.start();
+    m_quotaTrader.start();
     m_configuration.start();
     m_jobs.start();
     return success();
@@ -117,34 +141,17 @@
 
 void Entry::takeFleet(const configuration::FleetRevision &revision)
 {
+    m_quotaTrader.setFleet(*revision.fleet, revision.revision);
     m_fleetKeeping.setFleet(revision.fleet);
 }
 
 void Entry::useFleet(const std::shared_ptr<const fleet::FleetDocument> &fleet)
 {
-    holdQuotas(*fleet);
     m_dispatcher.setFleet(fleet);
     m_callerApi.setFleet(fleet);
     m_jobs.setFleet(fleet);
 }
 
-void Entry::holdQuotas(const fleet::FleetDocument &fleet)
-{
-    unsigned index = 0;
-    unsigned entries = 1;
-    for (const auto &peer : m_peers.peers()) {
-        index += peer.entry < m_settings.entry ? 1 : 0;
-        ++entries;
-    }
-    for (const auto &workspace : fleet.workspaces) {
-        m_quotas.setHeld(quota::limitOf(workspace.id),
-                         quota::staticShare(workspace.limit, entries, index));
-    }
-    for (const auto &worker : fleet.workers) {
-        m_quotas.setHeld(quota::slotsOf(worker.id), worker.slots);
-    }
-}
-
 void Entry::stop()
 {
     logEvent(entryLeaving, "{} requests in flight", m_callerApi.inFlight());
@@ -161,6 +168,11 @@
     m_outcomes.stop();
     m_configuration.stop();
     m_jobs.stop();
+    // Peers stop sending units here before the last ones are returned.
+    m_membership.leave();
+    m_quotaTrader.leave(steadyNow() + returnTime);
+    m_quotaTrader.stop();
+    m_membership.stop();
     m_store.stop();
     m_callerServer.stop();
     if (m_operatorServer) {
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -11,6 +11,7 @@
 constexpr unsigned maxThreads = 256;
 constexpr double maxPlatformCallsPerSecond = 1e5;
 constexpr unsigned maxShutdownMilliseconds = 3600000;
+constexpr unsigned maxLongestWorkMilliseconds = 86400000;
 
 ListenAddress readListenAddress(fleet::YamlReader &parent, const std::string &field,
                                 std::vector<fleet::Mistake> &mistakes)
@@ -125,6 +126,8 @@
                 reader.count("drainDelayMs", 1000, 0, maxShutdownMilliseconds));
         settings.shutdownDeadline = std::chrono::milliseconds(
                 reader.count("shutdownDeadlineMs", 30000, 1, maxShutdownMilliseconds));
+        settings.longestWork = std::chrono::milliseconds(
+                reader.count("longestWorkMs", 600000, 1, maxLongestWorkMilliseconds));
         reader.refuseUnknownFields();
     } catch (const YAML::Exception &error) {
         reading.mistakes.push_back({error.mark.line + 1, error.msg, "correct the YAML there"});
--- a/src/quota/internal/quotaagent.cpp
+++ b/src/quota/internal/quotaagent.cpp
@@ -68,14 +68,14 @@
     return actions;
 }
 
-std::vector<QuotaResource> QuotaAgent::receive(const QuotaHolder &from, const QuotaMessage &message,
-                                               TimePoint now)
+void QuotaAgent::receive(const QuotaHolder &from, const QuotaMessage &message, TimePoint now)
 {
     // An unregistered holder must not get units: nobody would wait for its word when settling.
     if (!registered()) {
-        return {};
+        return;
     }
-    return m_node.receive(from, message, now);
+    const auto available = m_node.receive(from, message, now);
+    m_available.insert(m_available.end(), available.begin(), available.end());
 }
 
 void QuotaAgent::takeItem(const platform::StoreItem &item, TimePoint now)
@@ -120,17 +120,14 @@
     }
 }
 
-std::vector<QuotaResource> QuotaAgent::takeWriteResult(const platform::StoreWrite &write,
-                                                       WriteResult result,
-                                                       platform::StoreRevision revision,
-                                                       TimePoint now, Random &random)
+void QuotaAgent::takeWriteResult(const platform::StoreWrite &write, WriteResult result,
+                                 platform::StoreRevision revision, TimePoint now, Random &random)
 {
     const auto pending = m_pending.find(write.key);
     if (pending == m_pending.end() || pending->second.write.value != write.value) {
-        return {};
+        return;
     }
     pending->second.inFlight = false;
-    m_available.clear();
     if (result == WriteResult::Done) {
         m_retries.erase(write.key);
         platform::StoreItem item;
@@ -138,7 +135,7 @@
         item.value = write.value;
         item.revision = revision;
         takeItem(item, now);
-        return std::exchange(m_available, {});
+        return;
     }
     auto &retry = m_retries[write.key];
     retry.delay = std::clamp(retry.delay * 2, firstRetryDelay, maxRetryDelay);
@@ -149,6 +146,10 @@
     if (!pending->second.unsure) {
         resolve(write.key, false);
     }
+}
+
+std::vector<QuotaResource> QuotaAgent::takeAvailable()
+{
     return std::exchange(m_available, {});
 }
 
--- a/src/quota/internal/quotatable.cpp
+++ b/src/quota/internal/quotatable.cpp
@@ -21,10 +21,14 @@
 
 void QuotaTable::release(const QuotaResource &resource)
 {
-    update([&resource](QuotaAgent &agent) {
-        return agent.node().release(resource) ? std::vector{resource}
-                                              : std::vector<QuotaResource>{};
-    });
+    bool available = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        available = m_agent.node().release(resource);
+    }
+    if (available) {
+        announce({resource});
+    }
 }
 
 void QuotaTable::releaseAfter(const QuotaResource &resource, TimePoint until)
@@ -46,10 +50,14 @@
 
 void QuotaTable::setHeld(const QuotaResource &resource, unsigned units)
 {
-    update([&resource, units](QuotaAgent &agent) {
-        return agent.node().setHeld(resource, units) ? std::vector{resource}
-                                                     : std::vector<QuotaResource>{};
-    });
+    bool available = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        available = m_agent.node().setHeld(resource, units);
+    }
+    if (available) {
+        announce({resource});
+    }
 }
 
 void QuotaTable::expire(TimePoint now)
--- a/src/quota/quotaagent.h
+++ b/src/quota/quotaagent.h
@@ -69,18 +69,16 @@
     // Live entries, this one left out; those that are not registered are ignored.
     void setLive(std::vector<QuotaPeer> peers);
     QuotaActions tick(TimePoint now, Random &random);
-    // Returns the resources that have become available to refused work.
-    std::vector<QuotaResource> receive(const QuotaHolder &from, const QuotaMessage &message,
-                                       TimePoint now);
+    void receive(const QuotaHolder &from, const QuotaMessage &message, TimePoint now);
     // An item under quotaPrefix as the store gave it; older ones than known are ignored.
     void takeItem(const platform::StoreItem &item, TimePoint now);
     // The first full listing has been passed to takeItem.
     void setListed() { m_listed = true; }
-    // Returns the resources that have become available. After anything but Done the caller reads
-    // the key and passes it to takeItem.
-    std::vector<QuotaResource> takeWriteResult(const platform::StoreWrite &write,
-                                               WriteResult result, platform::StoreRevision revision,
-                                               TimePoint now, Random &random);
+    // After anything but Done the caller reads the key and passes it to takeItem.
+    void takeWriteResult(const platform::StoreWrite &write, WriteResult result,
+                         platform::StoreRevision revision, TimePoint now, Random &random);
+    // Resources that have become available to refused work since the last call.
+    std::vector<QuotaResource> takeAvailable();
     // Gives everything back, to other entries or else to the store, as work ends.
     void leave();
     // Nothing is held or in transit, so that the process may end without locking units.
--- a/src/quota/quotatable.h
+++ b/src/quota/quotatable.h
@@ -42,15 +42,15 @@
     // Releases units whose time given to releaseAfter has come.
     void expire(TimePoint now);
 
-    // Runs a function on the agent under the lock. It returns the resources that have become
-    // available, which are then announced.
+    // Runs a function on the agent under the lock, then announces what has become available.
     template<typename Function>
     void update(Function function)
     {
         std::vector<QuotaResource> available;
         {
             const std::lock_guard lock(m_mutex);
-            available = function(m_agent);
+            function(m_agent);
+            available = m_agent.takeAvailable();
         }
         announce(available);
     }
