--- a/src/quota/tests/quotaworld.h
+++ b/src/quota/tests/quotaworld.h
@@ -134,6 +134,8 @@
     bool alive(unsigned index) const { return m_entries[index].agent != nullptr; }
     unsigned entries() const { return static_cast<unsigned>(m_entries.size()); }
     std::uint64_t writes() const { return m_writes; }
+    // Work started so far.
+    std::uint64_t starts() const { return m_starts; }
 
 private:
     struct Entry
@@ -234,6 +236,7 @@
             }
         }
         while (node.use(resource).running < target && node.tryAcquire(resource)) {
+            ++m_starts;
         }
     }
 
@@ -332,6 +335,7 @@
     std::map<std::string, platform::StoreItem> m_store;
     platform::StoreRevision m_revision = 0;
     std::uint64_t m_writes = 0;
+    std::uint64_t m_starts = 0;
 };
 
 } // namespace cyclamenlatch::quota
