--- a/tests/jobs/childprocess.h
+++ b/tests/jobs/childprocess.h
@@ -67,6 +67,14 @@
         }
     }
 
+    // Sends a signal that does not end the process.
+    void signal(int signal) const
+    {
+        if (m_pid > 0) {
+            ::kill(m_pid, signal);
+        }
+    }
+
     // Ends the process with the signal and waits for its end.
     void kill(int signal)
     {
