--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -13,6 +13,7 @@
 int runCheck(int argc, char **argv);
 int runJob(int argc, char **argv);
 int runLoad();
+int runReport();
 int runWave(int argc, char **argv);
 int runWorker(int argc, char **argv);
 // The commands that ask an entry's operator interface.
--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -5,6 +5,7 @@
 #include "app/entrysettings.h"
 #include "app/internal/fleetkeeping.h"
 #include "app/jobservice.h"
+#include "app/outcomewatch.h"
 #include "callerapi/callerapi.h"
 #include "configuration/configuration.h"
 #include "dispatch/dispatcher.h"
@@ -20,6 +21,7 @@
 #include "platform/storeclient.h"
 #include "quota/quotatable.h"
 #include "quota/quotatrader.h"
+#include "report/reportservice.h"
 
 #include <atomic>
 #include <memory>
@@ -48,6 +50,8 @@
     quota::QuotaTable m_quotas;
     dispatch::Dispatcher m_dispatcher;
     dispatch::OutcomeService m_outcomes;
+    report::ReportService m_report;
+    OutcomeWatch m_outcomeWatch;
     callerapi::CallerApi m_callerApi;
     net::HttpServer m_callerServer;
     operatorapi::OperatorApi m_operatorApi;
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -2,6 +2,7 @@
 #include "app/entry.h"
 
 #include "app/appevents.h"
+#include "app/reportroute.h"
 #include "dispatch/quotapermits.h"
 
 #include <fmt/format.h>
@@ -80,12 +81,15 @@
     , m_dispatcher(m_threads.context(), m_minionHttp, dispatch::DispatchSettings{},
                    dispatch::quotaPermits(m_quotas), randomSeed())
     , m_outcomes(m_threads.context(), m_peers, dispatch::OutcomeServiceSettings{})
+    , m_report(m_threads.context(), m_peers)
+    , m_outcomeWatch([this](const report::ObservedOutcome &outcome) { m_report.observe(outcome); })
     , m_callerApi(m_dispatcher, m_outcomes)
     , m_callerServer(m_threads.context(), callerServerSettings(m_settings),
                      [this](net::HttpRequest request, net::HttpResponder respond) {
                          if (callerapi::JobRoutes::isJobPath(request.path)) {
                              return m_jobs.routes().handle(request, std::move(respond));
                          }
+                         respond = m_outcomeWatch.watch(request, std::move(respond));
                          m_callerApi.handle(std::move(request), std::move(respond));
                      })
     , m_operatorApi(operatorKeys(m_settings))
@@ -108,8 +112,10 @@
     m_keyGate.setEvidence([this] { return m_configuration.evidenceAt(); },
                           configuration::freshnessBound);
     m_callerApi.setKeyGate(&m_keyGate);
+    m_jobs.routes().setKeyGate(&m_keyGate);
     m_callerApi.setUnreadyReason([this] { return m_configuration.unreadyReason(); });
     m_fleetKeeping.addRoutes(m_operatorApi);
+    addReportRoute(m_operatorApi, m_report, m_quotas);
     if (m_settings.operators) {
         m_operatorServer = std::make_unique<net::HttpServer>(
                 m_threads.context(), operatorServerSettings(*m_settings.operators),
@@ -130,12 +136,15 @@
     }
     logEvent(entryStarted, "{} in {} on {}:{}", m_settings.entry.value(),
              m_settings.dataCentre.value(), m_settings.callers.address, m_callerServer.port());
-    m_membership.setOnChange(
-            [this](const std::vector<membership::Member> &live) { m_quotaTrader.setLive(live); });
+    m_membership.setOnChange([this](const std::vector<membership::Member> &live) {
+        m_quotaTrader.setLive(live);
+        m_dispatcher.setLiveEntries(live.size() + 1);
+    });
     m_membership.start();
     m_quotaTrader.start();
     m_configuration.start();
     m_jobs.start();
+    m_report.start();
     return success();
 }
 
@@ -150,6 +159,8 @@
     m_dispatcher.setFleet(fleet);
     m_callerApi.setFleet(fleet);
     m_jobs.setFleet(fleet);
+    m_report.setFleet(fleet);
+    m_outcomeWatch.setFleet(fleet);
 }
 
 void Entry::stop()
@@ -173,6 +184,7 @@
     m_quotaTrader.leave(steadyNow() + returnTime);
     m_quotaTrader.stop();
     m_membership.stop();
+    m_report.stop();
     m_store.stop();
     m_callerServer.stop();
     if (m_operatorServer) {
--- a/src/app/internal/jobcommand.cpp
+++ b/src/app/internal/jobcommand.cpp
@@ -13,6 +13,7 @@
 
 DECLARE_string(queue);
 DECLARE_string(key);
+DECLARE_string(output);
 DEFINE_string(caller_url, "http://127.0.0.1:8101", "job: an entry's address for callers");
 DEFINE_string(body, "", "job submit: the job's body");
 DEFINE_string(body_file, "", "job submit: file with the job's body");
@@ -20,7 +21,6 @@
 DEFINE_double(processors, 1, "job submit: cores that the job needs");
 DEFINE_double(memory_mib, 0, "job submit: memory that the job needs, in MiB");
 DEFINE_int32(accelerators, 0, "job submit: accelerators that the job needs");
-DEFINE_string(job_output, "text", "job: text or json");
 
 namespace cyclamenlatch::app {
 
@@ -44,7 +44,7 @@
     const auto &reply = *result.reply;
     const bool good = reply.status == 200 || reply.status == 202;
     const auto body = nlohmann::json::parse(reply.body, nullptr, false);
-    if (FLAGS_job_output == "json" || !body.is_object()) {
+    if (FLAGS_output == "json" || !body.is_object()) {
         std::cout << reply.body << "\n";
     } else if (good) {
         std::cout << fmt::format("{}  {}  attempt {}  {}  {}\n", body.value("id", ""),
--- /dev/null
+++ b/src/app/internal/reportcommand.cpp
@@ -0,0 +1,39 @@
+// "report": fetches the burn report from an entry.
+#include "app/commands.h"
+#include "net/httpclient.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <future>
+#include <iostream>
+
+DEFINE_string(entry, "http://127.0.0.1:8201", "report: an entry's operator address");
+DECLARE_string(operator_key);
+// Here also html.
+DECLARE_string(output);
+
+namespace cyclamenlatch::app {
+
+int runReport()
+{
+    net::HttpCall call;
+    call.url = fmt::format("{}/v1/report?output={}", FLAGS_entry, FLAGS_output);
+    call.headers.add("Authorization", "Bearer " + FLAGS_operator_key);
+    call.timeout = std::chrono::seconds(10);
+    net::HttpClient http;
+    std::promise<net::HttpCallResult> promise;
+    http.send(std::move(call),
+              [&promise](net::HttpCallResult result) { promise.set_value(std::move(result)); });
+    const auto result = promise.get_future().get();
+    if (!result.reply) {
+        std::cerr << "no answer from " << FLAGS_entry << ": " << result.failure
+                  << "; ask another entry\n";
+        return exitFailure;
+    }
+    const bool good = result.reply->status == 200;
+    (good ? std::cout : std::cerr) << result.reply->body;
+    return good ? exitSuccess : exitFailure;
+}
+
+} // namespace cyclamenlatch::app
--- a/src/app/internal/wavecommand.cpp
+++ b/src/app/internal/wavecommand.cpp
@@ -9,7 +9,7 @@
 #include <string>
 
 DEFINE_string(selector, "", "wave plan, wave start: workers to take; empty: all");
-DEFINE_string(output, "text", "operator commands: text or json");
+DEFINE_string(output, "text", "text or json; report: also html");
 DEFINE_int32(per_rack, 0, "wave: workers of one rack that may be out at once; 0: no bound");
 DEFINE_int32(reserve, 0, "wave: places of each budget that are left free for failures");
 DEFINE_int32(reboot_deadline_ms, 900000, "wave: a host not back by then is set aside");
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -13,6 +13,7 @@
                               "  serve --config FILE    run an entry\n"
                               "  check FILE...          validate settings or fleet documents\n"
                               "  job submit|show|cancel hand in and follow long-lived work\n"
+                              "  report --entry URL     service-level burn of the fleet\n"
                               "  load --queue NAME ...  send requests and check every answer\n"
                               "  wave VERB NAME ...     plan, start, pause, resume or show a wave\n"
                               "  worker list|move ...   show workers, move one to a pool\n"
@@ -42,6 +43,9 @@
     if (command == "job") {
         return runJob(argc, argv);
     }
+    if (command == "report") {
+        return runReport();
+    }
     if (command == "load") {
         return runLoad();
     }
--- a/src/callerapi/internal/jobroutes.cpp
+++ b/src/callerapi/internal/jobroutes.cpp
@@ -98,40 +98,6 @@
     return resources;
 }
 
-Result<jobs::JobSubmission> readSubmission(const fleet::FleetDocument &fleet,
-                                           const net::HttpRequest &request)
-{
-    const auto nameSize = request.path.size() - queuePrefix.size() - jobsSuffix.size();
-    const QueueId queueId(request.path.substr(queuePrefix.size(), nameSize));
-    const auto *queue = fleet.findQueue(queueId);
-    if (queue == nullptr) {
-        return failure(ErrorKind::NotFound, "the queue does not exist",
-                       "check the queue's name in the address");
-    }
-    BOOST_OUTCOME_TRY(workspace, admission::admit(fleet, *queue, keyOf(request)));
-    if (workspace.empty()) {
-        return failure(ErrorKind::Unauthorized, "a job needs a workspace",
-                       "send \"Authorization: Bearer <key>\", on open queues too");
-    }
-    if (request.body.size() > maxJobBodyBytes) {
-        return failure(ErrorKind::TooLarge, "the body is too large for a job",
-                       fmt::format("send at most {} bytes", maxJobBodyBytes));
-    }
-    const auto key = request.headers.find("Idempotency-Key").value_or("");
-    if (key.size() > maxIdempotencyKeyBytes) {
-        return failure(ErrorKind::InvalidInput, "Idempotency-Key is too long",
-                       fmt::format("send at most {} bytes", maxIdempotencyKeyBytes));
-    }
-    BOOST_OUTCOME_TRY(resources, resourcesOf(request));
-    jobs::JobSubmission submission;
-    submission.workspace = workspace;
-    submission.queue = queueId;
-    submission.resources = resources;
-    submission.body = request.body;
-    submission.idempotencyKey = std::string(key);
-    return submission;
-}
-
 jobs::JobDesk::Completion answerWith(int status, std::string requestId, net::HttpResponder respond)
 {
     return [status, requestId = std::move(requestId),
@@ -174,6 +140,40 @@
     submit(*fleet, request, std::move(respond));
 }
 
+Result<jobs::JobSubmission> JobRoutes::readSubmission(const fleet::FleetDocument &fleet,
+                                                      const net::HttpRequest &request) const
+{
+    const auto nameSize = request.path.size() - queuePrefix.size() - jobsSuffix.size();
+    const QueueId queueId(request.path.substr(queuePrefix.size(), nameSize));
+    const auto *queue = fleet.findQueue(queueId);
+    if (queue == nullptr) {
+        return failure(ErrorKind::NotFound, "the queue does not exist",
+                       "check the queue's name in the address");
+    }
+    BOOST_OUTCOME_TRY(workspace, admission::admit(fleet, *queue, keyOf(request), m_keyGate));
+    if (workspace.empty()) {
+        return failure(ErrorKind::Unauthorized, "a job needs a workspace",
+                       "send \"Authorization: Bearer <key>\", on open queues too");
+    }
+    if (request.body.size() > maxJobBodyBytes) {
+        return failure(ErrorKind::TooLarge, "the body is too large for a job",
+                       fmt::format("send at most {} bytes", maxJobBodyBytes));
+    }
+    const auto key = request.headers.find("Idempotency-Key").value_or("");
+    if (key.size() > maxIdempotencyKeyBytes) {
+        return failure(ErrorKind::InvalidInput, "Idempotency-Key is too long",
+                       fmt::format("send at most {} bytes", maxIdempotencyKeyBytes));
+    }
+    BOOST_OUTCOME_TRY(resources, resourcesOf(request));
+    jobs::JobSubmission submission;
+    submission.workspace = workspace;
+    submission.queue = queueId;
+    submission.resources = resources;
+    submission.body = request.body;
+    submission.idempotencyKey = std::string(key);
+    return submission;
+}
+
 void JobRoutes::submit(const fleet::FleetDocument &fleet, const net::HttpRequest &request,
                        net::HttpResponder respond)
 {
@@ -195,7 +195,7 @@
 {
     const auto requestId = requestIdOf(request);
     // No queue is open here: a job belongs to a workspace.
-    const auto workspace = admission::admit(fleet, fleet::Queue(), keyOf(request));
+    const auto workspace = admission::admit(fleet, fleet::Queue(), keyOf(request), m_keyGate);
     if (!workspace) {
         return respond(refusal(workspace.error(), requestId));
     }
--- a/src/jobs/internal/jobbook.cpp
+++ b/src/jobs/internal/jobbook.cpp
@@ -52,7 +52,7 @@
 {
     auto &entry = m_jobs[record.id];
     if (revision > entry.revision) {
-        entry = {record, revision};
+        entry = {record, revision, taskOf(record)};
     }
     settleUnit(record.id);
 }
@@ -112,16 +112,33 @@
         if (pending != m_pending.end()) {
             view.record = &pending->second.write.next;
             view.busy = true;
-        }
-        const auto task = m_tasks.find(taskOf(*view.record));
-        if (task != m_tasks.end()) {
-            view.task = &task->second;
+            view.task = findTask(pending->second.task);
+        } else if (isActive(entry.record.state)) {
+            view.task = findTask(entry.task);
         }
         input.jobs.push_back(view);
     }
     return input;
 }
 
+const platform::TaskStatus *JobBook::findTask(const std::string &task) const
+{
+    const auto found = m_tasks.find(task);
+    return found == m_tasks.end() ? nullptr : &found->second;
+}
+
+std::optional<TaskAction> JobBook::actionFor(const JobId &id, const JobPolicy &policy,
+                                             WallTime now) const
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || m_pending.contains(id) || m_starting.contains(id)) {
+        return std::nullopt;
+    }
+    const WorkerBlame noBlame;
+    return requiredAction(found->second.record,
+                          {findTask(found->second.task), &noBlame, &policy, now});
+}
+
 bool JobBook::beginWrite(const JobWrite &write, WallTime now)
 {
     const auto &id = write.next.id;
@@ -135,7 +152,7 @@
         }
         m_units[id] = write.next.workspace;
     }
-    m_pending[id] = {write, false};
+    m_pending[id] = {write, taskOf(write.next), false};
     return true;
 }
 
--- a/src/jobs/internal/jobcontroller.cpp
+++ b/src/jobs/internal/jobcontroller.cpp
@@ -358,6 +358,7 @@
                                        const std::lock_guard lock(m_mutex);
                                        m_book.endWrite(id, written.value());
                                    }
+                                   actAfterWrite(id);
                                    return requestPlan();
                                }
                                if (written.error().kind == ErrorKind::Conflict) {
@@ -372,6 +373,32 @@
                            });
 }
 
+// Saves the time until the next pass, which urgent jobs would feel.
+void JobController::actAfterWrite(const JobId &id)
+{
+    std::optional<TaskAction> action;
+    JobRecord record;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto *known = m_book.find(id);
+        if (!m_leading || !m_tasksKnown || known == nullptr) {
+            return;
+        }
+        record = *known;
+        action = m_book.actionFor(id, m_settings.policy, wallNow());
+        if (action && std::holds_alternative<StartTask>(*action)) {
+            m_book.beginStart(id);
+        }
+    }
+    if (!action) {
+        return;
+    }
+    if (const auto *command = std::get_if<CommandTask>(&*action)) {
+        return sendCommands(command->command, {taskOf(record)});
+    }
+    sendStart(record);
+}
+
 void JobController::resolveConflict(const JobId &id)
 {
     m_store.get(jobKey(id), [this, id](Result<std::optional<platform::StoreItem>> item) {
--- a/src/jobs/internal/workerblame.cpp
+++ b/src/jobs/internal/workerblame.cpp
@@ -32,6 +32,9 @@
 {
     std::unordered_map<WorkerId, WorkerCounts> counts;
     for (const auto *job : jobs) {
+        if (job->failures.empty() && job->state != JobState::Completed) {
+            continue;
+        }
         const auto workers = failedOn(*job, policy, now);
         // A job that fails wherever it runs says nothing about the workers.
         if (workers.size() < policy.workersToBlameJob) {
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -48,6 +48,10 @@
     // The unclear writes to be repeated now; each counts as under way again.
     std::vector<JobWrite> takeUnclearWrites();
 
+    // What the platform is to be told right after a write, without waiting for the next pass.
+    std::optional<TaskAction> actionFor(const JobId &id, const JobPolicy &policy,
+                                        WallTime now) const;
+
     void beginStart(const JobId &id) { m_starting.insert(id); }
     void endStart(const JobId &id) { m_starting.erase(id); }
 
@@ -69,14 +73,18 @@
     {
         JobRecord record;
         platform::StoreRevision revision = 0;
+        // Of the record's attempt; kept, because each pass looks every task up.
+        std::string task;
     };
     struct Pending
     {
         JobWrite write;
+        std::string task;
         bool unclear = false;
     };
     enum class TaskPlace { Current, Over, Unknown };
 
+    const platform::TaskStatus *findTask(const std::string &task) const;
     TaskPlace placeOf(const std::string &task) const;
     void settleUnit(const JobId &id);
     void releaseUnit(const JobId &id);
--- a/src/jobs/jobcontroller.h
+++ b/src/jobs/jobcontroller.h
@@ -65,6 +65,7 @@
     void repeatUnclearWrites();
     void logWrite(const JobWrite &write) const;
     void sendWrite(const JobWrite &write);
+    void actAfterWrite(const JobId &id);
     void resolveConflict(const JobId &id);
     void sendStart(const JobRecord &record);
     void sendCommands(platform::TaskCommand command, const std::vector<std::string> &tasks);
