Own no idempotency key after a long pause until peers acknowledge again

Cause: membership forgets a silent entry after 10 minutes, unless it is a seed. Its data centre then has another owner for its keys; a paused entry that wakes up still counted as their owner, so one key could be granted twice. Found by reading the roster against the membership's settings. Change: a roster that was not used for more than 60 s starts as a new entry's does: unacknowledged. Ruled out: a longer forgetting time, which only moves the window. Conclusion: an acknowledgement that was under way when the pause began is still taken; that needs a pause within one handshake.

--- a/src/dispatch/internal/outcomeservice.cpp
+++ b/src/dispatch/internal/outcomeservice.cpp
@@ -98,7 +98,9 @@
         work.messages.push_back({*owner, pending.claim});
         return;
     }
-    auto answer = m_ledger.claim(pending.claim, m_roster, monotonicWallTime());
+    const auto now = monotonicWallTime();
+    m_roster.noteTime(now);
+    auto answer = m_ledger.claim(pending.claim, m_roster, now);
     if (isFinal(answer.verdict)) {
         endClaim(answer.attempt, *owner, answer.verdict, std::move(answer.answer), work);
     }
@@ -156,7 +158,9 @@
 void OutcomeService::handle(const membership::PeerMessage &from, const OutcomeClaim &claim,
                             Work &work)
 {
-    work.messages.push_back({from.from, m_ledger.claim(claim, m_roster, monotonicWallTime())});
+    const auto now = monotonicWallTime();
+    m_roster.noteTime(now);
+    work.messages.push_back({from.from, m_ledger.claim(claim, m_roster, now)});
 }
 
 void OutcomeService::handle(const membership::PeerMessage &from, const ClaimAnswer &answer,
@@ -247,6 +251,7 @@
 void OutcomeService::refreshRosters()
 {
     const auto now = monotonicWallTime();
+    m_roster.noteTime(now);
     m_rosters.clear();
     for (const auto &peer : m_bus.peers()) {
         m_rosters[peer.dataCentre].insert(peer.entry);
--- a/src/dispatch/internal/ownerroster.cpp
+++ b/src/dispatch/internal/ownerroster.cpp
@@ -81,6 +81,15 @@
     return missing;
 }
 
+void OwnerRoster::noteTime(WallTime now)
+{
+    if (m_notedAt && now - *m_notedAt > longestPause) {
+        m_acknowledged.clear();
+        m_settledAt.reset();
+    }
+    m_notedAt = now;
+}
+
 bool OwnerRoster::ownsNow(std::string_view key) const
 {
     return m_settledAt.has_value() && ownerOf(key, m_epochs.back().entries) == m_self;
--- a/src/dispatch/ownerroster.h
+++ b/src/dispatch/ownerroster.h
@@ -22,6 +22,9 @@
 class OwnerRoster
 {
 public:
+    // Far below the time after which membership forgets a silent entry.
+    static constexpr std::chrono::milliseconds longestPause{60000};
+
     explicit OwnerRoster(EntryId self);
 
     // The entries of this data centre that may be alive, without this one.
@@ -33,6 +36,10 @@
     // Peers that have not acknowledged this entry.
     std::set<EntryId> unacknowledged() const;
 
+    // Call before each use. A process that was paused for long may have been forgotten by its peers
+    // meanwhile, so it owns nothing until all of them acknowledge it again.
+    void noteTime(WallTime now);
+
     bool ownsNow(std::string_view key) const;
     // Whether this entry has owned the key without a break since that time, acknowledged by all.
     bool ownedSince(std::string_view key, WallTime since) const;
@@ -56,6 +63,7 @@
     std::set<EntryId> m_acknowledged;
     // When the last peer of the current roster acknowledged this entry; nothing until then.
     std::optional<WallTime> m_settledAt;
+    std::optional<WallTime> m_notedAt;
 };
 
 } // namespace cyclamenlatch::dispatch
--- a/src/dispatch/tests/outcomeledger_tests.cpp
+++ b/src/dispatch/tests/outcomeledger_tests.cpp
@@ -113,6 +113,31 @@
 // One data centre: entries are killed, replaced under the same or another name, and join; clocks
 // differ by up to the skew; messages are repeated. No key is granted to two attempts that were
 // not proven not-run in between.
+TEST(OwnerRoster, ownsNothingAfterALongPauseUntilAcknowledgedAgain)
+{
+    const WallTime start{std::chrono::hours(1)};
+    const EntryId peer("e-2");
+    OwnerRoster roster(EntryId("e-1"));
+    roster.noteTime(start);
+    roster.setPeers({peer}, start);
+    roster.acknowledged(peer, start);
+    std::string key = "dc-a-3600000-aaaaaaaa";
+    while (!roster.ownsNow(key)) {
+        key += 'a';
+    }
+    roster.noteTime(start + OwnerRoster::longestPause);
+    EXPECT_TRUE(roster.unacknowledged().empty());
+
+    const auto awake = start + 3 * OwnerRoster::longestPause;
+    roster.noteTime(awake);
+    EXPECT_EQ(roster.unacknowledged(), std::set<EntryId>{peer});
+    EXPECT_FALSE(roster.ownsNow(key));
+    EXPECT_FALSE(roster.ownedSince(key, start));
+
+    roster.acknowledged(peer, awake);
+    EXPECT_FALSE(roster.ownedSince(key, start)) << "keys from before the pause stay unknown";
+}
+
 RC_GTEST_PROP(OutcomeLedger, keyRunsAtMostOnce, ())
 {
     struct Entry
