Tell the burn report when a wave is under way

Cause: the report's wave time stayed 0 s, since nothing told it of waves. Change: the maintenance controller tells a listener; the entry passes it to the report. Conclusion: the time counts on entries that lead a data centre; entries don't merge it yet.

--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -115,6 +115,7 @@
     m_jobs.routes().setKeyGate(&m_keyGate);
     m_callerApi.setUnreadyReason([this] { return m_configuration.unreadyReason(); });
     m_fleetKeeping.addRoutes(m_operatorApi);
+    m_fleetKeeping.setWaveListener([this](bool underWay) { m_report.setWaveRunning(underWay); });
     addReportRoute(m_operatorApi, m_report, m_quotas);
     if (m_settings.operators) {
         m_operatorServer = std::make_unique<net::HttpServer>(
--- a/src/app/internal/fleetkeeping.h
+++ b/src/app/internal/fleetkeeping.h
@@ -31,6 +31,11 @@
 
     // Call before the operator server starts.
     void addRoutes(operatorapi::OperatorApi &api);
+    // Hears whether a wave is under way in the data centre that this entry leads. Set before start.
+    void setWaveListener(std::function<void(bool)> listener)
+    {
+        m_maintenance.setWaveListener(std::move(listener));
+    }
     // Call before the peer bus starts.
     void start();
     // Gives leases back.
--- a/src/maintenance/internal/maintenancecontroller.cpp
+++ b/src/maintenance/internal/maintenancecontroller.cpp
@@ -185,11 +185,13 @@
 void MaintenanceController::tick()
 {
     if (!m_lease.held() || !m_fleet || m_records.revision() == 0) {
+        tellWave(false);
         return;
     }
     const auto &waves = m_records.waves();
     const bool active = std::any_of(waves.begin(), waves.end(),
                                     [this](const auto &item) { return isActive(item.second); });
+    tellWave(active);
     if (!active) {
         return;
     }
@@ -199,6 +201,15 @@
     planWaves();
 }
 
+void MaintenanceController::tellWave(bool underWay)
+{
+    if (underWay == m_waveUnderWay || !m_waveListener) {
+        return;
+    }
+    m_waveUnderWay = underWay;
+    m_waveListener(underWay);
+}
+
 // A wave that is done stays active until every claim of it is gone and every host is back.
 bool MaintenanceController::isActive(const WaveEntry &wave) const
 {
--- a/src/maintenance/maintenancecontroller.h
+++ b/src/maintenance/maintenancecontroller.h
@@ -17,9 +17,11 @@
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace cyclamenlatch::maintenance {
 
@@ -30,6 +32,12 @@
                           platform::StoreClient &store, platform::HostClient &hosts,
                           DrainCoordinator &drains, net::HttpClient &probes);
 
+    // Hears whether a wave is under way in the data centre that this entry leads. Set before start;
+    // runs on the strand and must not block.
+    void setWaveListener(std::function<void(bool)> listener)
+    {
+        m_waveListener = std::move(listener);
+    }
     void start();
     // Gives leadership back; what is under way goes on from the records.
     void stop();
@@ -49,6 +57,7 @@
     void retryRecords(unsigned reading);
     void armTick();
     void tick();
+    void tellWave(bool underWay);
     bool isActive(const WaveEntry &wave) const;
 
     void askEntries();
@@ -74,6 +83,9 @@
     asio::steady_timer m_recordsTimer;
     asio::steady_timer m_marksTimer;
     bool m_stopped = false;
+    std::function<void(bool)> m_waveListener;
+    // What the listener was told last.
+    bool m_waveUnderWay = false;
     std::shared_ptr<const fleet::FleetDocument> m_fleet;
 
     // Used while leading. A reading ends with the leadership that began it.
