--- a/tests/scenarios/scenarioreader.cpp
+++ b/tests/scenarios/scenarioreader.cpp
@@ -189,6 +189,7 @@
 std::string verbNames()
 {
     std::vector<std::string> names;
+    names.reserve(verbs.size());
     for (const auto &verb : verbs) {
         names.emplace_back(verb.name);
     }
