Read a request's key in one place

Cause: four files cut "Bearer " off the Authorization header, each in its own words. Change: net/bearertoken.h does it for callers' requests, jobs, operators and the burn count. Conclusion: no behaviour changes; an empty or prefixless header is read as before.

--- a/src/app/internal/outcomewatch.cpp
+++ b/src/app/internal/outcomewatch.cpp
@@ -2,6 +2,7 @@
 #include "app/outcomewatch.h"
 
 #include "admission/keysecret.h"
+#include "net/bearertoken.h"
 
 #include <algorithm>
 #include <optional>
@@ -12,7 +13,6 @@
 namespace {
 
 constexpr std::string_view queuePrefix = "/v1/queues/";
-constexpr std::string_view bearerPrefix = "Bearer ";
 
 std::optional<report::BurnKey> keyOf(const fleet::FleetDocument &fleet,
                                      const net::HttpRequest &request)
@@ -27,11 +27,7 @@
         return std::nullopt;
     }
     report::BurnKey key{queue->service, {}};
-    auto presented = request.headers.find("Authorization").value_or("");
-    if (presented.starts_with(bearerPrefix)) {
-        presented.remove_prefix(bearerPrefix.size());
-    }
-    const auto secret = admission::parseKey(presented);
+    const auto secret = admission::parseKey(net::bearerToken(request.headers));
     const auto known =
             std::find_if(fleet.keys.begin(), fleet.keys.end(), [&secret](const fleet::Key &item) {
                 return secret && item.id == secret->id;
--- a/src/callerapi/internal/callerapi.cpp
+++ b/src/callerapi/internal/callerapi.cpp
@@ -4,6 +4,7 @@
 #include "admission/admission.h"
 #include "callerapi/problem.h"
 #include "dispatch/claimoutcome.h"
+#include "net/bearertoken.h"
 
 #include <fmt/format.h>
 
@@ -20,7 +21,6 @@
 constexpr std::size_t maxRequestIdBytes = 128;
 constexpr std::string_view queuePrefix = "/v1/queues/";
 constexpr std::string_view queueSuffix = "/requests";
-constexpr std::string_view bearerPrefix = "Bearer ";
 
 std::optional<QueueId> queueOf(std::string_view path)
 {
@@ -33,12 +33,6 @@
     return QueueId(std::string(path));
 }
 
-std::string_view presentedKey(const net::HttpRequest &request)
-{
-    const auto header = request.headers.find("Authorization").value_or("");
-    return header.starts_with(bearerPrefix) ? header.substr(bearerPrefix.size()) : header;
-}
-
 Result<std::chrono::milliseconds> timeoutOf(const net::HttpRequest &request,
                                             const fleet::Queue &queue)
 {
@@ -185,8 +179,8 @@
         return failure(ErrorKind::NotFound, "the queue does not exist",
                        "check the queue's name in the address");
     }
-    BOOST_OUTCOME_TRY(workspace,
-                      admission::admit(*fleet, *queue, presentedKey(request), m_keyGate));
+    BOOST_OUTCOME_TRY(workspace, admission::admit(*fleet, *queue, net::bearerToken(request.headers),
+                                                  m_keyGate));
     BOOST_OUTCOME_TRY(timeout, timeoutOf(request, *queue));
     Admitted admitted;
     if (const auto header = request.headers.find("Idempotency-Key")) {
--- a/src/callerapi/internal/jobroutes.cpp
+++ b/src/callerapi/internal/jobroutes.cpp
@@ -3,6 +3,7 @@
 
 #include "admission/admission.h"
 #include "callerapi/problem.h"
+#include "net/bearertoken.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -24,13 +25,6 @@
 constexpr std::string_view queuePrefix = "/v1/queues/";
 constexpr std::string_view jobsSuffix = "/jobs";
 constexpr std::string_view jobPrefix = "/v1/jobs/";
-constexpr std::string_view bearerPrefix = "Bearer ";
-
-std::string_view keyOf(const net::HttpRequest &request)
-{
-    const auto header = request.headers.find("Authorization").value_or("");
-    return header.starts_with(bearerPrefix) ? header.substr(bearerPrefix.size()) : header;
-}
 
 std::string requestIdOf(const net::HttpRequest &request)
 {
@@ -150,7 +144,8 @@
         return failure(ErrorKind::NotFound, "the queue does not exist",
                        "check the queue's name in the address");
     }
-    BOOST_OUTCOME_TRY(workspace, admission::admit(fleet, *queue, keyOf(request), m_keyGate));
+    BOOST_OUTCOME_TRY(workspace, admission::admit(fleet, *queue, net::bearerToken(request.headers),
+                                                  m_keyGate));
     if (workspace.empty()) {
         return failure(ErrorKind::Unauthorized, "a job needs a workspace",
                        "send \"Authorization: Bearer <key>\", on open queues too");
@@ -195,7 +190,8 @@
 {
     const auto requestId = requestIdOf(request);
     // No queue is open here: a job belongs to a workspace.
-    const auto workspace = admission::admit(fleet, fleet::Queue(), keyOf(request), m_keyGate);
+    const auto workspace =
+            admission::admit(fleet, fleet::Queue(), net::bearerToken(request.headers), m_keyGate);
     if (!workspace) {
         return respond(refusal(workspace.error(), requestId));
     }
--- a/src/operatorapi/internal/operatorapi.cpp
+++ b/src/operatorapi/internal/operatorapi.cpp
@@ -2,6 +2,7 @@
 #include "operatorapi/operatorapi.h"
 
 #include "admission/keysecret.h"
+#include "net/bearertoken.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -13,8 +14,6 @@
 
 namespace {
 
-constexpr std::string_view bearerPrefix = "Bearer ";
-
 bool matchesPrefix(std::string_view path, std::string_view prefix)
 {
     return path.starts_with(prefix) && (path.size() == prefix.size() || path[prefix.size()] == '/');
@@ -82,11 +81,7 @@
 
 const OperatorKey *OperatorApi::findKey(const net::HttpRequest &request) const
 {
-    auto header = request.headers.find("Authorization").value_or("");
-    if (header.starts_with(bearerPrefix)) {
-        header.remove_prefix(bearerPrefix.size());
-    }
-    const auto presented = admission::parseKey(header);
+    const auto presented = admission::parseKey(net::bearerToken(request.headers));
     if (!presented) {
         return nullptr;
     }
