Say once how a store read is judged and given up

Cause: the store client's get, list and three lease calls spelled out the same callbacks. Change: Reading's constructor makes them from the function that judges the answer; the lease calls have such functions of their own. Conclusion: one place decides when a call is asked again. A renewal refused as lapsed ends through giveUp now, with the same error and without a repeat.

--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -124,6 +124,44 @@
     }
 }
 
+Result<std::string> judgeGrant(const net::HttpCallResult &result)
+{
+    if (!result.reply) {
+        return callFailure(result, false);
+    }
+    const auto body = json::parse(result.reply->body, nullptr, false);
+    if (result.reply->status != 200 || !body.is_object() || !body.contains("lease")) {
+        return statusFailure(result.reply->status, false);
+    }
+    return body["lease"].get<std::string>();
+}
+
+Result<void> judgeRenewal(const net::HttpCallResult &result)
+{
+    if (!result.reply) {
+        return callFailure(result, false);
+    }
+    if (result.reply->status == 404) {
+        return failure(ErrorKind::NotFound, "the lease has lapsed",
+                       "take a new lease and claim its keys anew");
+    }
+    if (result.reply->status != 200) {
+        return statusFailure(result.reply->status, false);
+    }
+    return success();
+}
+
+Result<void> judgeLeaseEnd(const net::HttpCallResult &result)
+{
+    if (!result.reply) {
+        return callFailure(result, false);
+    }
+    if (result.reply->status != 200 && result.reply->status != 404) {
+        return statusFailure(result.reply->status, false);
+    }
+    return success();
+}
+
 std::optional<StoreRevision> revisionOf(const net::HttpCallResult &result)
 {
     const auto header = result.reply ? result.reply->headers.find(revisionHeader) : std::nullopt;
@@ -157,10 +195,29 @@
 
 } // namespace
 
-// One read with its retries. take judges the answer; it completes the operation or returns the
-// error to retry on.
+// A read, or a lease's call that may be repeated like one, with its retries. take judges the
+// answer; it completes the operation or returns the error to retry on.
 struct StoreClient::Reading
 {
+    template<typename Value>
+    Reading(net::HttpCall readCall, TimePoint readDeadline,
+            Result<Value> (*judge)(const net::HttpCallResult &),
+            const std::function<void(Result<Value>)> &completion)
+        : call(std::move(readCall))
+        , deadline(readDeadline)
+        , take([judge, completion](const net::HttpCallResult &result) -> std::optional<Error> {
+            auto value = judge(result);
+            if (!value) {
+                return value.error();
+            }
+            completion(std::move(value));
+            return std::nullopt;
+        })
+        , giveUp([completion](const Error &error) {
+            completion(failure(error.kind, error.message, error.remedy));
+        })
+    {}
+
     net::HttpCall call;
     TimePoint deadline;
     // Answers older than this are refused.
@@ -311,40 +368,14 @@
 
 void StoreClient::get(const std::string &key, GetCompletion completion)
 {
-    auto reading = std::make_shared<Reading>();
-    reading->call = makeCall("GET", fmt::format("/v1/kv/{}", key));
-    reading->deadline = operationDeadline();
-    reading->take = [completion](const net::HttpCallResult &result) -> std::optional<Error> {
-        auto item = judgeItem(result);
-        if (!item) {
-            return item.error();
-        }
-        completion(std::move(item));
-        return std::nullopt;
-    };
-    reading->giveUp = [completion](Error error) {
-        completion(failure(error.kind, error.message, error.remedy));
-    };
-    read(std::move(reading));
+    read(std::make_shared<Reading>(makeCall("GET", fmt::format("/v1/kv/{}", key)),
+                                   operationDeadline(), judgeItem, std::move(completion)));
 }
 
 void StoreClient::list(const std::string &prefix, ListCompletion completion)
 {
-    auto reading = std::make_shared<Reading>();
-    reading->call = makeCall("GET", fmt::format("/v1/kv?prefix={}", prefix));
-    reading->deadline = operationDeadline();
-    reading->take = [completion](const net::HttpCallResult &result) -> std::optional<Error> {
-        auto listing = judgeListing(result);
-        if (!listing) {
-            return listing.error();
-        }
-        completion(std::move(listing));
-        return std::nullopt;
-    };
-    reading->giveUp = [completion](Error error) {
-        completion(failure(error.kind, error.message, error.remedy));
-    };
-    read(std::move(reading));
+    read(std::make_shared<Reading>(makeCall("GET", fmt::format("/v1/kv?prefix={}", prefix)),
+                                   operationDeadline(), judgeListing, std::move(completion)));
 }
 
 void StoreClient::watch(const std::string &prefix, StoreRevision after,
@@ -463,72 +494,22 @@
 
 void StoreClient::grantLease(std::chrono::milliseconds timeToLive, LeaseCompletion completion)
 {
-    auto reading = std::make_shared<Reading>();
-    reading->call = makeCall("POST", fmt::format("/v1/leases?ttlMs={}", timeToLive.count()));
-    reading->deadline = operationDeadline();
-    reading->take = [completion](const net::HttpCallResult &result) -> std::optional<Error> {
-        if (!result.reply) {
-            return Result<void>(callFailure(result, false)).error();
-        }
-        const auto body = json::parse(result.reply->body, nullptr, false);
-        if (result.reply->status != 200 || !body.is_object() || !body.contains("lease")) {
-            return Result<void>(statusFailure(result.reply->status, false)).error();
-        }
-        completion(body["lease"].get<std::string>());
-        return std::nullopt;
-    };
-    reading->giveUp = [completion](Error error) {
-        completion(failure(error.kind, error.message, error.remedy));
-    };
     // A grant whose answer is lost lapses unused, so it may be repeated.
-    read(std::move(reading));
+    read(std::make_shared<Reading>(
+            makeCall("POST", fmt::format("/v1/leases?ttlMs={}", timeToLive.count())),
+            operationDeadline(), judgeGrant, std::move(completion)));
 }
 
 void StoreClient::renewLease(const std::string &lease, DoneCompletion completion)
 {
-    auto reading = std::make_shared<Reading>();
-    reading->call = makeCall("POST", fmt::format("/v1/leases/{}/renew", lease));
-    reading->deadline = operationDeadline();
-    reading->take = [completion](const net::HttpCallResult &result) -> std::optional<Error> {
-        if (!result.reply) {
-            return Result<void>(callFailure(result, false)).error();
-        }
-        if (result.reply->status == 404) {
-            completion(failure(ErrorKind::NotFound, "the lease has lapsed",
-                               "take a new lease and claim its keys anew"));
-            return std::nullopt;
-        }
-        if (result.reply->status != 200) {
-            return Result<void>(statusFailure(result.reply->status, false)).error();
-        }
-        completion(success());
-        return std::nullopt;
-    };
-    reading->giveUp = [completion](Error error) {
-        completion(failure(error.kind, error.message, error.remedy));
-    };
-    read(std::move(reading));
+    read(std::make_shared<Reading>(makeCall("POST", fmt::format("/v1/leases/{}/renew", lease)),
+                                   operationDeadline(), judgeRenewal, std::move(completion)));
 }
 
 void StoreClient::endLease(const std::string &lease, DoneCompletion completion)
 {
-    auto reading = std::make_shared<Reading>();
-    reading->call = makeCall("DELETE", fmt::format("/v1/leases/{}", lease));
-    reading->deadline = operationDeadline();
-    reading->take = [completion](const net::HttpCallResult &result) -> std::optional<Error> {
-        if (!result.reply) {
-            return Result<void>(callFailure(result, false)).error();
-        }
-        if (result.reply->status != 200 && result.reply->status != 404) {
-            return Result<void>(statusFailure(result.reply->status, false)).error();
-        }
-        completion(success());
-        return std::nullopt;
-    };
-    reading->giveUp = [completion](Error error) {
-        completion(failure(error.kind, error.message, error.remedy));
-    };
-    read(std::move(reading));
+    read(std::make_shared<Reading>(makeCall("DELETE", fmt::format("/v1/leases/{}", lease)),
+                                   operationDeadline(), judgeLeaseEnd, std::move(completion)));
 }
 
 } // namespace cyclamenlatch::platform
