Judge the answers about workers' pools in one place

Cause: the pool controller took the records of a listing and of a watch by the same ten lines. Change: judgeRecords does it for both. Conclusion: behaviour is unchanged.

--- a/src/capacity/internal/poolcontroller.cpp
+++ b/src/capacity/internal/poolcontroller.cpp
@@ -71,16 +71,7 @@
 void PoolController::readRecords()
 {
     m_store.list(assignmentPrefix, [this](Result<platform::StoreListing> listing) {
-        asio::post(m_strand, [this, listing = std::move(listing)] {
-            if (m_stopped) {
-                return;
-            }
-            if (!listing) {
-                return retryRecords();
-            }
-            take(listing.value());
-            watchRecords();
-        });
+        asio::post(m_strand, [this, listing = std::move(listing)] { judgeRecords(listing); });
     });
 }
 
@@ -88,19 +79,23 @@
 {
     m_store.watch(assignmentPrefix, m_revision, watchWait,
                   [this](Result<platform::StoreListing> listing) {
-                      asio::post(m_strand, [this, listing = std::move(listing)] {
-                          if (m_stopped) {
-                              return;
-                          }
-                          if (!listing) {
-                              return retryRecords();
-                          }
-                          take(listing.value());
-                          watchRecords();
-                      });
+                      asio::post(m_strand,
+                                 [this, listing = std::move(listing)] { judgeRecords(listing); });
                   });
 }
 
+void PoolController::judgeRecords(const Result<platform::StoreListing> &listing)
+{
+    if (m_stopped) {
+        return;
+    }
+    if (!listing) {
+        return retryRecords();
+    }
+    take(listing.value());
+    watchRecords();
+}
+
 void PoolController::retryRecords()
 {
     m_recordsTimer.expires_after(watchRetryInterval);
--- a/src/capacity/poolcontroller.h
+++ b/src/capacity/poolcontroller.h
@@ -50,6 +50,7 @@
 
     void readRecords();
     void watchRecords();
+    void judgeRecords(const Result<platform::StoreListing> &listing);
     void retryRecords();
     void take(const platform::StoreListing &listing);
     void publish();
