Wait for an HTTP call in one place

Cause: nine places sent a call and waited on a promise on the waiter's stack, while the completion on the client's thread could still be returning from set_value when the waiter destroyed it. Conclusion: one copy; found by reading, no run had shown the race.

--- a/src/app/internal/jobcommand.cpp
+++ b/src/app/internal/jobcommand.cpp
@@ -1,13 +1,12 @@
 // "job submit|show|cancel": long-lived jobs through an entry's callers' interface.
 #include "app/commands.h"
 #include "app/internal/readfile.h"
-#include "net/httpclient.h"
+#include "net/sendandwait.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
-#include <future>
 #include <iostream>
 #include <string_view>
 
@@ -33,10 +32,7 @@
     call.headers.add("Authorization", "Bearer " + FLAGS_key);
     call.timeout = callTimeout;
     net::HttpClient http;
-    std::promise<net::HttpCallResult> promise;
-    http.send(std::move(call),
-              [&promise](net::HttpCallResult result) { promise.set_value(std::move(result)); });
-    const auto result = promise.get_future().get();
+    const auto result = net::sendAndWait(http, std::move(call));
     if (!result.reply) {
         std::cerr << "no answer from " << FLAGS_caller_url << ": " << result.failure << "\n";
         return exitFailure;
--- a/src/app/internal/operatorcall.cpp
+++ b/src/app/internal/operatorcall.cpp
@@ -1,13 +1,11 @@
 // Carries an operator's command to an entry over HTTP.
 #include "app/internal/operatorcall.h"
 
-#include "net/httpclient.h"
+#include "net/sendandwait.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
-#include <future>
-
 DEFINE_string(operator_url, "http://127.0.0.1:8201", "operator commands: an entry's operator port");
 DEFINE_string(operator_key, "", "operator commands: the operator's key");
 
@@ -49,12 +47,8 @@
     call.headers.add("Authorization", "Bearer " + FLAGS_operator_key);
     call.body = body.is_null() ? std::string() : body.dump();
     call.timeout = callTimeout;
-    std::promise<net::HttpCallResult> promise;
-    auto future = promise.get_future();
     net::HttpClient client;
-    client.send(std::move(call),
-                [&promise](net::HttpCallResult result) { promise.set_value(std::move(result)); });
-    return readAnswer(future.get());
+    return readAnswer(net::sendAndWait(client, std::move(call)));
 }
 
 } // namespace cyclamenlatch::app::detail
--- a/src/app/internal/operatorclient.cpp
+++ b/src/app/internal/operatorclient.cpp
@@ -2,13 +2,12 @@
 #include "app/internal/operatorclient.h"
 
 #include "app/commands.h"
-#include "net/httpclient.h"
+#include "net/sendandwait.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
 #include <cstdlib>
-#include <future>
 #include <iostream>
 
 DECLARE_string(operator_url);
@@ -57,11 +56,8 @@
     call.headers.add("Authorization", "Bearer " + operatorKey());
     call.body = body;
     call.timeout = answerTimeout;
-    std::promise<net::HttpCallResult> promise;
     net::HttpClient http;
-    http.send(std::move(call),
-              [&promise](net::HttpCallResult result) { promise.set_value(std::move(result)); });
-    auto result = promise.get_future().get();
+    auto result = net::sendAndWait(http, std::move(call));
     if (!result.reply) {
         const bool mayHaveHappened =
                 method != "GET" && result.sendState == net::SendState::MaybeSent;
--- a/src/app/internal/reportcommand.cpp
+++ b/src/app/internal/reportcommand.cpp
@@ -1,11 +1,10 @@
 // "report": fetches the burn report from an entry.
 #include "app/commands.h"
-#include "net/httpclient.h"
+#include "net/sendandwait.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
-#include <future>
 #include <iostream>
 
 DEFINE_string(entry, "http://127.0.0.1:8201", "report: an entry's operator address");
@@ -22,10 +21,7 @@
     call.headers.add("Authorization", "Bearer " + FLAGS_operator_key);
     call.timeout = std::chrono::seconds(10);
     net::HttpClient http;
-    std::promise<net::HttpCallResult> promise;
-    http.send(std::move(call),
-              [&promise](net::HttpCallResult result) { promise.set_value(std::move(result)); });
-    const auto result = promise.get_future().get();
+    const auto result = net::sendAndWait(http, std::move(call));
     if (!result.reply) {
         std::cerr << "no answer from " << FLAGS_entry << ": " << result.failure
                   << "; ask another entry\n";
--- a/tests/configuration/configurationprocesses_tests.cpp
+++ b/tests/configuration/configurationprocesses_tests.cpp
@@ -1,6 +1,7 @@
 // Configuration and keys with real processes: a platform, a minion and three entries in three
 // data centres. Waits are for events; the test's own time limit bounds them.
 #include "net/httpclient.h"
+#include "net/sendandwait.h"
 #include "tests/jobs/childprocess.h"
 
 #include <asio/io_context.hpp>
@@ -12,7 +13,6 @@
 #include <array>
 #include <fstream>
 #include <functional>
-#include <future>
 #include <memory>
 #include <thread>
 
@@ -67,11 +67,7 @@
         call.body = body;
         call.timeout = std::chrono::seconds(20);
         call.headers.add("Authorization", "Bearer " + key);
-        std::promise<net::HttpCallResult> promise;
-        m_http.send(std::move(call), [&promise](net::HttpCallResult result) {
-            promise.set_value(std::move(result));
-        });
-        const auto result = promise.get_future().get();
+        const auto result = net::sendAndWait(m_http, std::move(call));
         return result.reply ? Answer{result.reply->status, result.reply->body} : Answer{};
     }
 
--- a/tests/integration/processes.h
+++ b/tests/integration/processes.h
@@ -1,7 +1,7 @@
 // A platform, entries and one minion as real processes on loopback, and callers that flood them.
 #pragma once
 
-#include "net/httpclient.h"
+#include "net/sendandwait.h"
 #include "tests/jobs/childprocess.h"
 
 #include <fmt/format.h>
@@ -12,20 +12,11 @@
 #include <chrono>
 #include <fstream>
 #include <functional>
-#include <future>
 #include <memory>
 #include <thread>
 
 namespace cyclamenlatch::testing {
 
-inline net::HttpCallResult callAndWait(net::HttpClient &http, net::HttpCall call)
-{
-    std::promise<net::HttpCallResult> promise;
-    http.send(std::move(call),
-              [&promise](net::HttpCallResult result) { promise.set_value(std::move(result)); });
-    return promise.get_future().get();
-}
-
 // Entries e-0, e-1, ... in data centres of their own, with peer ports derived from the process id.
 class Processes
 {
@@ -76,7 +67,7 @@
     {
         net::HttpCall call;
         call.url = fmt::format("http://{}/ledger", m_minionAddress);
-        const auto result = callAndWait(m_http, std::move(call));
+        const auto result = net::sendAndWait(m_http, std::move(call));
         const auto ledger = nlohmann::json::parse(result.reply ? result.reply->body : "{}");
         const auto workspaces = ledger.value("workspaces", nlohmann::json::object());
         return workspaces.contains(workspace)
@@ -105,7 +96,7 @@
     {
         net::HttpCall call;
         call.url = url;
-        const auto result = callAndWait(m_http, std::move(call));
+        const auto result = net::sendAndWait(m_http, std::move(call));
         return result.reply ? result.reply->status : 0;
     }
 
@@ -130,7 +121,7 @@
   - {{name: w-1, dataCentre: dc-0, rack: r-1, pool: p, minion: "{}", slots: 64}}
 )",
                                 dataCentres, limit, m_minionAddress);
-        const auto result = callAndWait(m_http, std::move(call));
+        const auto result = net::sendAndWait(m_http, std::move(call));
         ASSERT_TRUE(result.reply);
         ASSERT_EQ(result.reply->status, 200);
     }
--- a/tests/integration/testfleet.cpp
+++ b/tests/integration/testfleet.cpp
@@ -1,5 +1,6 @@
 // Starts and orders the processes of a test fleet.
 #include "tests/integration/testfleet.h"
+#include "net/sendandwait.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -153,10 +154,7 @@
     request.url = url;
     request.body = body;
     request.timeout = callTimeout;
-    std::promise<net::HttpCallResult> promise;
-    m_http.send(std::move(request),
-                [&promise](net::HttpCallResult result) { promise.set_value(std::move(result)); });
-    return promise.get_future().get();
+    return net::sendAndWait(m_http, std::move(request));
 }
 
 json TestFleet::callForJson(const std::string &method, const std::string &url,
--- a/tests/jobs/jobprocesses_tests.cpp
+++ b/tests/jobs/jobprocesses_tests.cpp
@@ -1,5 +1,6 @@
 // Jobs with real processes: a platform and two entries. The platform's ledger judges.
 #include "net/httpclient.h"
+#include "net/sendandwait.h"
 #include "tests/jobs/childprocess.h"
 
 #include <fmt/format.h>
@@ -9,7 +10,6 @@
 #include <chrono>
 #include <fstream>
 #include <functional>
-#include <future>
 #include <memory>
 #include <thread>
 
@@ -41,11 +41,7 @@
         if (!idempotencyKey.empty()) {
             call.headers.add("Idempotency-Key", idempotencyKey);
         }
-        std::promise<net::HttpCallResult> promise;
-        m_http.send(std::move(call), [&promise](net::HttpCallResult result) {
-            promise.set_value(std::move(result));
-        });
-        return promise.get_future().get();
+        return net::sendAndWait(m_http, std::move(call));
     }
 
     static json bodyOf(const net::HttpCallResult &result)
--- a/tests/report/reportprocesses_tests.cpp
+++ b/tests/report/reportprocesses_tests.cpp
@@ -1,5 +1,6 @@
 // The report of a running entry counts what its callers were answered.
 #include "net/httpclient.h"
+#include "net/sendandwait.h"
 #include "tests/jobs/childprocess.h"
 
 #include <asio/io_context.hpp>
@@ -9,7 +10,6 @@
 
 #include <chrono>
 #include <fstream>
-#include <future>
 #include <memory>
 #include <thread>
 
@@ -28,10 +28,7 @@
     call.body = body;
     call.timeout = std::chrono::seconds(10);
     call.headers.add("Authorization", "Bearer " + key);
-    std::promise<net::HttpCallResult> promise;
-    http.send(std::move(call),
-              [&promise](net::HttpCallResult result) { promise.set_value(std::move(result)); });
-    return promise.get_future().get();
+    return net::sendAndWait(http, std::move(call));
 }
 
 // A port that was free a moment ago.
