Make the stand-ins' JSON replies in one place

Cause: four stand-ins had the same jsonReply and the fault proxy a fifth without a content type. Change: standins/jsonreply.h. Conclusion: the fault proxy's orders are now answered with a content type too.

--- a/standins/faultproxy/main.cpp
+++ b/standins/faultproxy/main.cpp
@@ -7,6 +7,7 @@
 // A link's listening port may be 0; GET /links tells which one it got.
 #include "standins/faultproxy/tcplink.h"
 #include "standins/faultproxy/udplink.h"
+#include "standins/jsonreply.h"
 #include "standins/runserver.h"
 
 #include <gflags/gflags.h>
@@ -92,7 +93,7 @@
             return describe();
         }
         if (fields.size() < 3 || fields[1] != "links" || !m_links.contains(fields[2])) {
-            return makeReply(404, {{"error", "no such link"}});
+            return jsonReply(404, {{"error", "no such link"}});
         }
         auto &link = m_links.at(fields[2]);
         if (fields.size() == 4) {
@@ -100,44 +101,36 @@
         }
         const auto order = json::parse(request.body, nullptr, false);
         if (!order.is_object()) {
-            return makeReply(400, {{"error", "send a JSON object"}});
+            return jsonReply(400, {{"error", "send a JSON object"}});
         }
         std::visit([&order](auto &one) { setFaults(one->faults(), order); }, link);
-        return makeReply(200, json::object());
+        return jsonReply(200, json::object());
     }
 
 private:
-    static net::HttpReply makeReply(int status, const json &body)
-    {
-        net::HttpReply reply;
-        reply.status = status;
-        reply.body = body.dump();
-        return reply;
-    }
-
     net::HttpReply describe()
     {
         json links = json::object();
         for (auto &[name, link] : m_links) {
             links[name] = std::visit([](auto &one) { return one->port(); }, link);
         }
-        return makeReply(200, links);
+        return jsonReply(200, links);
     }
 
     static net::HttpReply act(Link &link, const std::string &action)
     {
         auto *tcp = std::get_if<std::unique_ptr<TcpLink>>(&link);
         if (tcp == nullptr) {
-            return makeReply(400, {{"error", "only TCP links have connections"}});
+            return jsonReply(400, {{"error", "only TCP links have connections"}});
         }
         if (action == "silence") {
             (*tcp)->silenceOpenConnections();
         } else if (action == "reset") {
             (*tcp)->resetOpenConnections();
         } else {
-            return makeReply(404, {{"error", "use silence or reset"}});
+            return jsonReply(404, {{"error", "use silence or reset"}});
         }
-        return makeReply(200, {{"connections", (*tcp)->openConnections()}});
+        return jsonReply(200, {{"connections", (*tcp)->openConnections()}});
     }
 
     std::map<std::string, Link> m_links;
--- a/standins/minion/minionserver.cpp
+++ b/standins/minion/minionserver.cpp
@@ -1,6 +1,7 @@
 // Runs work by waiting, and answers with the work's nonce and workspace.
 #include "standins/minion/minionserver.h"
 
+#include "standins/jsonreply.h"
 #include "standins/queryfields.h"
 
 #include <asio/steady_timer.hpp>
@@ -16,15 +17,6 @@
 
 using nlohmann::json;
 
-net::HttpReply jsonReply(int status, const json &body)
-{
-    net::HttpReply reply;
-    reply.status = status;
-    reply.headers.add("Content-Type", "application/json");
-    reply.body = body.dump();
-    return reply;
-}
-
 } // namespace
 
 MinionServer::MinionServer(asio::io_context &context, std::string name)
--- a/standins/platform/hostserver.cpp
+++ b/standins/platform/hostserver.cpp
@@ -1,6 +1,7 @@
 // Answers the hosts' part of the platform's protocol and tells minions to go down and come back.
 #include "standins/platform/hostserver.h"
 
+#include "standins/jsonreply.h"
 #include "standins/queryfields.h"
 
 #include <nlohmann/json.hpp>
@@ -19,15 +20,6 @@
 constexpr std::string_view controlPath = "/control/hosts";
 constexpr std::string_view rebootSuffix = "/reboot";
 
-net::HttpReply jsonReply(int status, const json &body)
-{
-    net::HttpReply reply;
-    reply.status = status;
-    reply.headers.add("Content-Type", "application/json");
-    reply.body = body.dump();
-    return reply;
-}
-
 json hostsJson(const std::vector<Host> &hosts)
 {
     json values = json::array();
--- a/standins/platform/platformserver.cpp
+++ b/standins/platform/platformserver.cpp
@@ -1,6 +1,7 @@
 // Answers the store's HTTP protocol (docs/platform-protocol.md) from the state machine.
 #include "standins/platform/platformserver.h"
 
+#include "standins/jsonreply.h"
 #include "standins/queryfields.h"
 
 #include <nlohmann/json.hpp>
@@ -19,15 +20,6 @@
 constexpr std::string_view keyPrefix = "/v1/kv/";
 constexpr std::string_view leasePrefix = "/v1/leases";
 
-net::HttpReply jsonReply(int status, const json &body)
-{
-    net::HttpReply reply;
-    reply.status = status;
-    reply.headers.add("Content-Type", "application/json");
-    reply.body = body.dump();
-    return reply;
-}
-
 json itemJson(const platform::StoreItem &item)
 {
     json value{{"key", item.key}, {"value", item.value}, {"revision", item.revision}};
--- a/standins/platform/taskserver.cpp
+++ b/standins/platform/taskserver.cpp
@@ -2,6 +2,7 @@
 #include "standins/platform/taskserver.h"
 
 #include "platform/base64.h"
+#include "standins/jsonreply.h"
 #include "standins/queryfields.h"
 
 #include <nlohmann/json.hpp>
@@ -17,15 +18,6 @@
 
 constexpr std::string_view taskPrefix = "/v1/tasks/";
 
-net::HttpReply jsonReply(int status, const json &body)
-{
-    net::HttpReply reply;
-    reply.status = status;
-    reply.headers.add("Content-Type", "application/json");
-    reply.body = body.dump();
-    return reply;
-}
-
 json statusJson(const platform::TaskStatus &status)
 {
     return {{"id", status.id},
