Compute quantiles in one place

Cause: the load command and three benches each had the same quantile. Change: global/quantile.h. Conclusion: the same values; spread's no longer reads past an empty list.

--- a/bench/jobs/main.cpp
+++ b/bench/jobs/main.cpp
@@ -3,6 +3,7 @@
 // one planning pass takes. Each step of the entry costs the virtual time that it would take:
 // store writes, task calls, and the gap between passes.
 #include "bench/jobs/fleetshape.h"
+#include "global/quantile.h"
 #include "jobs/jobbook.h"
 #include "quota/quotatable.h"
 #include "standins/platform/storemodel.h"
@@ -11,7 +12,6 @@
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <iostream>
 #include <map>
 #include <vector>
@@ -56,15 +56,6 @@
               << std::endl;
 }
 
-double quantile(std::vector<double> values, double fraction)
-{
-    if (values.empty()) {
-        return 0;
-    }
-    std::sort(values.begin(), values.end());
-    return values[static_cast<std::size_t>(fraction * static_cast<double>(values.size() - 1))];
-}
-
 // One leading entry with store and platform, stepped by the virtual clock.
 class VirtualFleet
 {
--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -7,6 +7,7 @@
 #include "callerapi/callerapi.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/outcomeservice.h"
+#include "global/quantile.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/workerthreads.h"
--- a/bench/share.cpp
+++ b/bench/share.cpp
@@ -3,6 +3,7 @@
 #include "bench/figure.h"
 #include "bench/schedulersimulation.h"
 #include "bench/simulatedfleet.h"
+#include "global/quantile.h"
 
 #include <gflags/gflags.h>
 
--- a/bench/simulatedfleet.h
+++ b/bench/simulatedfleet.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "fleet/fleetdocument.h"
+#include "global/quantile.h"
 #include "global/random.h"
 #include "global/time.h"
 
-#include <algorithm>
 #include <cmath>
 #include <cstddef>
 #include <string>
@@ -45,15 +45,4 @@
             std::chrono::duration<double>(toSeconds(mean) * factor));
 }
 
-inline double quantile(std::vector<double> values, double fraction)
-{
-    if (values.empty()) {
-        return 0;
-    }
-    const auto index = static_cast<std::size_t>(fraction * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index),
-                     values.end());
-    return values[index];
-}
-
 } // namespace cyclamenlatch::bench
--- a/bench/spread.cpp
+++ b/bench/spread.cpp
@@ -2,11 +2,10 @@
 // alone.
 #include "bench/configcluster.h"
 #include "bench/figure.h"
+#include "global/quantile.h"
 
 #include <gflags/gflags.h>
 
-#include <algorithm>
-
 DEFINE_int32(changes, 20, "changes of the fleet document to measure at each number of entries");
 DEFINE_int32(workers, 50, "workers in the fleet document");
 
@@ -32,12 +31,6 @@
     return document;
 }
 
-double quantile(std::vector<double> values, double share)
-{
-    std::sort(values.begin(), values.end());
-    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-}
-
 void measure(unsigned entries)
 {
     bench::ConfigCluster cluster(entries);
--- a/src/app/internal/loadcommand.cpp
+++ b/src/app/internal/loadcommand.cpp
@@ -1,12 +1,12 @@
 // "load": sends requests at a given rate, whatever the answers, and checks every answer.
 #include "app/commands.h"
+#include "global/quantile.h"
 #include "net/httpclient.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <condition_variable>
 #include <iostream>
 #include <map>
@@ -53,17 +53,6 @@
     return parts;
 }
 
-double quantile(std::vector<double> values, double fraction)
-{
-    if (values.empty()) {
-        return 0;
-    }
-    const auto index = static_cast<std::size_t>(fraction * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index),
-                     values.end());
-    return values[index];
-}
-
 // Sends requests and waits for their ends. Lock order: m_mutex is the only lock.
 class LoadRun
 {
