--- a/bench/burst.cpp
+++ b/bench/burst.cpp
@@ -42,11 +42,7 @@
         }
     }
     simulation.runUntil(length + 10 * timeout);
-    double good = 0;
-    for (const auto &end : simulation.ends()) {
-        good += end.inDeadline ? 1 : 0;
-    }
-    return good / static_cast<double>(simulation.requestCount());
+    return simulation.shareInDeadline();
 }
 
 } // namespace
--- a/bench/faulty.cpp
+++ b/bench/faulty.cpp
@@ -34,11 +34,7 @@
                                  exponential(meanWork, random), timeout});
     }
     simulation.runUntil(length + 2 * timeout);
-    double good = 0;
-    for (const auto &end : simulation.ends()) {
-        good += end.inDeadline ? 1 : 0;
-    }
-    return good / static_cast<double>(simulation.requestCount());
+    return simulation.shareInDeadline();
 }
 
 } // namespace
--- a/bench/schedulersimulation.cpp
+++ b/bench/schedulersimulation.cpp
@@ -263,4 +263,11 @@
     });
 }
 
+double SchedulerSimulation::shareInDeadline() const
+{
+    const auto good = std::count_if(m_ends.begin(), m_ends.end(),
+                                    [](const SimulatedEnd &end) { return end.inDeadline; });
+    return static_cast<double>(good) / static_cast<double>(m_requests.size());
+}
+
 } // namespace cyclamenlatch::bench
--- a/bench/schedulersimulation.h
+++ b/bench/schedulersimulation.h
@@ -59,6 +59,8 @@
     void runUntil(Duration time);
 
     const std::vector<SimulatedEnd> &ends() const { return m_ends; }
+    // Share of the requests that were answered in their deadline.
+    double shareInDeadline() const;
     const SimulatedRequest &request(std::size_t index) const { return m_requests[index]; }
     std::size_t requestCount() const { return m_requests.size(); }
     std::uint64_t calls() const { return m_calls; }
