Find a request's key by the document's index in the burn report's watch

Cause: each request scanned every key of the fleet document, beside FleetDocument::findKey. Change: findKey. Conclusion: the hot path no longer grows with the number of keys; not measured.

--- a/src/app/internal/outcomewatch.cpp
+++ b/src/app/internal/outcomewatch.cpp
@@ -4,7 +4,6 @@
 #include "admission/keysecret.h"
 #include "net/bearertoken.h"
 
-#include <algorithm>
 #include <optional>
 #include <string_view>
 
@@ -28,11 +27,8 @@
     }
     report::BurnKey key{queue->service, {}};
     const auto secret = admission::parseKey(net::bearerToken(request.headers));
-    const auto known =
-            std::find_if(fleet.keys.begin(), fleet.keys.end(), [&secret](const fleet::Key &item) {
-                return secret && item.id == secret->id;
-            });
-    if (known != fleet.keys.end()) {
+    const auto *known = secret ? fleet.findKey(secret->id) : nullptr;
+    if (known != nullptr) {
         key.workspace = known->workspace;
     }
     return key;
