Remove functions that nothing calls

Cause: findDataCentre with its index, liveIn, abandonWrite and newestRevision had no caller. Change: they are gone.

--- a/src/fleet/fleetdocument.h
+++ b/src/fleet/fleetdocument.h
@@ -48,7 +48,6 @@
 
     const Pool *findPool(const PoolId &id) const;
     const Key *findKey(const KeyId &id) const;
-    const DataCentre *findDataCentre(const DataCentreId &id) const;
     const Queue *findQueue(const QueueId &id) const;
     const Service *findService(const ServiceId &id) const;
     const Workspace *findWorkspace(const WorkspaceId &id) const;
--- a/src/fleet/internal/fleetdocument.cpp
+++ b/src/fleet/internal/fleetdocument.cpp
@@ -13,7 +13,6 @@
 
 struct FleetIndex
 {
-    Positions<DataCentreId> dataCentres;
     Positions<PoolId> pools;
     Positions<WorkerId> workers;
     Positions<ServiceId> services;
@@ -57,7 +56,6 @@
 void FleetDocument::buildIndex()
 {
     auto index = std::make_shared<detail::FleetIndex>();
-    indexItems(dataCentres, index->dataCentres);
     indexItems(pools, index->pools);
     indexItems(workers, index->workers);
     indexItems(services, index->services);
@@ -67,11 +65,6 @@
     indexHolder.index = std::move(index);
 }
 
-const DataCentre *FleetDocument::findDataCentre(const DataCentreId &id) const
-{
-    return findById(dataCentres, id, indexHolder.index.get(), &detail::FleetIndex::dataCentres);
-}
-
 const Pool *FleetDocument::findPool(const PoolId &id) const
 {
     return findById(pools, id, indexHolder.index.get(), &detail::FleetIndex::pools);
--- a/src/jobs/internal/jobbook.cpp
+++ b/src/jobs/internal/jobbook.cpp
@@ -167,12 +167,6 @@
     noteRecord(record, revision);
 }
 
-void JobBook::abandonWrite(const JobId &id)
-{
-    m_pending.erase(id);
-    settleUnit(id);
-}
-
 void JobBook::resolveWrite(const JobId &id, const std::optional<JobRecord> &stored,
                            platform::StoreRevision revision)
 {
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -38,8 +38,6 @@
     // no unit; the write must not be made then.
     bool beginWrite(const JobWrite &write, WallTime now);
     void endWrite(const JobId &id, platform::StoreRevision revision);
-    // The write certainly had no effect.
-    void abandonWrite(const JobId &id);
     // Another value is stored; it may be this very write's if an earlier answer was lost.
     void resolveWrite(const JobId &id, const std::optional<JobRecord> &stored,
                       platform::StoreRevision revision);
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -63,15 +63,6 @@
     return m_table ? m_table->live(steadyNow()) : std::vector<Member>();
 }
 
-std::vector<Member> Membership::liveIn(const DataCentreId &dataCentre) const
-{
-    auto members = live();
-    std::erase_if(members, [&dataCentre](const Member &member) {
-        return member.address.dataCentre != dataCentre;
-    });
-    return members;
-}
-
 void Membership::addSeeds(const std::vector<PeerAddress> &seeds)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -34,7 +34,6 @@
 
     // Other entries that are alive as far as this one knows, leaving ones left out.
     std::vector<Member> live() const;
-    std::vector<Member> liveIn(const DataCentreId &dataCentre) const;
     // Addresses from the platform's list, which may lag.
     void addSeeds(const std::vector<PeerAddress> &seeds);
 
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -62,8 +62,6 @@
     void setSharers(unsigned count);
     // Time of the last answer from a store that was up; nothing before the first one.
     std::optional<TimePoint> lastContact() const;
-    // Newest store revision seen.
-    StoreRevision newestRevision() const { return m_newestRevision; }
     // Calls made since start, waiting watches included.
     std::uint64_t calls() const { return m_calls; }
     // Failed operations end at once from now on.
@@ -95,6 +93,7 @@
     net::HttpClient &m_http;
     const StoreClientSettings m_settings;
     std::atomic<bool> m_stopping = false;
+    // Newest store revision seen.
     std::atomic<StoreRevision> m_newestRevision = 0;
     std::atomic<std::uint64_t> m_calls = 0;
     mutable std::mutex m_mutex;
