Let the HTTP server and client speak TLS

The operator interface could only be reached in plain HTTP. HttpServerSettings takes a certificate and a key file; plain and TLS servers share one template over RESTinio's traits. HttpCall takes a file of certificates to trust.

--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -25,6 +25,8 @@
     std::optional<HttpHeader> requiredEcho;
     // Uses a new connection and closes it afterwards.
     bool freshConnection = false;
+    // PEM file of the certificates that an https server's must be signed by; empty: the system's.
+    std::string caFile;
     // Names the call for HttpClient::cancel; 0 for none.
     std::uint64_t cancelKey = 0;
 };
--- a/src/net/httpserversettings.h
+++ b/src/net/httpserversettings.h
@@ -1,9 +1,12 @@
 // Where an HTTP server listens and what it accepts.
 #pragma once
 
+#include "net/tlssettings.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace cyclamenlatch::net {
@@ -19,6 +22,8 @@
     std::chrono::seconds readTimeout{30};
     std::chrono::seconds handleTimeout{600};
     std::size_t maxConnections = 4096;
+    // Without it the server speaks plain HTTP.
+    std::optional<TlsSettings> tls;
 };
 
 } // namespace cyclamenlatch::net
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -289,6 +289,9 @@
         const auto &call = transfer.call;
         curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        if (!call.caFile.empty()) {
+            curl_easy_setopt(easy, CURLOPT_CAINFO, call.caFile.c_str());
+        }
         curl_easy_setopt(easy, CURLOPT_PROXY, "");
         curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -2,12 +2,16 @@
 #include "net/httpserver.h"
 
 #include "net/internal/connectionwatches.h"
+#include "net/internal/tlsreload.h"
 
 #include <fmt/format.h>
 #include <restinio/all.hpp>
+#include <restinio/tls.hpp>
 
 #include <atomic>
+#include <type_traits>
 #include <utility>
+#include <variant>
 
 namespace cyclamenlatch::net {
 
@@ -36,7 +40,8 @@
     detail::ConnectionWatches &m_watches;
 };
 
-struct ServerTraits : restinio::default_traits_t
+template<typename Transport>
+struct ServerTraits : Transport
 {
     // NOLINTBEGIN(readability-identifier-naming): RESTinio looks for these names.
     using request_handler_t =
@@ -46,7 +51,12 @@
     // NOLINTEND(readability-identifier-naming)
 };
 
-using Server = restinio::http_server_t<ServerTraits>;
+using PlainTraits = ServerTraits<restinio::default_traits_t>;
+using TlsTraits = ServerTraits<restinio::default_tls_traits_t>;
+template<typename Traits>
+using ServerPointer = std::unique_ptr<restinio::http_server_t<Traits>>;
+using AnyServer =
+        std::variant<std::monostate, ServerPointer<PlainTraits>, ServerPointer<TlsTraits>>;
 
 HttpRequest convertRequest(const restinio::request_handle_t &handle)
 {
@@ -127,16 +137,16 @@
 
     Result<void> start()
     {
-        try {
-            m_server = std::make_unique<Server>(restinio::external_io_context(m_context),
-                                                makeSettings());
-            m_server->open_sync();
-        } catch (const std::exception &error) {
-            return failure(ErrorKind::Unavailable,
-                           fmt::format("cannot listen on {}:{}: {}", m_settings.address,
-                                       m_settings.port, error.what()),
-                           "choose an address of this host and a free port in the settings");
+        if (!m_settings.tls) {
+            return open(makeSettings<PlainTraits>());
         }
+        BOOST_OUTCOME_TRY(identity, detail::TlsIdentity::load(*m_settings.tls));
+        auto settings = makeSettings<TlsTraits>();
+        settings.tls_context(identity->context());
+        BOOST_OUTCOME_TRY(open(std::move(settings)));
+        m_reload = std::make_shared<detail::TlsReload>(m_context, std::move(identity),
+                                                       m_settings.tls->reloadInterval);
+        m_reload->start();
         return success();
     }
 
@@ -145,16 +155,40 @@
 
     void stop()
     {
-        if (!m_server) {
-            return;
+        if (m_reload) {
+            m_reload->stop();
         }
-        m_server->close_sync();
+        std::visit(
+                [](auto &server) {
+                    if constexpr (!std::is_same_v<std::decay_t<decltype(server)>, std::monostate>) {
+                        server->close_sync();
+                    }
+                },
+                m_server);
     }
 
 private:
-    restinio::server_settings_t<ServerTraits> makeSettings()
+    template<typename Traits>
+    Result<void> open(restinio::server_settings_t<Traits> settings)
+    {
+        try {
+            auto &server = m_server.emplace<ServerPointer<Traits>>(
+                    std::make_unique<restinio::http_server_t<Traits>>(
+                            restinio::external_io_context(m_context), std::move(settings)));
+            server->open_sync();
+        } catch (const std::exception &error) {
+            return failure(ErrorKind::Unavailable,
+                           fmt::format("cannot listen on {}:{}: {}", m_settings.address,
+                                       m_settings.port, error.what()),
+                           "choose an address of this host and a free port in the settings");
+        }
+        return success();
+    }
+
+    template<typename Traits>
+    restinio::server_settings_t<Traits> makeSettings()
     {
-        restinio::server_settings_t<ServerTraits> settings;
+        restinio::server_settings_t<Traits> settings;
         settings.address(m_settings.address)
                 .port(m_settings.port)
                 .read_next_http_message_timelimit(m_settings.readTimeout)
@@ -193,7 +227,9 @@
     HttpHandler m_handler;
     detail::ConnectionWatches m_watches;
     std::atomic<std::size_t> m_openRequests = 0;
-    std::unique_ptr<Server> m_server;
+    AnyServer m_server;
+    // Absent for plain HTTP.
+    std::shared_ptr<detail::TlsReload> m_reload;
     std::uint16_t m_port = 0;
 };
 
