Ask the operator interface in one way, over TLS if the settings say so

"operators.tls" in an entry's settings names the certificate and key files; "check" and the start refuse a pair that can't be read or doesn't fit.

--- a/src/app/entrysettings.h
+++ b/src/app/entrysettings.h
@@ -4,6 +4,7 @@
 #include "fleet/mistake.h"
 #include "global/ids.h"
 #include "membership/peerbus.h"
+#include "net/tlssettings.h"
 #include "operatorapi/operatorkey.h"
 
 #include <chrono>
@@ -25,6 +26,8 @@
 {
     ListenAddress listen;
     std::vector<operatorapi::OperatorKey> keys;
+    // Without it the interface speaks plain HTTP.
+    std::optional<net::TlsSettings> tls;
 };
 
 struct EntrySettings
--- a/src/app/internal/checkcommand.cpp
+++ b/src/app/internal/checkcommand.cpp
@@ -16,10 +16,23 @@
     return text.starts_with("entry:") || text.find("\nentry:") != std::string::npos;
 }
 
+std::vector<fleet::Mistake> mistakesInSettings(const std::string &text)
+{
+    auto reading = readEntrySettings(text);
+    const auto &operators = reading.settings.operators;
+    if (!reading.mistakes.empty() || !operators || !operators->tls) {
+        return reading.mistakes;
+    }
+    const auto files = net::checkTlsFiles(*operators->tls);
+    if (!files) {
+        reading.mistakes.push_back({0, files.error().message, files.error().remedy});
+    }
+    return reading.mistakes;
+}
+
 std::vector<fleet::Mistake> mistakesIn(const std::string &text)
 {
-    return looksLikeSettings(text) ? readEntrySettings(text).mistakes
-                                   : fleet::readFleet(text).mistakes;
+    return looksLikeSettings(text) ? mistakesInSettings(text) : fleet::readFleet(text).mistakes;
 }
 
 } // namespace
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -33,6 +33,7 @@
     net::HttpServerSettings server;
     server.address = settings.listen.address;
     server.port = settings.listen.port;
+    server.tls = settings.tls;
     return server;
 }
 
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -84,6 +84,21 @@
     return key;
 }
 
+std::optional<net::TlsSettings> readTls(fleet::YamlReader &parent,
+                                        std::vector<fleet::Mistake> &mistakes)
+{
+    const auto node = parent.child("tls");
+    if (!node.IsDefined()) {
+        return std::nullopt;
+    }
+    net::TlsSettings tls;
+    fleet::YamlReader reader(node, "operators.tls", mistakes);
+    tls.certificateFile = reader.requiredText("certificateFile");
+    tls.keyFile = reader.requiredText("keyFile");
+    reader.refuseUnknownFields();
+    return tls;
+}
+
 std::optional<OperatorSettings> readOperators(fleet::YamlReader &parent,
                                               std::vector<fleet::Mistake> &mistakes)
 {
@@ -95,6 +110,7 @@
     fleet::YamlReader reader(node, "operators", mistakes);
     operators.listen.address = reader.requiredText("address");
     operators.listen.port = static_cast<std::uint16_t>(reader.count("port", 0, 0, maxPort));
+    operators.tls = readTls(reader, mistakes);
     const auto keys = reader.child("keys");
     for (std::size_t index = 0; keys.IsDefined() && index < keys.size(); ++index) {
         operators.keys.push_back(readOperatorKey(keys[index], index, mistakes));
--- a/src/app/internal/operatorclient.cpp
+++ b/src/app/internal/operatorclient.cpp
@@ -10,8 +10,13 @@
 #include <cstdlib>
 #include <iostream>
 
-DECLARE_string(operator_url);
-DECLARE_string(operator_key);
+DEFINE_string(operator_url, "http://127.0.0.1:8201",
+              "operator commands: an entry's operator port; https:// when its settings have tls");
+DEFINE_string(operator_key, "",
+              "operator commands: the operator's key; default: $CYCLAMENLATCH_OPERATOR_KEY");
+DEFINE_string(ca_file, "",
+              "operator commands: PEM file with the certificates that sign the entries'; default: "
+              "the system's");
 DECLARE_string(output);
 
 namespace cyclamenlatch::app::detail {
@@ -20,8 +25,6 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds answerTimeout{30000};
-
 std::string operatorKey()
 {
     const char *fromEnvironment = std::getenv("CYCLAMENLATCH_OPERATOR_KEY");
@@ -31,6 +34,15 @@
     return fromEnvironment;
 }
 
+std::string unreachedRemedy()
+{
+    return FLAGS_operator_url.starts_with("https:")
+                   ? "name a running entry with --operator_url, and with --ca_file the "
+                     "certificates that sign its own"
+                   : "name a running entry with --operator_url; https:// when its settings have "
+                     "\"tls\"";
+}
+
 void printError(const json &body)
 {
     std::cerr << body.value("message", "the entry gave no reason") << "; "
@@ -47,28 +59,35 @@
 
 } // namespace
 
-Result<OperatorAnswer> askEntry(const std::string &method, const std::string &path,
-                                const std::string &body)
+Result<net::HttpReply> fetchFromEntry(const std::string &method, const std::string &path,
+                                      const std::string &body)
 {
     net::HttpCall call;
     call.method = method;
     call.url = FLAGS_operator_url + path;
     call.headers.add("Authorization", "Bearer " + operatorKey());
     call.body = body;
+    call.caFile = FLAGS_ca_file;
     call.timeout = answerTimeout;
     net::HttpClient http;
     auto result = net::sendAndWait(http, std::move(call));
-    if (!result.reply) {
-        const bool mayHaveHappened =
-                method != "GET" && result.sendState == net::SendState::MaybeSent;
-        return failure(mayHaveHappened ? ErrorKind::Unknown : ErrorKind::Unavailable,
-                       fmt::format("no answer from {}: {}", FLAGS_operator_url, result.failure),
-                       mayHaveHappened ? "look with \"get\" or \"status\" whether it took effect"
-                                       : "name a running entry with --operator_url");
+    if (result.reply) {
+        return std::move(*result.reply);
     }
+    const bool mayHaveHappened = method != "GET" && result.sendState == net::SendState::MaybeSent;
+    return failure(mayHaveHappened ? ErrorKind::Unknown : ErrorKind::Unavailable,
+                   fmt::format("no answer from {}: {}", FLAGS_operator_url, result.failure),
+                   mayHaveHappened ? "look with \"get\" or a \"status\" whether it took effect"
+                                   : unreachedRemedy());
+}
+
+Result<OperatorAnswer> askEntry(const std::string &method, const std::string &path,
+                                const std::string &body)
+{
+    BOOST_OUTCOME_TRY(reply, fetchFromEntry(method, path, body));
     OperatorAnswer answer;
-    answer.status = result.reply->status;
-    answer.body = json::parse(result.reply->body, nullptr, false);
+    answer.status = reply.status;
+    answer.body = json::parse(reply.body, nullptr, false);
     if (!answer.body.is_object()) {
         return failure(ErrorKind::Internal, "the answer is not the operator interface's",
                        "check that --operator_url names the port of \"operators\" in the settings");
--- a/src/app/internal/operatorclient.h
+++ b/src/app/internal/operatorclient.h
@@ -2,13 +2,18 @@
 #pragma once
 
 #include "global/result.h"
+#include "net/httpreply.h"
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <string>
 
 namespace cyclamenlatch::app::detail {
 
+// Longest wait of an operator's command for its answer.
+inline constexpr std::chrono::milliseconds answerTimeout{30000};
+
 struct OperatorAnswer
 {
     int status = 0;
@@ -17,7 +22,12 @@
     bool isSuccess() const { return status == 200; }
 };
 
-// Uses the flags --operator_url and --operator_key, or $CYCLAMENLATCH_OPERATOR_KEY.
+// Every command asks in this one way: the entry of --operator_url, the key of --operator_key or
+// else of $CYCLAMENLATCH_OPERATOR_KEY, the certificates of --ca_file, and answerTimeout. A failure
+// tells whether the command may have taken effect.
+Result<net::HttpReply> fetchFromEntry(const std::string &method, const std::string &path,
+                                      const std::string &body = {});
+// The same for answers in JSON.
 Result<OperatorAnswer> askEntry(const std::string &method, const std::string &path,
                                 const std::string &body = {});
 
--- a/src/app/internal/wavecommand.cpp
+++ b/src/app/internal/wavecommand.cpp
@@ -1,6 +1,6 @@
 // "wave": plans, starts, pauses, resumes and shows maintenance waves.
 #include "app/commands.h"
-#include "app/internal/operatorcall.h"
+#include "app/internal/operatorclient.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -62,24 +62,22 @@
     }
 }
 
-int printAnswer(const Result<json> &answer)
+int printAnswer(const Result<detail::OperatorAnswer> &answer)
 {
-    if (!answer) {
-        std::cerr << answer.error().toString() << "\n";
-        return exitFailure;
+    bool toShow = false;
+    const int status = detail::finishAnswer(answer, toShow);
+    if (!toShow) {
+        return status;
     }
-    if (FLAGS_output == "json") {
-        std::cout << answer.value().dump() << "\n";
-        return exitSuccess;
+    const auto &body = answer.value().body;
+    if (!body.contains("waves")) {
+        printProgress(body);
+        return status;
     }
-    if (!answer.value().contains("waves")) {
-        printProgress(answer.value());
-        return exitSuccess;
-    }
-    for (const auto &wave : answer.value().at("waves")) {
+    for (const auto &wave : body.at("waves")) {
         printProgress(wave);
     }
-    return exitSuccess;
+    return status;
 }
 
 } // namespace
@@ -90,14 +88,14 @@
     const std::string wave = argc > 3 ? argv[3] : "";
     if (verb == "status") {
         const auto path = wave.empty() ? "/v1/waves" : "/v1/waves/" + wave;
-        return printAnswer(detail::callOperator("GET", path, nullptr));
+        return printAnswer(detail::askEntry("GET", path));
     }
     const bool known = verb == "plan" || verb == "start" || verb == "pause" || verb == "resume";
     if (!known || wave.empty()) {
         std::cerr << waveUsage;
         return exitUsage;
     }
-    return printAnswer(detail::callOperator("POST", "/v1/waves/" + verb, commandBody(wave)));
+    return printAnswer(detail::askEntry("POST", "/v1/waves/" + verb, commandBody(wave).dump()));
 }
 
 } // namespace cyclamenlatch::app
--- a/src/app/internal/workercommand.cpp
+++ b/src/app/internal/workercommand.cpp
@@ -1,6 +1,6 @@
 // "worker": lists workers with their pools and moves them.
 #include "app/commands.h"
-#include "app/internal/operatorcall.h"
+#include "app/internal/operatorclient.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -28,22 +28,22 @@
                              worker.value("setBy", ""), worker.value("revision", 0UL));
 }
 
-int printAnswer(const Result<json> &answer)
+int printAnswer(const Result<detail::OperatorAnswer> &answer)
 {
-    if (!answer) {
-        std::cerr << answer.error().toString() << "\n";
-        return exitFailure;
+    bool toShow = false;
+    const int status = detail::finishAnswer(answer, toShow);
+    if (!toShow) {
+        return status;
     }
-    if (FLAGS_output == "json") {
-        std::cout << answer.value().dump() << "\n";
-    } else if (!answer.value().contains("workers")) {
-        printWorker(answer.value());
-    } else {
-        for (const auto &worker : answer.value().at("workers")) {
-            printWorker(worker);
-        }
+    const auto &body = answer.value().body;
+    if (!body.contains("workers")) {
+        printWorker(body);
+        return status;
     }
-    return exitSuccess;
+    for (const auto &worker : body.at("workers")) {
+        printWorker(worker);
+    }
+    return status;
 }
 
 } // namespace
@@ -52,7 +52,7 @@
 {
     const std::string verb = argc > 2 ? argv[2] : "";
     if (verb == "list") {
-        return printAnswer(detail::callOperator("GET", "/v1/workers", nullptr));
+        return printAnswer(detail::askEntry("GET", "/v1/workers"));
     }
     if (verb != "move" || argc < 5) {
         std::cerr << workerUsage;
@@ -62,7 +62,7 @@
     if (FLAGS_revision != 0) {
         body["revision"] = FLAGS_revision;
     }
-    return printAnswer(detail::callOperator("POST", "/v1/workers/move", body));
+    return printAnswer(detail::askEntry("POST", "/v1/workers/move", body.dump()));
 }
 
 } // namespace cyclamenlatch::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -9,19 +9,21 @@
 
 namespace {
 
-constexpr const char *usage = "cyclamenlatch COMMAND [--flags]\n"
-                              "  serve --config FILE    run an entry\n"
-                              "  check FILE...          validate settings or fleet documents\n"
-                              "  job submit|show|cancel hand in and follow long-lived work\n"
-                              "  report --entry URL     service-level burn of the fleet\n"
-                              "  load --queue NAME ...  send requests and check every answer\n"
-                              "  wave VERB NAME ...     plan, start, pause, resume or show a wave\n"
-                              "  worker list|move ...   show workers, move one to a pool\n"
-                              "  worker label NAME label=value label- ...\n"
-                              "  get | apply FILE | diff FILE       the fleet document\n"
-                              "  key give WORKSPACE NAME | key withdraw NAME\n"
-                              "  workspace list | status\n"
-                              "See cyclamenlatch --help for the flags.\n";
+constexpr const char *usage =
+        "cyclamenlatch COMMAND [--flags]\n"
+        "  serve --config FILE    run an entry\n"
+        "  check FILE...          validate settings or fleet documents\n"
+        "  job submit|show|cancel hand in and follow long-lived work\n"
+        "  report                 service-level burn of the fleet\n"
+        "  load --queue NAME ...  send requests and check every answer\n"
+        "  wave VERB NAME ...     plan, start, pause, resume or show a wave\n"
+        "  worker list|move ...   show workers, move one to a pool\n"
+        "  worker label NAME label=value label- ...\n"
+        "  get | apply FILE | diff FILE       the fleet document\n"
+        "  key give WORKSPACE NAME | key withdraw NAME\n"
+        "  workspace list | status\n"
+        "Operators' commands ask the entry of --operator_url (--operator_key, --ca_file).\n"
+        "See cyclamenlatch --help for the flags.\n";
 
 } // namespace
 
