Map error kinds to HTTP statuses in one place

Callers and operators had a table each, and they differed: an unknown outcome was 502 for callers and 500 for operators.

--- a/src/callerapi/internal/problem.cpp
+++ b/src/callerapi/internal/problem.cpp
@@ -1,6 +1,8 @@
 // Maps error kinds to HTTP statuses and renders problem+json.
 #include "callerapi/problem.h"
 
+#include "net/httpstatus.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -12,36 +14,6 @@
 
 constexpr std::chrono::seconds defaultRetryAfter{1};
 
-int statusOf(ErrorKind kind)
-{
-    switch (kind) {
-    case ErrorKind::InvalidInput:
-        return 400;
-    case ErrorKind::Unauthorized:
-        return 401;
-    case ErrorKind::Forbidden:
-        return 403;
-    case ErrorKind::NotFound:
-        return 404;
-    case ErrorKind::Conflict:
-        return 409;
-    case ErrorKind::TooLarge:
-        return 413;
-    case ErrorKind::Overloaded:
-        return 429;
-    case ErrorKind::Unavailable:
-    case ErrorKind::Cancelled:
-        return 503;
-    case ErrorKind::Timeout:
-        return 504;
-    case ErrorKind::Unknown:
-        return 502;
-    case ErrorKind::Internal:
-        return 500;
-    }
-    return 500;
-}
-
 bool waitingHelps(ErrorKind kind)
 {
     return kind == ErrorKind::Overloaded || kind == ErrorKind::Unavailable;
@@ -55,12 +27,12 @@
     const nlohmann::json body{
             {"type", "urn:cyclamenlatch:problem:" + std::string(errorKindNames.name(error.kind))},
             {"title", error.message},
-            {"status", statusOf(error.kind)},
+            {"status", net::statusOf(error.kind)},
             {"remedy", error.remedy},
             {"outcome", dispatch::outcomeNames.name(outcome)},
     };
     net::HttpReply reply;
-    reply.status = statusOf(error.kind);
+    reply.status = net::statusOf(error.kind);
     reply.headers.add("Content-Type", "application/problem+json");
     reply.headers.add("Cyclamenlatch-Outcome", std::string(dispatch::outcomeNames.name(outcome)));
     if (!requestId.empty()) {
--- a/src/operatorapi/internal/operatorapi.cpp
+++ b/src/operatorapi/internal/operatorapi.cpp
@@ -3,6 +3,7 @@
 
 #include "admission/keysecret.h"
 #include "net/bearertoken.h"
+#include "net/httpstatus.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -19,35 +20,6 @@
     return path.starts_with(prefix) && (path.size() == prefix.size() || path[prefix.size()] == '/');
 }
 
-int statusOf(ErrorKind kind)
-{
-    switch (kind) {
-    case ErrorKind::InvalidInput:
-        return 400;
-    case ErrorKind::Unauthorized:
-        return 401;
-    case ErrorKind::Forbidden:
-        return 403;
-    case ErrorKind::NotFound:
-        return 404;
-    case ErrorKind::Conflict:
-        return 409;
-    case ErrorKind::TooLarge:
-        return 413;
-    case ErrorKind::Overloaded:
-        return 429;
-    case ErrorKind::Timeout:
-        return 504;
-    case ErrorKind::Unavailable:
-    case ErrorKind::Cancelled:
-        return 503;
-    case ErrorKind::Unknown:
-    case ErrorKind::Internal:
-        break;
-    }
-    return 500;
-}
-
 } // namespace
 
 net::HttpReply jsonReply(int status, const nlohmann::json &body)
@@ -61,9 +33,9 @@
 
 net::HttpReply errorReply(const Error &error)
 {
-    return jsonReply(statusOf(error.kind), {{"error", errorKindNames.name(error.kind)},
-                                            {"message", error.message},
-                                            {"remedy", error.remedy}});
+    return jsonReply(net::statusOf(error.kind), {{"error", errorKindNames.name(error.kind)},
+                                                 {"message", error.message},
+                                                 {"remedy", error.remedy}});
 }
 
 OperatorApi::OperatorApi(std::vector<OperatorKey> keys)
