Refuse unknown queues like closed ones when the key is not good

A caller without a key was told 404 for a queue that does not exist and 401 for one that does, so that anyone could find out the queues' names. The key is now checked first: without a good one both are refused with the same 401. With a good key the answer is still 404. Requests and jobs use one function, admission::admitTo.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -16,4 +16,17 @@
 Result<WorkspaceId> admit(const fleet::FleetDocument &fleet, const fleet::Queue &queue,
                           std::string_view presentedKey, const KeyGate *gate = nullptr);
 
+// A queue, and the workspace whose work may enter it.
+struct QueueAdmission
+{
+    // Belongs to the fleet document.
+    const fleet::Queue *queue = nullptr;
+    WorkspaceId workspace;
+};
+
+// Admits to a queue by its name. Without a good key a queue that does not exist looks like one
+// that is not open, so that only holders of a key can find out which queues there are.
+Result<QueueAdmission> admitTo(const fleet::FleetDocument &fleet, const QueueId &queue,
+                               std::string_view presentedKey, const KeyGate *gate = nullptr);
+
 } // namespace cyclamenlatch::admission
--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -54,4 +54,18 @@
     return key->workspace;
 }
 
+Result<QueueAdmission> admitTo(const fleet::FleetDocument &fleet, const QueueId &queue,
+                               std::string_view presentedKey, const KeyGate *gate)
+{
+    static const fleet::Queue closedQueue;
+    const auto *found = fleet.findQueue(queue);
+    const auto &entered = found == nullptr ? closedQueue : *found;
+    BOOST_OUTCOME_TRY(workspace, admit(fleet, entered, presentedKey, gate));
+    if (found == nullptr) {
+        return failure(ErrorKind::NotFound, "the queue does not exist",
+                       "check the queue's name in the address");
+    }
+    return QueueAdmission{found, workspace};
+}
+
 } // namespace cyclamenlatch::admission
--- a/src/callerapi/internal/callerapi.cpp
+++ b/src/callerapi/internal/callerapi.cpp
@@ -174,14 +174,9 @@
         return failure(ErrorKind::Unavailable, "this entry has no configuration yet",
                        "try another entry, or again later");
     }
-    const auto *queue = fleet->findQueue(queueId);
-    if (queue == nullptr) {
-        return failure(ErrorKind::NotFound, "the queue does not exist",
-                       "check the queue's name in the address");
-    }
-    BOOST_OUTCOME_TRY(workspace, admission::admit(*fleet, *queue, net::bearerToken(request.headers),
-                                                  m_keyGate));
-    BOOST_OUTCOME_TRY(timeout, timeoutOf(request, *queue));
+    BOOST_OUTCOME_TRY(entered, admission::admitTo(*fleet, queueId,
+                                                  net::bearerToken(request.headers), m_keyGate));
+    BOOST_OUTCOME_TRY(timeout, timeoutOf(request, *entered.queue));
     Admitted admitted;
     if (const auto header = request.headers.find("Idempotency-Key")) {
         BOOST_OUTCOME_TRY(key, dispatch::parseIdempotencyKey(*header));
@@ -191,7 +186,7 @@
     admitted.arrivedAt = steadyNow();
     admitted.work.requestId = requestId;
     admitted.work.queue = queueId;
-    admitted.work.workspace = workspace;
+    admitted.work.workspace = entered.workspace;
     admitted.work.contentType = std::string(request.headers.find("Content-Type").value_or(""));
     admitted.work.body = std::move(request.body);
     admitted.work.deadline = admitted.arrivedAt + timeout;
--- a/src/callerapi/internal/jobroutes.cpp
+++ b/src/callerapi/internal/jobroutes.cpp
@@ -139,14 +139,9 @@
 {
     const auto nameSize = request.path.size() - queuePrefix.size() - jobsSuffix.size();
     const QueueId queueId(request.path.substr(queuePrefix.size(), nameSize));
-    const auto *queue = fleet.findQueue(queueId);
-    if (queue == nullptr) {
-        return failure(ErrorKind::NotFound, "the queue does not exist",
-                       "check the queue's name in the address");
-    }
-    BOOST_OUTCOME_TRY(workspace, admission::admit(fleet, *queue, net::bearerToken(request.headers),
+    BOOST_OUTCOME_TRY(entered, admission::admitTo(fleet, queueId, net::bearerToken(request.headers),
                                                   m_keyGate));
-    if (workspace.empty()) {
+    if (entered.workspace.empty()) {
         return failure(ErrorKind::Unauthorized, "a job needs a workspace",
                        "send \"Authorization: Bearer <key>\", on open queues too");
     }
@@ -161,7 +156,7 @@
     }
     BOOST_OUTCOME_TRY(resources, resourcesOf(request));
     jobs::JobSubmission submission;
-    submission.workspace = workspace;
+    submission.workspace = entered.workspace;
     submission.queue = queueId;
     submission.resources = resources;
     submission.body = request.body;
