--- a/src/callerapi/internal/callerapi.cpp
+++ b/src/callerapi/internal/callerapi.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <charconv>
+#include <numeric>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -18,6 +19,8 @@
 namespace {
 
 constexpr std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t maxHeaderCount = 100;
+constexpr std::size_t maxHeaderBytes = std::size_t{32} * 1024;
 constexpr std::size_t maxRequestIdBytes = 128;
 constexpr std::string_view queuePrefix = "/v1/queues/";
 constexpr std::string_view queueSuffix = "/requests";
@@ -33,6 +36,14 @@
     return QueueId(std::string(path));
 }
 
+std::size_t bytesOf(const std::vector<net::HttpHeader> &headers)
+{
+    return std::accumulate(headers.begin(), headers.end(), std::size_t{0},
+                           [](std::size_t sum, const net::HttpHeader &header) {
+                               return sum + header.name.size() + header.value.size();
+                           });
+}
+
 Result<std::chrono::milliseconds> timeoutOf(const net::HttpRequest &request,
                                             const fleet::Queue &queue)
 {
@@ -165,6 +176,12 @@
         return failure(ErrorKind::InvalidInput, "Request-Id is too long",
                        fmt::format("send at most {} bytes", maxRequestIdBytes));
     }
+    const auto &headers = request.headers.all();
+    if (headers.size() > maxHeaderCount || bytesOf(headers) > maxHeaderBytes) {
+        return failure(ErrorKind::TooLarge, "the header fields are too many or too large",
+                       fmt::format("send at most {} fields and {} bytes of them", maxHeaderCount,
+                                   maxHeaderBytes));
+    }
     if (request.body.size() > maxBodyBytes) {
         return failure(ErrorKind::TooLarge, "the body is too large",
                        fmt::format("send at most {} bytes", maxBodyBytes));
