Make the callers' read limit and the report grace settings with checked ranges

Both were only in the code. callerReadTimeoutMs is 100 to 600000 (default 30000), reportGraceMs 0 to 60000 (default 5000).

--- a/src/app/entrysettings.h
+++ b/src/app/entrysettings.h
@@ -44,6 +44,11 @@
     // Without it there is no operator interface.
     std::optional<OperatorSettings> operators;
     unsigned threads = 4;
+    // Time that a caller has to send a whole request, or to take its answer.
+    std::chrono::milliseconds callerReadTimeout{30000};
+    // Time after a keyed request's own timeout until its owner counts it as unknown when the entry
+    // that ran it has not reported its end.
+    std::chrono::milliseconds reportGrace{5000};
     // Time after SIGTERM in which requests are still taken, so that the balancer sees /readyz
     // fail and moves away.
     std::chrono::milliseconds drainDelay{1000};
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -25,6 +25,7 @@
     net::HttpServerSettings server;
     server.address = settings.callers.address;
     server.port = settings.callers.port;
+    server.readTimeout = settings.callerReadTimeout;
     return server;
 }
 
@@ -65,6 +66,13 @@
     return quotas;
 }
 
+dispatch::OutcomeServiceSettings outcomeSettings(const EntrySettings &settings)
+{
+    dispatch::OutcomeServiceSettings outcomes;
+    outcomes.ledger.reportGrace = settings.reportGrace;
+    return outcomes;
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -81,7 +89,7 @@
     , m_quotas(quotaSettings(m_settings, m_peers))
     , m_dispatcher(m_threads.context(), m_minionHttp, dispatch::DispatchSettings{},
                    dispatch::quotaPermits(m_quotas), randomSeed())
-    , m_outcomes(m_threads.context(), m_peers, dispatch::OutcomeServiceSettings{})
+    , m_outcomes(m_threads.context(), m_peers, outcomeSettings(m_settings))
     , m_report(m_threads.context(), m_peers)
     , m_outcomeWatch([this](const report::ObservedOutcome &outcome) { m_report.observe(outcome); })
     , m_callerApi(m_dispatcher, m_outcomes)
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -12,6 +12,10 @@
 constexpr double maxPlatformCallsPerSecond = 1e5;
 constexpr unsigned maxShutdownMilliseconds = 3600000;
 constexpr unsigned maxLongestWorkMilliseconds = 86400000;
+constexpr unsigned minReadMilliseconds = 100;
+constexpr unsigned maxReadMilliseconds = 600000;
+// Far below the time for which owners remember keys.
+constexpr unsigned maxReportGraceMilliseconds = 60000;
 
 ListenAddress readListenAddress(fleet::YamlReader &parent, const std::string &field,
                                 std::vector<fleet::Mistake> &mistakes)
@@ -138,6 +142,10 @@
                               maxPlatformCallsPerSecond);
         settings.operators = readOperators(reader, reading.mistakes);
         settings.threads = reader.count("threads", settings.threads, 1, maxThreads);
+        settings.callerReadTimeout = std::chrono::milliseconds(reader.count(
+                "callerReadTimeoutMs", 30000, minReadMilliseconds, maxReadMilliseconds));
+        settings.reportGrace = std::chrono::milliseconds(
+                reader.count("reportGraceMs", 5000, 0, maxReportGraceMilliseconds));
         settings.drainDelay = std::chrono::milliseconds(
                 reader.count("drainDelayMs", 1000, 0, maxShutdownMilliseconds));
         settings.shutdownDeadline = std::chrono::milliseconds(
