Accept a roster acknowledgement only for the handshake that asked for it

After a long pause an entry drops its peers' acknowledgements and asks again. An acknowledgement from before the pause, still waiting in the socket, carried the same number and was taken for a new one, although the peer may have forgotten the entry meanwhile and another entry may own its keys. The handshake's number now changes at each such reset, and when an entry leaves the roster. The message keeps its form: peers echo the number as before.

--- a/bench/controlcost.cpp
+++ b/bench/controlcost.cpp
@@ -669,7 +669,7 @@
     Series heap{"ledger-heap", "B", "keys", memoryTarget, {}};
     Series processor{"ledger-claims", "ms of processor for all claims and reports", "keys", "", {}};
     for (const unsigned keys : {1000U, 10000U, 100000U}) {
-        dispatch::OwnerRoster roster(EntryId("e-0"));
+        dispatch::OwnerRoster roster(EntryId("e-0"), 1);
         roster.setPeers({}, start);
         const auto heapBefore = heapBytes();
         const auto startedAt = processorSeconds();
--- a/src/dispatch/internal/outcomeservice.cpp
+++ b/src/dispatch/internal/outcomeservice.cpp
@@ -31,7 +31,7 @@
     , m_startedAt(steadyNow())
     , m_startedAtWall(wallNow())
     , m_ledger(settings.ledger)
-    , m_roster(bus.self().entry)
+    , m_roster(bus.self().entry, bus.incarnation())
     , m_timer(context)
 {
     m_bus.subscribe(membership::PeerTopic::Outcome,
@@ -190,15 +190,15 @@
         return;
     }
     m_roster.addPeer(from.from, monotonicWallTime());
-    work.messages.push_back({from.from, RosterAcknowledgement{hello.incarnation}});
+    work.messages.push_back({from.from, RosterAcknowledgement{hello.handshake}});
 }
 
 void OutcomeService::handle(const membership::PeerMessage &from,
                             const RosterAcknowledgement &acknowledgement, Work &)
 {
-    if (acknowledgement.incarnation == m_bus.incarnation()) {
-        m_roster.acknowledged(from.from, monotonicWallTime());
-    }
+    const auto now = monotonicWallTime();
+    m_roster.noteTime(now);
+    m_roster.acknowledged(from.from, acknowledgement.handshake, now);
 }
 
 void OutcomeService::scheduleTick()
@@ -223,7 +223,7 @@
         const std::lock_guard lock(m_mutex);
         refreshRosters();
         for (const auto &peer : m_roster.unacknowledged()) {
-            work.messages.push_back({peer, RosterHello{m_bus.incarnation()}});
+            work.messages.push_back({peer, RosterHello{m_roster.handshake()}});
         }
         const auto now = steadyNow();
         std::vector<std::string> attempts;
--- a/src/dispatch/internal/ownerroster.cpp
+++ b/src/dispatch/internal/ownerroster.cpp
@@ -22,8 +22,9 @@
     return owner;
 }
 
-OwnerRoster::OwnerRoster(EntryId self)
+OwnerRoster::OwnerRoster(EntryId self, std::uint64_t incarnation)
     : m_self(std::move(self))
+    , m_incarnation(incarnation)
 {
     m_epochs.push_back({WallTime::min(), {m_self}});
 }
@@ -49,7 +50,12 @@
 
 void OwnerRoster::begin(std::set<EntryId> entries, WallTime now)
 {
-    if (entries != m_epochs.back().entries) {
+    const auto &known = m_epochs.back().entries;
+    if (!std::includes(entries.begin(), entries.end(), known.begin(), known.end())) {
+        // What a peer that left has sent must not count when it comes back.
+        ++m_round;
+    }
+    if (entries != known) {
         m_epochs.push_back({now, std::move(entries)});
     }
     std::erase_if(m_acknowledged,
@@ -59,9 +65,14 @@
     }
 }
 
-void OwnerRoster::acknowledged(const EntryId &peer, WallTime now)
+std::uint64_t OwnerRoster::handshake() const
+{
+    return XXH64(&m_round, sizeof m_round, m_incarnation);
+}
+
+void OwnerRoster::acknowledged(const EntryId &peer, std::uint64_t handshake, WallTime now)
 {
-    if (!m_epochs.back().entries.contains(peer)) {
+    if (handshake != this->handshake() || !m_epochs.back().entries.contains(peer)) {
         return;
     }
     m_acknowledged.insert(peer);
@@ -84,6 +95,7 @@
 void OwnerRoster::noteTime(WallTime now)
 {
     if (m_notedAt && now - *m_notedAt > longestPause) {
+        ++m_round;
         m_acknowledged.clear();
         m_settledAt.reset();
     }
--- a/src/dispatch/outcomemessage.h
+++ b/src/dispatch/outcomemessage.h
@@ -26,24 +26,25 @@
 // A new entry asks another one of its data centre to count it in.
 struct RosterHello
 {
-    std::uint64_t incarnation = 0;
+    // Of the sender's roster.
+    std::uint64_t handshake = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(incarnation);
+        archive(handshake);
     }
 };
 
-// The sender counts the entry of that incarnation in.
+// The sender counts the entry in that asked with this handshake.
 struct RosterAcknowledgement
 {
-    std::uint64_t incarnation = 0;
+    std::uint64_t handshake = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(incarnation);
+        archive(handshake);
     }
 };
 
--- a/src/dispatch/ownerroster.h
+++ b/src/dispatch/ownerroster.h
@@ -9,6 +9,7 @@
 #include "global/ids.h"
 #include "global/time.h"
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <set>
@@ -25,14 +26,19 @@
     // Far below the time after which membership forgets a silent entry.
     static constexpr std::chrono::milliseconds longestPause{60000};
 
-    explicit OwnerRoster(EntryId self);
+    // The incarnation differs for each start of the entry.
+    OwnerRoster(EntryId self, std::uint64_t incarnation);
 
     // The entries of this data centre that may be alive, without this one.
     void setPeers(const std::set<EntryId> &peers, WallTime now);
     // A peer that says it is there joins the roster at once.
     void addPeer(const EntryId &peer, WallTime now);
-    // A peer confirms that this entry is in its roster.
-    void acknowledged(const EntryId &peer, WallTime now);
+    // Goes to peers with the request to count this entry in, and comes back with their
+    // acknowledgement. Differs whenever earlier acknowledgements count no more.
+    std::uint64_t handshake() const;
+    // A peer confirms that this entry is in its roster. One for an earlier handshake is ignored: it
+    // may have been on its way while the peer forgot this entry.
+    void acknowledged(const EntryId &peer, std::uint64_t handshake, WallTime now);
     // Peers that have not acknowledged this entry.
     std::set<EntryId> unacknowledged() const;
 
@@ -58,6 +64,9 @@
     void begin(std::set<EntryId> entries, WallTime now);
 
     EntryId m_self;
+    const std::uint64_t m_incarnation;
+    // Grows whenever acknowledgements are dropped.
+    std::uint64_t m_round = 0;
     // Invariant: never empty; ordered by time; each contains this entry.
     std::deque<Epoch> m_epochs;
     std::set<EntryId> m_acknowledged;
--- a/src/dispatch/tests/outcomeledger_tests.cpp
+++ b/src/dispatch/tests/outcomeledger_tests.cpp
@@ -26,7 +26,7 @@
 
 OwnerRoster aloneSince(WallTime time)
 {
-    OwnerRoster roster(EntryId("e-1"));
+    OwnerRoster roster(EntryId("e-1"), 1);
     roster.setPeers({}, time);
     return roster;
 }
@@ -100,16 +100,66 @@
 
 TEST(OwnerRoster, ownsNothingUntilEveryPeerHasAcknowledged)
 {
-    OwnerRoster roster(EntryId("e-1"));
+    OwnerRoster roster(EntryId("e-1"), 1);
     roster.setPeers({EntryId("e-2")}, start);
     EXPECT_FALSE(roster.ownsNow("k"));
     EXPECT_EQ(roster.unacknowledged(), std::set<EntryId>{EntryId("e-2")});
-    roster.acknowledged(EntryId("e-2"), start + seconds(5));
+    roster.acknowledged(EntryId("e-2"), roster.handshake(), start + seconds(5));
     const auto owner = ownerOf("k", roster.entries());
     EXPECT_EQ(roster.ownsNow("k"), owner == EntryId("e-1"));
     EXPECT_FALSE(roster.ownedSince("k", start + seconds(4)));
 }
 
+// An entry and its peer, with messages that are late, repeated or lost, while the entry is paused
+// and forgotten, or the peer is replaced. A peer that does not count the entry in has not
+// acknowledged it.
+RC_GTEST_PROP(OwnerRoster, countsNoAcknowledgementFromBeforeItWasForgotten, ())
+{
+    const EntryId peer("e-2");
+    OwnerRoster roster(EntryId("e-1"), 1);
+    auto now = start;
+    roster.noteTime(now);
+    roster.setPeers({peer}, now);
+    bool countedIn = false;
+    std::vector<std::uint64_t> hellos;
+    std::vector<std::uint64_t> acknowledgements;
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+        switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+            roster.noteTime(now);
+            hellos.push_back(roster.handshake());
+            break;
+        case 1:
+            if (!hellos.empty()) {
+                acknowledgements.push_back(*rc::gen::elementOf(hellos));
+                countedIn = true;
+            }
+            break;
+        case 2:
+            if (!acknowledgements.empty()) {
+                roster.noteTime(now);
+                roster.acknowledged(peer, *rc::gen::elementOf(acknowledgements), now);
+            }
+            break;
+        case 3:
+            // A pause, in which the peer forgets the entry.
+            now += 2 * OwnerRoster::longestPause;
+            countedIn = false;
+            break;
+        default:
+            // The peer leaves, and another one comes under its name.
+            roster.noteTime(now);
+            roster.setPeers({}, now);
+            roster.setPeers({peer}, now);
+            countedIn = false;
+            break;
+        }
+        roster.noteTime(now);
+        RC_ASSERT(countedIn || roster.unacknowledged().contains(peer));
+    }
+}
+
 // One data centre: entries are killed, replaced under the same or another name, and join; clocks
 // differ by up to the skew; messages are repeated. No key is granted to two attempts that were
 // not proven not-run in between.
@@ -117,14 +167,15 @@
 {
     const WallTime start{std::chrono::hours(1)};
     const EntryId peer("e-2");
-    OwnerRoster roster(EntryId("e-1"));
+    OwnerRoster roster(EntryId("e-1"), 1);
     roster.noteTime(start);
     roster.setPeers({peer}, start);
-    roster.acknowledged(peer, start);
+    roster.acknowledged(peer, roster.handshake(), start);
     std::string key = "dc-a-3600000-aaaaaaaa";
     while (!roster.ownsNow(key)) {
         key += 'a';
     }
+    const auto beforePause = roster.handshake();
     roster.noteTime(start + OwnerRoster::longestPause);
     EXPECT_TRUE(roster.unacknowledged().empty());
 
@@ -134,7 +185,10 @@
     EXPECT_FALSE(roster.ownsNow(key));
     EXPECT_FALSE(roster.ownedSince(key, start));
 
-    roster.acknowledged(peer, awake);
+    roster.acknowledged(peer, beforePause, awake);
+    EXPECT_FALSE(roster.ownsNow(key)) << "it was sent before the peer may have forgotten the entry";
+
+    roster.acknowledged(peer, roster.handshake(), awake);
     EXPECT_FALSE(roster.ownedSince(key, start)) << "keys from before the pause stay unknown";
 }
 
@@ -143,7 +197,7 @@
     struct Entry
     {
         explicit Entry(const std::string &name)
-            : roster(EntryId(name))
+            : roster(EntryId(name), 1)
         {}
         OwnerRoster roster;
         OutcomeLedger ledger{{}};
@@ -162,7 +216,7 @@
         entry->roster.setPeers(peers, clockOf(*entry));
         for (const auto &[other, peer] : entries) {
             peer->roster.addPeer(EntryId(name), clockOf(*peer));
-            entry->roster.acknowledged(EntryId(other), clockOf(*entry));
+            entry->roster.acknowledged(EntryId(other), entry->roster.handshake(), clockOf(*entry));
         }
         entries[name] = std::move(entry);
     };
--- a/tests/scenarios/entrynode.h
+++ b/tests/scenarios/entrynode.h
@@ -39,7 +39,7 @@
                                           longestWork})
         , spread(address, now)
         , ledger(dispatch::LedgerSettings{})
-        , roster(address.entry)
+        , roster(address.entry, incarnation)
     {}
 
     membership::PeerAddress address;
--- a/tests/scenarios/world.cpp
+++ b/tests/scenarios/world.cpp
@@ -359,7 +359,8 @@
 {
     for (const auto &peer : node.roster.unacknowledged()) {
         if (m_ticks % 4 == 0) {
-            send(node, peer, dispatch::OutcomeMessage(dispatch::RosterHello{node.incarnation}));
+            send(node, peer,
+                 dispatch::OutcomeMessage(dispatch::RosterHello{node.roster.handshake()}));
         }
     }
     for (auto &[name, attempt] : node.attempts) {
@@ -483,11 +484,9 @@
     } else if (const auto *hello = std::get_if<dispatch::RosterHello>(&message)) {
         node.roster.addPeer(envelope.from, wallTime(m_now));
         send(node, envelope.from,
-             dispatch::OutcomeMessage(dispatch::RosterAcknowledgement{hello->incarnation}));
+             dispatch::OutcomeMessage(dispatch::RosterAcknowledgement{hello->handshake}));
     } else if (const auto *known = std::get_if<dispatch::RosterAcknowledgement>(&message)) {
-        if (known->incarnation == node.incarnation) {
-            node.roster.acknowledged(envelope.from, wallTime(m_now));
-        }
+        node.roster.acknowledged(envelope.from, known->handshake, wallTime(m_now));
     }
 }
 
