Cut no live call for taking longer than two seconds

A call without an answer was probed after 2 s (no earlier run known), and any answer to the probe without Minion-Running: yes ended it: slow work on a minion that doesn't send the field, as the stand-in didn't, became unknown although it would have completed. The probe's answer now has four meanings: running goes on; not running ends the call at the second probe, so that an answer on its way arrives; alive without the field cuts only idempotent work, once; silence as before. The stand-in minion tells what it runs.

The test of the old rule said that any answer aborts the call; it is replaced by tests of each meaning, over the scheduler and over real connections.

--- a/bench/schedulersimulation.cpp
+++ b/bench/schedulersimulation.cpp
@@ -89,7 +89,9 @@
                 // A silent minion answers on no connection.
                 const bool silent = m_faults[WorkerId(probe->minionAddress)] == MinionFault::Silent;
                 schedule(m_now + (silent ? probeTimeout : probeTime), [this, silent, p = *probe] {
-                    m_scheduler.probeEnded(p.ticket, p.attempt, !silent, !silent, m_now, m_actions);
+                    const auto verdict = silent ? dispatch::ProbeVerdict::Silent
+                                                : dispatch::ProbeVerdict::Running;
+                    m_scheduler.probeEnded(p.ticket, p.attempt, verdict, m_now, m_actions);
                     carryOut();
                 });
             } else if (const auto *abort = std::get_if<dispatch::AbortCall>(&action)) {
--- a/src/dispatch/dispatchsettings.h
+++ b/src/dispatch/dispatchsettings.h
@@ -21,6 +21,8 @@
     // longest recent run of the queue, whichever is longer.
     Duration silentAfter = std::chrono::seconds(2);
     double silenceFactor = 3;
+    // Time for an answer to arrive when a probe tells that the minion has ended the work.
+    Duration answerGrace = std::chrono::milliseconds(500);
     // Time that a minion has to answer a probe.
     std::chrono::milliseconds probeTimeout{1000};
     // After an unknown outcome the workspace's unit is freed when the request's deadline and this
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -19,6 +19,18 @@
 constexpr int firstServerError = 500;
 constexpr std::chrono::milliseconds shortestCallTimeout{1};
 
+ProbeVerdict judgeProbe(const net::HttpCallResult &result)
+{
+    if (!result.reply) {
+        return ProbeVerdict::Silent;
+    }
+    const auto running = result.reply->headers.find(runningHeader);
+    if (!running) {
+        return ProbeVerdict::Alive;
+    }
+    return running == "yes" ? ProbeVerdict::Running : ProbeVerdict::NotRunning;
+}
+
 WorkSignature signatureOf(const DispatchRequest &request)
 {
     const auto &queue = request.queue.value();
@@ -264,6 +276,7 @@
         sendProbe(probe);
     }
     for (const auto ticket : work.aborts) {
+        logEvent(silentConnection, "the call of ticket {:016x}-{}", m_incarnation, ticket);
         m_http.cancel(ticket);
     }
     for (auto &ready : work.answers) {
@@ -304,16 +317,12 @@
     call.timeout = std::chrono::milliseconds(1000);
     call.freshConnection = true;
     m_http.send(std::move(call), [this, probe, requestId](const net::HttpCallResult &result) {
-        const bool answered = result.reply.has_value();
-        const bool stillRunning = answered && result.reply->headers.find(runningHeader) == "yes";
-        if (answered && !stillRunning) {
-            logEvent(silentConnection, "minion {}, request {}", probe.minionAddress, requestId);
-        } else if (!answered) {
+        const auto verdict = judgeProbe(result);
+        if (verdict == ProbeVerdict::Silent) {
             logEvent(minionSilent, "minion {}: {}", probe.minionAddress, result.failure);
         }
         dispatch([&](TimePoint now, SchedulerActions &actions) {
-            m_scheduler.probeEnded(probe.ticket, probe.attempt, answered, stillRunning, now,
-                                   actions);
+            m_scheduler.probeEnded(probe.ticket, probe.attempt, verdict, now, actions);
         });
     });
 }
--- a/src/dispatch/internal/scheduler.cpp
+++ b/src/dispatch/internal/scheduler.cpp
@@ -318,6 +318,7 @@
     request.worker = worker.id;
     request.minionAddress = worker.minionAddress;
     request.startedAt = now;
+    request.seenNotRunning = false;
     ++request.attempts;
     request.chargedSeconds = poolOf(request).costSeconds[request.work.workspace];
     lineOf(request).charge(request.work.workspace, m_table->weight(request.work.workspace),
@@ -572,8 +573,26 @@
     m_requests.erase(found);
 }
 
-void Scheduler::probeEnded(Ticket ticket, unsigned attempt, bool answered, bool stillRunning,
-                           TimePoint now, SchedulerActions &actions)
+bool Scheduler::isConnectionDead(const Request &request, ProbeVerdict verdict) const
+{
+    switch (verdict) {
+    case ProbeVerdict::Running:
+        return false;
+    case ProbeVerdict::NotRunning:
+        // The answer may have left just before the probe's; it has until the second one.
+        return request.seenNotRunning;
+    case ProbeVerdict::Alive:
+        // Slow work looks the same. Another try may settle it, but only once: the next may be
+        // just as slow.
+        return request.route->idempotent && request.attempts == 1;
+    case ProbeVerdict::Silent:
+        return request.route->idempotent;
+    }
+    return false;
+}
+
+void Scheduler::probeEnded(Ticket ticket, unsigned attempt, ProbeVerdict verdict, TimePoint now,
+                           SchedulerActions &actions)
 {
     const auto found = m_requests.find(ticket);
     if (found == m_requests.end() || found->second.state != State::Running
@@ -581,13 +600,13 @@
         return;
     }
     auto &request = found->second;
-    const bool connectionIsDead = answered && !stillRunning;
-    const bool minionIsDead = !answered && request.route->idempotent;
-    if (connectionIsDead || minionIsDead) {
+    if (isConnectionDead(request, verdict)) {
         actions.push_back(AbortCall{ticket});
         return;
     }
-    setWake(request, now + silenceLimit(request));
+    request.seenNotRunning = verdict == ProbeVerdict::NotRunning;
+    setWake(request,
+            now + (request.seenNotRunning ? m_settings.answerGrace : silenceLimit(request)));
 }
 
 void Scheduler::workspaceAvailable(const WorkspaceId &workspace, TimePoint now,
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -6,6 +6,7 @@
 #include "dispatch/callverdict.h"
 #include "dispatch/dispatchsettings.h"
 #include "dispatch/fairqueue.h"
+#include "dispatch/probeverdict.h"
 #include "dispatch/scheduleraction.h"
 #include "dispatch/schedulerwork.h"
 #include "dispatch/startpermits.h"
@@ -38,8 +39,8 @@
     // The caller is gone. A queued request is dropped; a running one ends as it will.
     void cancel(Ticket ticket, SchedulerActions &actions);
     void callEnded(Ticket ticket, CallVerdict verdict, TimePoint now, SchedulerActions &actions);
-    void probeEnded(Ticket ticket, unsigned attempt, bool answered, bool stillRunning,
-                    TimePoint now, SchedulerActions &actions);
+    void probeEnded(Ticket ticket, unsigned attempt, ProbeVerdict verdict, TimePoint now,
+                    SchedulerActions &actions);
     void workspaceAvailable(const WorkspaceId &workspace, TimePoint now, SchedulerActions &actions);
     void slotAvailable(const WorkerId &worker, TimePoint now, SchedulerActions &actions);
     void timePassed(TimePoint now, SchedulerActions &actions);
@@ -110,6 +111,8 @@
         std::string minionAddress;
         TimePoint startedAt{};
         double chargedSeconds = 0;
+        // A probe told that the minion does not run the current try.
+        bool seenNotRunning = false;
         TimePoint wake{};
     };
     // The worker's slot is taken back early, since over-use there costs only time.
@@ -159,6 +162,7 @@
     Duration estimatedRun(const Request &request) const;
     TimePoint latestStart(const Request &request, TimePoint now) const;
     Duration silenceLimit(const Request &request) const;
+    bool isConnectionDead(const Request &request, ProbeVerdict verdict) const;
     void releaseHold(const Hold &hold, TimePoint now, SchedulerActions &actions);
 
     DispatchSettings m_settings;
--- a/src/dispatch/tests/dispatcher_tests.cpp
+++ b/src/dispatch/tests/dispatcher_tests.cpp
@@ -238,19 +238,52 @@
     EXPECT_EQ(minion.runs(), 1);
 }
 
+// The work goes on until the second probe has come.
+TEST_F(DispatcherTest, slowRequestOnALiveConnectionIsNotCut)
+{
+    for (const std::string running : {"yes", ""}) {
+        std::mutex mutex;
+        std::condition_variable changed;
+        int probes = 0;
+        RawMinion minion([&](Socket &socket, int connection, RawMinion &self) {
+            const auto request = readRequest(socket);
+            if (connection > 0) {
+                {
+                    const std::lock_guard lock(mutex);
+                    ++probes;
+                    changed.notify_all();
+                }
+                return send(socket, testing::probeAnswer(running));
+            }
+            self.noteRun();
+            {
+                std::unique_lock lock(mutex);
+                changed.wait(lock, [&] { return probes >= 2; });
+            }
+            send(socket, answer(fieldOf(request, "Request-Id"), "slow"));
+            readRequest(socket);
+        });
+        useMinions({minion.address()}, false);
+        EXPECT_EQ(run(seconds(50)).body, "slow") << running;
+        EXPECT_EQ(minion.runs(), 1);
+    }
+}
+
 TEST_F(DispatcherTest, idempotentRequestSurvivesSilentConnection)
 {
-    RawMinion minion([](Socket &socket, int connection, RawMinion &self) {
-        if (connection > 0) {
-            return serveWell(socket, self, "alive");
-        }
-        readRequest(socket);
-        readRequest(socket);
-    });
-    useMinions({minion.address()}, true);
-    const auto given = run(seconds(50));
-    EXPECT_EQ(given.outcome, Outcome::Completed);
-    EXPECT_EQ(given.body, "alive");
+    for (const std::string running : {"no", ""}) {
+        RawMinion minion([&](Socket &socket, int connection, RawMinion &self) {
+            if (connection > 0) {
+                return serveWell(socket, self, "alive", running);
+            }
+            readRequest(socket);
+            readRequest(socket);
+        });
+        useMinions({minion.address()}, true);
+        const auto given = run(seconds(50));
+        EXPECT_EQ(given.outcome, Outcome::Completed);
+        EXPECT_EQ(given.body, "alive");
+    }
 }
 
 TEST_F(DispatcherTest, idempotentRequestIsRetriedAfterServerError)
--- a/src/dispatch/tests/rawminion.h
+++ b/src/dispatch/tests/rawminion.h
@@ -149,13 +149,23 @@
     std::thread m_acceptThread;
 };
 
+// What a minion tells on a probe about the request that is asked for: "yes", "no", or nothing.
+inline std::string probeAnswer(const std::string &running)
+{
+    const auto field = running.empty() ? "" : "Minion-Running: " + running + "\r\n";
+    return "HTTP/1.1 200 x\r\n" + field + "Content-Length: 0\r\n\r\n";
+}
+
 // Answers every request on the connection, also probes.
-inline void serveWell(Socket &socket, RawMinion &minion, const std::string &body)
+inline void serveWell(Socket &socket, RawMinion &minion, const std::string &body,
+                      const std::string &running = "no")
 {
     for (auto request = readRequest(socket); !request.empty(); request = readRequest(socket)) {
-        if (request.starts_with("POST /run")) {
-            minion.noteRun();
+        if (!request.starts_with("POST /run")) {
+            send(socket, probeAnswer(running));
+            continue;
         }
+        minion.noteRun();
         send(socket, answer(fieldOf(request, "Request-Id"), body));
     }
 }
--- a/src/dispatch/tests/scheduler_tests.cpp
+++ b/src/dispatch/tests/scheduler_tests.cpp
@@ -53,6 +53,11 @@
                          now, actions);
     }
 
+    void probe(Ticket ticket, unsigned attempt, ProbeVerdict verdict)
+    {
+        scheduler.probeEnded(ticket, attempt, verdict, now, actions);
+    }
+
     void end(Ticket ticket, CallVerdict verdict)
     {
         scheduler.callEnded(ticket, verdict, now, actions);
@@ -262,18 +267,41 @@
     EXPECT_LE(static_cast<double>(calls), 1.1 * requests);
 }
 
-TEST(Scheduler, silentConnectionIsAbortedWhenTheMinionAnswersAProbe)
+TEST(Scheduler, connectionIsDeadWhenTheMinionNoLongerRunsTheRequest)
 {
     Bench bench(makeFleet(2, 8, false));
     bench.submit(1, "swaps", seconds(60));
     bench.pass(seconds(3));
     ASSERT_EQ(bench.taken<ProbeMinion>().size(), 1U);
-    bench.scheduler.probeEnded(1, 1, true, true, bench.now, bench.actions);
-    EXPECT_TRUE(bench.taken<AbortCall>().empty()) << "the minion still runs it";
-    bench.scheduler.probeEnded(1, 1, true, false, bench.now, bench.actions);
+    bench.probe(1, 1, ProbeVerdict::Running);
+    bench.probe(1, 1, ProbeVerdict::NotRunning);
+    EXPECT_TRUE(bench.taken<AbortCall>().empty()) << "the answer may be on its way";
+    bench.pass(seconds(1));
+    ASSERT_EQ(bench.taken<ProbeMinion>().size(), 2U);
+    bench.probe(1, 1, ProbeVerdict::NotRunning);
     EXPECT_EQ(bench.taken<AbortCall>().size(), 1U);
 }
 
+TEST(Scheduler, slowWorkOnAMinionThatDoesNotTellWhatItRunsIsNotCut)
+{
+    Bench once(makeFleet(2, 8, false));
+    once.submit(1, "swaps", seconds(60));
+    once.pass(seconds(3));
+    once.probe(1, 1, ProbeVerdict::Alive);
+    EXPECT_TRUE(once.taken<AbortCall>().empty()) << "its outcome would be unknown";
+
+    Bench again(makeFleet(2, 8, true));
+    again.submit(1, "swaps", seconds(60));
+    again.pass(seconds(3));
+    again.probe(1, 1, ProbeVerdict::Alive);
+    ASSERT_EQ(again.taken<AbortCall>().size(), 1U);
+    again.end(1, CallVerdict::Unknown);
+    again.pass(seconds(5));
+    ASSERT_EQ(again.taken<StartCall>().size(), 2U);
+    again.probe(1, 2, ProbeVerdict::Alive);
+    EXPECT_EQ(again.taken<AbortCall>().size(), 1U) << "the second try runs to its end";
+}
+
 TEST(Scheduler, unknownOutcomeKeepsTheWorkspaceUnitUntilTheWorkMustHaveEnded)
 {
     int held = 0;
--- a/standins/minion/minionserver.cpp
+++ b/standins/minion/minionserver.cpp
@@ -39,8 +39,7 @@
         return respond(answerControl(request));
     }
     if (request.path == "/healthz") {
-        const std::lock_guard lock(m_mutex);
-        return respond(jsonReply(m_faults.down ? 503 : 200, json::object()));
+        return respond(answerHealth(request));
     }
     respond(jsonReply(404, {{"error", "no such address"}}));
 }
@@ -58,6 +57,7 @@
         faults = m_faults;
         m_sentWhileDown += faults.down ? 1 : 0;
         if (!faults.refuse && !faults.down) {
+            m_runningIds.insert(requestId);
             ++m_runsByNonce[nonce];
             m_mostRunning = std::max(m_mostRunning, ++m_running);
             auto &ledger = m_workspaces[workspace];
@@ -93,6 +93,7 @@
     {
         const std::lock_guard lock(m_mutex);
         faults = m_faults;
+        m_runningIds.erase(requestId);
         --m_running;
         --m_workspaces[workspace].running;
     }
@@ -102,6 +103,17 @@
     respond(std::move(reply));
 }
 
+net::HttpReply MinionServer::answerHealth(const net::HttpRequest &request)
+{
+    const std::string requestId(request.headers.find("Request-Id").value_or(""));
+    const std::lock_guard lock(m_mutex);
+    auto reply = jsonReply(m_faults.down ? 503 : 200, json::object());
+    if (!requestId.empty()) {
+        reply.headers.add("Minion-Running", m_runningIds.contains(requestId) ? "yes" : "no");
+    }
+    return reply;
+}
+
 net::HttpReply MinionServer::answerRuns(const std::string &nonce)
 {
     const std::lock_guard lock(m_mutex);
--- a/standins/minion/minionserver.h
+++ b/standins/minion/minionserver.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace cyclamenlatch::standins {
@@ -45,6 +46,8 @@
     };
 
     void run(net::HttpRequest request, net::HttpResponder respond);
+    // Says whether the request that a probe names still runs here.
+    net::HttpReply answerHealth(const net::HttpRequest &request);
     void finish(const std::string &requestId, const std::string &workspace,
                 const std::string &nonce, const net::HttpResponder &respond);
     net::HttpReply answerLedger();
@@ -64,6 +67,7 @@
     // Work that was sent while the minion was down.
     unsigned m_sentWhileDown = 0;
     unsigned m_reboots = 0;
+    std::set<std::string> m_runningIds;
     // Runs by nonce of the work; more than one is a duplicate run.
     std::map<std::string, unsigned> m_runsByNonce;
     std::map<std::string, WorkspaceLedger> m_workspaces;
