Test that a leaving entry finishes open requests and refuses new ones as not-run

The process test of rolling replacement (six entries, SIGTERM under load, none cut) does not look at refusals, because its callers follow /readyz. This one does: 503, not-run, Retry-After and a closed connection, while the open request ends completed.

--- a/src/callerapi/tests/callerapi_tests.cpp
+++ b/src/callerapi/tests/callerapi_tests.cpp
@@ -282,6 +282,33 @@
     EXPECT_EQ(minion.runs(), 1);
 }
 
+TEST_F(CallerApiTest, leavingEntryFinishesOpenRequestsAndSendsNewOnesElsewhere)
+{
+    Gate gate;
+    Gate arrived;
+    RawMinion minion([&](Socket &socket, int, RawMinion &self) {
+        const auto request = readRequest(socket);
+        self.noteRun();
+        arrived.open();
+        gate.wait();
+        dispatch::testing::send(socket, answer(fieldOf(request, "Request-Id"), "done"));
+    });
+    start(minion.address());
+    const auto request = post("swaps", keyHeader("k-1.secret"), "x");
+    auto open = connect();
+    open.send(request);
+    arrived.wait();
+    m_api.setLeaving();
+    m_api.setRefusing();
+    const auto refused = connect().ask(request);
+    expectProblem(refused, 503, "not-run");
+    EXPECT_NE(fieldOf(refused, "Retry-After"), "");
+    EXPECT_EQ(fieldOf(refused, "Connection"), "close");
+    gate.open();
+    EXPECT_EQ(bodyOf(open.readReply()), "done");
+    EXPECT_EQ(minion.runs(), 1);
+}
+
 TEST_F(CallerApiTest, minionThatDiesInTheMiddleOfItsAnswerIsAnUnknownOutcome)
 {
     RawMinion minion([](Socket &socket, int, RawMinion &self) {
