Test with processes that one key sent to every entry runs once

While entry 0 runs the keyed work, the same key comes to three others; in one round both entries of the key's home data centre are paused (silent to all), as in a cut. The minions' ledgers count one run in each round, and afterwards the owner gives the kept answer.

--- a/tests/integration/failures_tests.cpp
+++ b/tests/integration/failures_tests.cpp
@@ -143,5 +143,52 @@
     }
 }
 
+// The same key comes to every other entry while the first one runs it; in one round its home data
+// centre is silent meanwhile. At the end the owner knows the answer.
+TEST(Failures, keyRunsOnceWhicheverEntriesItIsSentTo)
+{
+    TestFleet fleet(2, 2);
+    const std::vector<std::size_t> homeEntries{1, 4};
+    constexpr int rounds = 3;
+    constexpr int workMs = 3000;
+    int granted = 0;
+    for (int round = 0; granted < rounds; ++round) {
+        const bool isHomeSilent = granted == 1;
+        const auto nonce = fmt::format("shared-{}", round);
+        const auto key = keyMintedNow("dc-b", fmt::format("shared{:05}", round));
+        std::promise<CallerAnswer> promise;
+        fleet.submitLater(0, "once", nonce, workMs, key,
+                          [&promise](CallerAnswer answer) { promise.set_value(answer); });
+        auto first = promise.get_future();
+        TestFleet::await([&] {
+            return fleet.runsOf(nonce) > 0
+                   || first.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+        });
+        if (fleet.runsOf(nonce) == 0) {
+            // Owners that have just started grant no key.
+            continue;
+        }
+        ++granted;
+        if (isHomeSilent) {
+            fleet.pauseEntry(homeEntries[0]);
+            fleet.pauseEntry(homeEntries[1]);
+        }
+        for (const std::size_t entry : {2U, 3U, 5U}) {
+            EXPECT_NE(fleet.submit(entry, "once", nonce, workMs, key).outcome, "");
+            EXPECT_EQ(fleet.runsOf(nonce), 1U);
+        }
+        fleet.resumeEntry(homeEntries[0]);
+        fleet.resumeEntry(homeEntries[1]);
+        EXPECT_EQ(first.get().outcome, "completed");
+        CallerAnswer again;
+        TestFleet::await([&] {
+            again = fleet.submit(2, "once", nonce, workMs, key);
+            return again.outcome == "completed";
+        });
+        EXPECT_EQ(again.body.value("nonce", ""), nonce);
+        EXPECT_EQ(fleet.runsOf(nonce), 1U);
+    }
+}
+
 } // namespace
 } // namespace cyclamenlatch
--- a/tests/integration/testfleet.cpp
+++ b/tests/integration/testfleet.cpp
@@ -140,6 +140,16 @@
     m_entries[index].process->kill(SIGTERM);
 }
 
+void TestFleet::pauseEntry(std::size_t index)
+{
+    m_entries[index].process->signal(SIGSTOP);
+}
+
+void TestFleet::resumeEntry(std::size_t index)
+{
+    m_entries[index].process->signal(SIGCONT);
+}
+
 bool TestFleet::isReady(std::size_t index)
 {
     const auto result = call("GET", m_entries[index].url + "/readyz");
--- a/tests/integration/testfleet.h
+++ b/tests/integration/testfleet.h
@@ -40,6 +40,9 @@
     void killEntry(std::size_t index);
     // SIGTERM, and waits for the end.
     void stopEntry(std::size_t index);
+    // SIGSTOP and SIGCONT: a paused entry is silent to its peers.
+    void pauseEntry(std::size_t index);
+    void resumeEntry(std::size_t index);
     std::size_t entryCount() const { return m_entries.size(); }
     bool isReady(std::size_t index);
 
