Close a raw minion's socket under its lock

ThreadSanitizer: the destructor of the dispatcher tests' raw minion looked at a socket that its serving thread was closing with a reset (2 of the 36 cases with threads that were run, resetBeforeFirstByte... and resetOfReusedConnection...). A reset is now made by the minion, under the lock that the destructor holds.

--- a/src/dispatch/tests/dispatcher_tests.cpp
+++ b/src/dispatch/tests/dispatcher_tests.cpp
@@ -127,7 +127,7 @@
     RawMinion minion([](Socket &socket, int, RawMinion &self) {
         readRequest(socket);
         self.noteRun();
-        reset(socket);
+        self.reset(socket);
     });
     useMinions({minion.address()}, false);
     EXPECT_EQ(run().outcome, Outcome::Unknown);
@@ -147,7 +147,7 @@
         if (!readRequest(socket).empty()) {
             self.noteRun();
         }
-        reset(socket);
+        self.reset(socket);
     });
     useMinions({minion.address()}, false);
     EXPECT_EQ(run().outcome, Outcome::Completed);
--- a/src/dispatch/tests/rawminion.h
+++ b/src/dispatch/tests/rawminion.h
@@ -69,14 +69,6 @@
     asio::write(socket, asio::buffer(text), error);
 }
 
-// Closes with a reset instead of a regular end.
-inline void reset(Socket &socket)
-{
-    asio::error_code error;
-    socket.set_option(asio::socket_base::linger(true, 0), error);
-    socket.close(error);
-}
-
 class RawMinion
 {
 public:
@@ -116,6 +108,15 @@
     // Counts a start of the work; behaviours call it.
     void noteRun() { ++m_runs; }
     int runs() const { return m_runs; }
+    // Closes with a reset instead of a regular end. Under the lock, because the destructor looks at
+    // the sockets of connections that are still being served.
+    void reset(Socket &socket)
+    {
+        const std::lock_guard lock(m_mutex);
+        asio::error_code error;
+        socket.set_option(asio::socket_base::linger(true, 0), error);
+        socket.close(error);
+    }
 
 private:
     void accept()
@@ -143,7 +144,7 @@
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_runs = 0;
     std::mutex m_mutex;
-    // Guarded by m_mutex while the accepting thread runs.
+    // Guarded by m_mutex; so is the closing of each socket.
     std::vector<std::unique_ptr<Socket>> m_sockets;
     std::vector<std::thread> m_threads;
     std::thread m_acceptThread;
