Parse each record once in the long properties and split them into five cases

The harnesses of the wave planner, the quota agents and the jobs' interleavings parsed JSON records from the store at every look. They now read each record back once, when it is written, and check the same things as often; budgets of an unchanged fleet are worked out once. Each of the four long properties is five cases with a fifth of the runs each, from neighbouring seeds, as many in all as before.

--- a/src/maintenance/tests/waveplanner_tests.cpp
+++ b/src/maintenance/tests/waveplanner_tests.cpp
@@ -1,5 +1,6 @@
 // Tests of the wave machine: budgets, exactly one reboot per host, and progress through crashes,
 // pauses, take-overs, lost answers, store outages and failures during the wave.
+#include "global/tests/propertyparts.h"
 #include "maintenance/tests/wavesimulation.h"
 #include "maintenance/waveprogress.h"
 
@@ -47,7 +48,7 @@
     EXPECT_TRUE(simulation.run(manyTicks, 0));
     expectWhole(simulation);
     for (const auto &[worker, host] : simulation.hosts()) {
-        EXPECT_EQ(host.step, HostStep::Done) << worker.value();
+        EXPECT_EQ(host.record.step, HostStep::Done) << worker.value();
     }
 }
 
@@ -92,7 +93,7 @@
     simulation.run(manyTicks, 0);
     unsigned setAside = 0;
     for (const auto &[worker, host] : simulation.hosts()) {
-        setAside += host.step == HostStep::SetAside ? 1 : 0;
+        setAside += host.record.step == HostStep::SetAside ? 1 : 0;
     }
     EXPECT_GT(setAside, 0U);
     EXPECT_TRUE(simulation.faults.empty());
@@ -107,7 +108,7 @@
     expectWhole(simulation);
 }
 
-RC_GTEST_PROP(WavePlanner, HoldsThroughCrashesPausesAndLostAnswers, ())
+void holdThroughCrashesPausesAndLostAnswers()
 {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     auto settings = chaoticSettings();
@@ -124,7 +125,7 @@
     }
 }
 
-RC_GTEST_PROP(WavePlanner, CountsFailuresThatArriveDuringTheWave, ())
+void countFailuresThatArriveDuringTheWave()
 {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     auto settings = chaoticSettings();
@@ -139,6 +140,21 @@
     }
 }
 
+class WavePlannerFaults : public PropertyPart
+{};
+
+TEST_P(WavePlannerFaults, HoldsThroughCrashesPausesAndLostAnswers)
+{
+    check(&holdThroughCrashesPausesAndLostAnswers);
+}
+
+TEST_P(WavePlannerFaults, CountsFailuresThatArriveDuringTheWave)
+{
+    check(&countFailuresThatArriveDuringTheWave);
+}
+
+INSTANTIATE_TEST_SUITE_P(Parts, WavePlannerFaults, ::testing::Range(0, propertyParts));
+
 TEST(WaveOrder, TakesTheLongestChainFirst)
 {
     auto settings = calmSettings();
--- a/src/maintenance/tests/wavesimulation.h
+++ b/src/maintenance/tests/wavesimulation.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cyclamenlatch::maintenance {
@@ -43,6 +44,7 @@
         , m_random(seed)
     {
         buildFleet();
+        m_budgets = budgetsOf(fleet, m_settings.wave);
         startWave();
         // Two leaders in each data centre: a lapsed one beside its successor.
         for (const auto &dataCentre : fleet.dataCentres) {
@@ -67,17 +69,9 @@
         return false;
     }
 
-    WaveRecord wave() const { return readWaveRecord(m_store.get(waveKey(waveId))->value).value(); }
+    const WaveRecord &wave() const { return m_wave.record; }
 
-    std::map<WorkerId, HostRecord> hosts() const
-    {
-        std::map<WorkerId, HostRecord> records;
-        for (const auto &item : m_store.list(hostPrefix).items) {
-            auto record = readHostRecord(item.value).value();
-            records[record.worker] = record;
-        }
-        return records;
-    }
+    const std::map<WorkerId, Versioned<HostRecord>> &hosts() const { return m_hosts; }
 
     void step()
     {
@@ -147,7 +141,28 @@
         record.started = record.resumed = now;
         record.settings = m_settings.wave;
         record.hosts = orderHosts(fleet, fleet::Selector(), m_settings.wave);
-        m_store.write({waveKey(waveId), writeRecord(record), 0, ""});
+        commit({waveKey(waveId), writeRecord(record), 0, ""});
+    }
+
+    // Writes to the store and reads the record back from what it holds; all other looks at records
+    // are at what was read here, so that each text is parsed once.
+    bool commit(const platform::StoreWrite &write)
+    {
+        const auto revision = m_store.write(write);
+        if (!revision) {
+            return false;
+        }
+        const auto value = m_store.get(write.key)->value;
+        if (write.key.starts_with(hostPrefix)) {
+            const auto record = readHostRecord(value).value();
+            m_hosts[record.worker] = {record, *revision};
+        } else if (write.key.starts_with(ledgerPrefix)) {
+            const auto budget = write.key.substr(std::string(ledgerPrefix).size());
+            m_ledgers[budget] = {readLedgerRecord(value).value(), *revision};
+        } else {
+            m_wave = {readWaveRecord(value).value(), *revision};
+        }
+        return true;
     }
 
     void resume()
@@ -155,8 +170,7 @@
         auto record = wave();
         record.state = WaveState::Running;
         record.resumed = now;
-        m_store.write(
-                {waveKey(waveId), writeRecord(record), m_store.get(waveKey(waveId))->revision, ""});
+        commit({waveKey(waveId), writeRecord(record), m_wave.revision, ""});
     }
 
     bool isDown(const WorkerId &worker) const
@@ -188,9 +202,8 @@
     void moveEntries()
     {
         m_marks.clear();
-        for (const auto &item : m_store.list(hostPrefix).items) {
-            const auto record = readHostRecord(item.value).value();
-            m_marks[record.worker] = {isLeaving(record.step), item.revision};
+        for (const auto &[worker, host] : m_hosts) {
+            m_marks[worker] = {isLeaving(host.record.step), host.revision};
         }
         for (const auto &worker : fleet.workers) {
             const auto mark = m_marks.find(worker.id);
@@ -240,18 +253,10 @@
     {
         WaveView view;
         view.dataCentre = dataCentre;
-        const auto wave = m_store.get(waveKey(waveId));
-        view.wave = {readWaveRecord(wave->value).value(), wave->revision};
-        for (const auto &item : m_store.list(hostPrefix).items) {
-            auto record = readHostRecord(item.value).value();
-            view.hosts[record.worker] = {record, item.revision};
-        }
-        view.budgets = budgetsOf(fleet, m_settings.wave);
-        for (const auto &budget : view.budgets.budgets) {
-            if (const auto item = m_store.get(ledgerKey(budget.name))) {
-                view.ledgers[budget.name] = {readLedgerRecord(item->value).value(), item->revision};
-            }
-        }
+        view.wave = m_wave;
+        view.hosts = {m_hosts.begin(), m_hosts.end()};
+        view.budgets = m_budgets;
+        view.ledgers = m_ledgers;
         for (const auto &worker : fleet.workers) {
             view.placement[worker.id] = worker.dataCentre;
         }
@@ -291,7 +296,7 @@
         if (m_outage || (m_chaos && chance(m_settings.lostWriteChance))) {
             return;
         }
-        if (m_store.write(write) && fresh && write.key.starts_with(hostPrefix)) {
+        if (commit(write) && fresh && write.key.starts_with(hostPrefix)) {
             checkStep(readHostRecord(write.value).value());
         }
     }
@@ -331,14 +336,12 @@
 
     void checkBudgets(const WorkerId &worker, bool withFailures, const std::string &what)
     {
-        const auto records = hosts();
-        const auto table = budgetsOf(fleet, m_settings.wave);
-        for (const auto index : table.touched.at(worker)) {
-            const auto &budget = table.budgets[index];
+        for (const auto index : m_budgets.touched.at(worker)) {
+            const auto &budget = m_budgets.budgets[index];
             std::size_t out = 0;
             for (const auto &member : budget.members) {
-                const auto record = records.find(member);
-                const bool leaving = record != records.end() && isLeaving(record->second.step);
+                const auto host = m_hosts.find(member);
+                const bool leaving = host != m_hosts.end() && isLeaving(host->second.record.step);
                 out += leaving || (withFailures && isDown(member)) ? 1 : 0;
             }
             if (out > budget.maxOut) {
@@ -356,6 +359,11 @@
     const SimulationSettings m_settings;
     Random m_random;
     standins::StoreModel m_store;
+    // The store's records; see commit.
+    Versioned<WaveRecord> m_wave;
+    std::map<WorkerId, Versioned<HostRecord>> m_hosts;
+    std::unordered_map<std::string, Versioned<LedgerRecord>> m_ledgers;
+    BudgetTable m_budgets;
     std::vector<Leader> m_leaders;
     bool m_chaos = false;
     bool m_outage = false;
--- a/src/quota/tests/quotaagent_tests.cpp
+++ b/src/quota/tests/quotaagent_tests.cpp
@@ -1,4 +1,5 @@
 // No more runs than the limit whatever fails, and units follow demand when the network does not.
+#include "global/tests/propertyparts.h"
 #include "quota/tests/quotaworld.h"
 
 #include <gtest/gtest.h>
@@ -184,7 +185,7 @@
     }
 }
 
-RC_GTEST_PROP(QuotaAgent, neverRunsMoreThanIsGivenOut, (std::uint64_t seed))
+void runNeverMoreThanIsGivenOut(std::uint64_t seed)
 {
     constexpr unsigned faults = 120;
     constexpr unsigned faultKinds = 11;
@@ -200,11 +201,11 @@
                    uniformBelow(random, 2 * limit));
         const auto steps = uniformBelow(random, 20);
         for (unsigned step = 0; step < steps; ++step) {
-            const auto before = world.ledger();
+            const auto before = world.ledger().out();
             world.step();
-            const auto ledger = world.ledger();
-            RC_ASSERT(ledger.out() <= std::max(before.out(), ledger.limit));
-            RC_ASSERT(world.totalRunning() <= std::max(before.out(), ledger.out()));
+            const auto &ledger = world.ledger();
+            RC_ASSERT(ledger.out() <= std::max(before, ledger.limit));
+            RC_ASSERT(world.totalRunning() <= std::max(before, ledger.out()));
         }
     }
     // After every fault has ended, the limit is usable again.
@@ -226,5 +227,15 @@
     RC_ASSERT(meanRunning(world) >= usable);
 }
 
+class QuotaAgentFaults : public PropertyPart
+{};
+
+TEST_P(QuotaAgentFaults, neverRunsMoreThanIsGivenOut)
+{
+    check(&runNeverMoreThanIsGivenOut);
+}
+
+INSTANTIATE_TEST_SUITE_P(Parts, QuotaAgentFaults, ::testing::Range(0, propertyParts));
+
 } // namespace
 } // namespace cyclamenlatch::quota
--- a/src/quota/tests/quotaworld.h
+++ b/src/quota/tests/quotaworld.h
@@ -124,12 +124,8 @@
         return total;
     }
 
-    QuotaLedger ledger() const
-    {
-        const auto item = m_store.find(std::string(ledgerPrefix) + worldWorkspace);
-        return item == m_store.end() ? QuotaLedger{}
-                                     : ledgerFromJson(item->second.value).value_or(QuotaLedger{});
-    }
+    // The ledger as the store holds it.
+    const QuotaLedger &ledger() const { return m_ledger; }
 
     bool alive(unsigned index) const { return m_entries[index].agent != nullptr; }
     unsigned entries() const { return static_cast<unsigned>(m_entries.size()); }
@@ -319,6 +315,9 @@
         item.key = write.key;
         item.value = write.value;
         item.revision = ++m_revision;
+        if (write.key == std::string(ledgerPrefix) + worldWorkspace) {
+            m_ledger = ledgerFromJson(write.value).value_or(QuotaLedger{});
+        }
         return m_revision;
     }
 
@@ -333,6 +332,8 @@
     std::deque<Datagram> m_datagrams;
     std::deque<Write> m_pendingWrites;
     std::map<std::string, platform::StoreItem> m_store;
+    // Read from the store's item when that changes, which is far less often than it is looked at.
+    QuotaLedger m_ledger;
     platform::StoreRevision m_revision = 0;
     std::uint64_t m_writes = 0;
     std::uint64_t m_starts = 0;
--- a/tests/jobs/jobinterleavings_tests.cpp
+++ b/tests/jobs/jobinterleavings_tests.cpp
@@ -1,6 +1,7 @@
 // Properties of jobs over random interleavings of entries that all believe to lead: crashes,
 // pauses, stale views, lost answers, messages that arrive after their sender's end, an outage of
 // the platform, drains and lapses. The stand-in platform's ledger judges.
+#include "global/tests/propertyparts.h"
 #include "jobs/jobbook.h"
 #include "quota/quotatable.h"
 #include "standins/platform/storemodel.h"
@@ -188,7 +189,17 @@
     std::optional<JobRecord> stored(const std::string &job) const
     {
         const auto item = m_store.get(jobKey(JobId(job)));
-        return item ? readJobRecord(item->value) : std::nullopt;
+        return item ? std::optional(recordOf(*item)) : std::nullopt;
+    }
+
+    // Parses each revision once; the store is looked at far more often than it changes.
+    const JobRecord &recordOf(const platform::StoreItem &item) const
+    {
+        auto &read = m_read[item.key];
+        if (read.revision != item.revision) {
+            read = {item.revision, *readJobRecord(item.value)};
+        }
+        return read.record;
     }
 
     bool allFinal() const
@@ -223,10 +234,10 @@
                          + std::to_string(uniformBelow(
                                  m_random, static_cast<std::uint32_t>(m_workspaceOf.size())));
         const auto item = m_store.get(jobKey(JobId(job)));
-        const auto record = readJobRecord(item->value);
-        if (!isFinal(record->state) && !record->cancelRequested) {
+        const auto &record = recordOf(*item);
+        if (!isFinal(record.state) && !record.cancelRequested) {
             m_store.write(
-                    {item->key, writeJobRecord(cancelled(*record, wall())), item->revision, ""});
+                    {item->key, writeJobRecord(cancelled(record, wall())), item->revision, ""});
         }
     }
 
@@ -319,7 +330,7 @@
             return;
         }
         for (const auto &item : m_store.list(jobKeyPrefix).items) {
-            entry.book.noteRecord(*readJobRecord(item.value), item.revision);
+            entry.book.noteRecord(recordOf(item), item.revision);
         }
         entry.book.noteTasks(m_tasks.changes(0));
     }
@@ -397,7 +408,7 @@
             return entry.book.endWrite(id, *revision);
         }
         const auto item = m_store.get(jobKey(id));
-        entry.book.resolveWrite(id, readJobRecord(item->value), item->revision);
+        entry.book.resolveWrite(id, recordOf(*item), item->revision);
     }
 
     void pass(std::chrono::milliseconds time)
@@ -411,7 +422,15 @@
     CandidateIndex m_index;
     JobPolicy m_policy;
     Duration m_now{std::chrono::seconds(1)};
+    struct ReadRecord
+    {
+        platform::StoreRevision revision = 0;
+        JobRecord record;
+    };
+
     StoreModel m_store;
+    // By store key.
+    mutable std::map<std::string, ReadRecord> m_read;
     TaskModel m_tasks;
     bool m_outage = false;
     bool m_lossless = false;
@@ -423,7 +442,7 @@
     std::map<std::string, std::string> m_workspaceOf;
 };
 
-RC_GTEST_PROP(JobInterleavings, runOnceAtATimeWithinLimitsAndAreNeverLost, (std::uint32_t seed))
+void runOnceAtATimeWithinLimits(std::uint32_t seed)
 {
     constexpr int steps = 400;
     Simulation simulation(seed);
@@ -434,5 +453,15 @@
     simulation.heal();
 }
 
+class JobInterleavings : public PropertyPart
+{};
+
+TEST_P(JobInterleavings, runOnceAtATimeWithinLimitsAndAreNeverLost)
+{
+    check(&runOnceAtATimeWithinLimits);
+}
+
+INSTANTIATE_TEST_SUITE_P(Parts, JobInterleavings, ::testing::Range(0, propertyParts));
+
 } // namespace
 } // namespace cyclamenlatch::jobs
