Test the quota table from several threads

The tests of the table used one thread, so ThreadSanitizer had nothing to look at. Four threads acquire and release; no more run than are held, and a unit is announced only after a refusal.

--- a/src/quota/tests/quotatable_tests.cpp
+++ b/src/quota/tests/quotatable_tests.cpp
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 namespace cyclamenlatch::quota {
 namespace {
 
@@ -20,6 +24,41 @@
     EXPECT_TRUE(table.tryAcquire(drivers));
 }
 
+TEST(QuotaTable, startsNoMoreThanHeldFromSeveralThreads)
+{
+    constexpr unsigned held = 3;
+    constexpr unsigned threadCount = 4;
+    constexpr unsigned rounds = 2000;
+    QuotaTable table;
+    std::atomic<unsigned> running = 0;
+    std::atomic<unsigned> refused = 0;
+    std::atomic<unsigned> announced = 0;
+    std::atomic<bool> exceeded = false;
+    table.setOnAvailable([&](const QuotaResource &) { ++announced; });
+    table.setHeld(drivers, held);
+    std::vector<std::thread> threads;
+    for (unsigned thread = 0; thread < threadCount; ++thread) {
+        threads.emplace_back([&] {
+            for (unsigned round = 0; round < rounds; ++round) {
+                if (!table.tryAcquire(drivers)) {
+                    ++refused;
+                    continue;
+                }
+                const bool isOver = ++running > held;
+                exceeded = exceeded || isOver;
+                --running;
+                table.release(drivers);
+            }
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    EXPECT_FALSE(exceeded);
+    EXPECT_EQ(table.use(drivers).running, 0U);
+    EXPECT_LE(announced, refused) << "a unit was announced that nobody had lacked";
+}
+
 TEST(QuotaTable, announcesUnitOnceAfterRefusal)
 {
     QuotaTable table;
