Find early publishing and old answers in the scenarios

Two planted faults were found by no scenario. The check that a new life starts no lower than its peers was written but never called; it is now.

--- a/tests/scenarios/world.cpp
+++ b/tests/scenarios/world.cpp
@@ -496,10 +496,7 @@
         if (const auto *message = std::get_if<configuration::SendMessage>(&action)) {
             send(node, message->to, message->message);
         } else if (const auto *publish = std::get_if<configuration::PublishFleet>(&action)) {
-            if (publish->revision < node.inForce) {
-                m_broken = fmt::format("{} went from revision {} back to {}",
-                                       node.address.entry.value(), node.inForce, publish->revision);
-            }
+            checkPublished(node, publish->revision);
             node.inForce = publish->revision;
             perform(node, node.spread.putInForce(publish->revision));
         } else if (const auto *read = std::get_if<configuration::ReadStore>(&action)) {
