Script waves and moves between pools over the real decision code

The scenario language gets hosts, waves, moves and the faults that touch them: killed and paused leaders, lost, old and late answers of the store, cuts, hosts that stay down or fail together, racing operators. Entries run the real planners, records, leaving marks and quiet collector. Checked after each tick: budgets over all waves, no host taken beyond a budget with failures known for 3 s, no request cut by a reboot, no worker with requests of two pools.

--- a/tests/scenarios/entrynode.h
+++ b/tests/scenarios/entrynode.h
@@ -5,6 +5,7 @@
 #include "dispatch/outcomeledger.h"
 #include "dispatch/ownerroster.h"
 #include "quota/quotaagent.h"
+#include "tests/scenarios/fleetkeeper.h"
 
 #include <map>
 #include <optional>
@@ -48,6 +49,7 @@
     configuration::SpreadState spread;
     dispatch::OutcomeLedger ledger;
     dispatch::OwnerRoster roster;
+    FleetKeeper keeper;
     std::map<std::string, Attempt> attempts;
     std::uint64_t nextAttempt = 1;
     // Work that the entry is asked to keep running, by workspace.
--- a/tests/scenarios/scenarioreader.cpp
+++ b/tests/scenarios/scenarioreader.cpp
@@ -17,6 +17,7 @@
 
 constexpr unsigned maxUnits = 1000000;
 constexpr unsigned maxEntries = 96;
+constexpr unsigned maxWorkers = 200;
 
 Duration milliseconds(unsigned count)
 {
@@ -155,6 +156,79 @@
     return step;
 }
 
+Action readWave(YamlReader &reader)
+{
+    WaveStep step;
+    step.name = reader.requiredText("name");
+    step.pool = reader.text("pool", "");
+    step.perRack = reader.count("perRack", 0, 0, maxUnits);
+    step.reserve = reader.count("reserve", 0, 0, maxUnits);
+    step.failuresToPause = reader.count("failuresToPause", 3, 1, maxUnits);
+    step.rebootDeadline = milliseconds(reader.count("rebootDeadlineMs", 30000, 0, 3600000));
+    step.slowStart = milliseconds(reader.count("slowStartMs", 1000, 0, 600000));
+    return step;
+}
+
+template<WaveVerb verb>
+Action readWaveChange(YamlReader &reader)
+{
+    return WaveChangeStep{verb, reader.requiredText("name")};
+}
+
+Action readHostFailure(YamlReader &reader)
+{
+    HostFailureStep step;
+    step.worker = WorkerId(reader.requiredText("worker"));
+    step.time = seconds(reader.number("seconds", 5, 0.05, 1e6));
+    return step;
+}
+
+template<bool returns>
+Action readHostReturn(YamlReader &reader)
+{
+    return HostReturnStep{WorkerId(reader.requiredText("worker")), returns};
+}
+
+Action readMove(YamlReader &reader)
+{
+    MoveStep step;
+    step.worker = WorkerId(reader.requiredText("worker"));
+    step.pool = PoolId(reader.requiredText("pool"));
+    step.at = EntryId(reader.requiredText("at"));
+    return step;
+}
+
+Action readExpectWave(YamlReader &reader)
+{
+    return ExpectWave{reader.requiredText("name"), reader.requiredText("state")};
+}
+
+Action readExpectHost(YamlReader &reader)
+{
+    ExpectHost step;
+    step.wave = reader.requiredText("wave");
+    step.worker = WorkerId(reader.requiredText("worker"));
+    step.step = reader.requiredText("step");
+    return step;
+}
+
+Action readExpectReboots(YamlReader &reader)
+{
+    ExpectReboots step;
+    step.wave = reader.requiredText("wave");
+    step.least = reader.count("least", 0, 0, maxUnits);
+    step.most = reader.count("most", maxUnits, 0, maxUnits);
+    return step;
+}
+
+Action readExpectPool(YamlReader &reader)
+{
+    ExpectPool step;
+    step.worker = WorkerId(reader.requiredText("worker"));
+    step.pool = PoolId(reader.requiredText("pool"));
+    return step;
+}
+
 struct Verb
 {
     const char *name;
@@ -178,12 +252,23 @@
         Verb{"apply", &readApply},
         Verb{"withdraw", &readWithdraw},
         Verb{"submit", &readSubmit},
+        Verb{"wave", &readWave},
+        Verb{"pauseWave", &readWaveChange<WaveVerb::Pause>},
+        Verb{"resumeWave", &readWaveChange<WaveVerb::Resume>},
+        Verb{"failHost", &readHostFailure},
+        Verb{"holdHost", &readHostReturn<false>},
+        Verb{"returnHost", &readHostReturn<true>},
+        Verb{"move", &readMove},
         Verb{"expectAdmitted", &readExpectAdmission<true>},
         Verb{"expectRefused", &readExpectAdmission<false>},
         Verb{"expectRunning", &readExpectRunning},
         Verb{"expectInForce", &readExpectInForce},
         Verb{"expectLimitInForce", &readExpectLimitInForce},
         Verb{"expectRuns", &readExpectRuns},
+        Verb{"expectWave", &readExpectWave},
+        Verb{"expectHost", &readExpectHost},
+        Verb{"expectReboots", &readExpectReboots},
+        Verb{"expectPool", &readExpectPool},
 };
 
 std::string verbNames()
@@ -245,8 +330,11 @@
         YamlReader reader(root, "the scenario", mistakes);
         reading.scenario.name = reader.requiredText("name");
         reading.scenario.seed = reader.count("seed", 1, 0, 4000000000U);
+        reading.scenario.knownRed = reader.text("knownRed", "");
         reading.scenario.dataCentres = readCounts(reader, "dataCentres", maxEntries, mistakes);
         reading.scenario.workspaces = readCounts(reader, "workspaces", maxUnits, mistakes);
+        reading.scenario.pools = readCounts(reader, "pools", maxWorkers, mistakes);
+        reading.scenario.maxUnavailable = reader.count("maxUnavailable", 1, 1, maxWorkers);
         const auto steps = reader.child("steps");
         if (!steps.IsDefined() || !steps.IsSequence()) {
             reader.addMistake(reader.line(), "the scenario has no list of steps",
--- a/tests/scenarios/world.cpp
+++ b/tests/scenarios/world.cpp
@@ -38,6 +38,7 @@
     : m_scenario(scenario)
     , m_random(scenario.seed)
     , m_now(startOfTime)
+    , m_hosts(scenario)
     , m_limits(scenario.workspaces)
 {
     std::uint16_t port = 1;
@@ -305,12 +306,18 @@
     if (m_oldStore) {
         m_lastOldAnswer = m_now;
     }
+    const bool storeIsWell = !m_oldStore && !m_storeFaults.down
+                             && m_storeFaults.loseAnswersPercent == 0
+                             && m_storeFaults.delay == Duration::zero();
+    m_lastStoreFault = storeIsWell ? m_lastStoreFault : m_now;
+    m_hosts.tick(m_now);
     answerStoreCalls();
     for (auto &[entry, slot] : m_slots) {
         if (slot.node && !slot.node->paused) {
             tickNode(*slot.node);
         }
         if (slot.node && slot.node->leaving && slot.node->quota.hasLeft()) {
+            m_hosts.drop(entry, slot.node->incarnation);
             slot.node.reset();
         }
     }
@@ -324,6 +331,7 @@
     tickQuota(node);
     tickSpread(node);
     tickAttempts(node);
+    tickFleet(node);
 }
 
 void World::tickQuota(EntryNode &node)
@@ -458,6 +466,8 @@
     } else if (const auto *config = std::get_if<configuration::ConfigMessage>(&envelope.body)) {
         perform(node,
                 node.spread.receive(envelope.from, envelope.incarnation, *config, m_now, m_random));
+    } else if (std::holds_alternative<maintenance::MaintenanceMessage>(envelope.body)) {
+        receiveMaintenance(node, envelope);
     } else {
         receiveOutcome(node, envelope);
     }
@@ -730,11 +740,18 @@
             m_orphans.push_back({workspace, end});
         }
     }
+    m_hosts.drop(slot.node->address.entry, slot.node->incarnation);
     slot.node.reset();
 }
 
 std::vector<World::Slot *> World::slotsOf(const std::string &place)
 {
+    constexpr std::string_view leaderOf = "leader of ";
+    if (place.starts_with(leaderOf)) {
+        const auto lease = m_leases.find(place.substr(leaderOf.size()));
+        auto *leader = lease == m_leases.end() ? nullptr : findSlot(lease->second.holder);
+        return leader == nullptr ? std::vector<Slot *>() : std::vector{leader};
+    }
     std::vector<Slot *> slots;
     for (auto &[entry, slot] : m_slots) {
         const bool matches =
@@ -789,6 +806,9 @@
     if (auto failure = checkWithdrawals()) {
         return failure;
     }
+    if (auto failure = checkWaves()) {
+        return failure;
+    }
     return checkRuns();
 }
 
--- a/tests/scenarios/world.h
+++ b/tests/scenarios/world.h
@@ -2,9 +2,11 @@
 // a network and a virtual clock. After each tick every invariant is checked.
 #pragma once
 
+#include "maintenance/waveaction.h"
 #include "quota/quotaledger.h"
 #include "standins/platform/storemodel.h"
 #include "tests/scenarios/entrynode.h"
+#include "tests/scenarios/hostfleet.h"
 #include "tests/scenarios/scenario.h"
 #include "tests/scenarios/virtualnetwork.h"
 
@@ -80,6 +82,15 @@
     Failure act(const ExpectInForce &step);
     Failure act(const ExpectLimitInForce &step);
     Failure act(const ExpectRuns &step);
+    Failure act(const WaveStep &step);
+    Failure act(const WaveChangeStep &step);
+    Failure act(const HostFailureStep &step);
+    Failure act(const HostReturnStep &step);
+    Failure act(const MoveStep &step);
+    Failure act(const ExpectWave &step);
+    Failure act(const ExpectHost &step);
+    Failure act(const ExpectReboots &step);
+    Failure act(const ExpectPool &step);
 
     void tick();
     void tickNode(EntryNode &node);
@@ -89,6 +100,25 @@
     void work(EntryNode &node);
     void setPeers(EntryNode &node);
 
+    // Waves and pools, in worldfleet.cpp.
+    void tickFleet(EntryNode &node);
+    void sendRequests(EntryNode &node);
+    void readFleetRecords(EntryNode &node);
+    void listHosts(EntryNode &node);
+    bool leads(EntryNode &node, const std::string &scope);
+    void keepWaves(EntryNode &node);
+    void keepPools(EntryNode &node);
+    void ask(EntryNode &node, const maintenance::DrainPoll &poll);
+    maintenance::DrainAnswer answerPoll(EntryNode &node, const maintenance::DrainPoll &poll);
+    void receiveMaintenance(EntryNode &node, const Envelope &envelope);
+    std::unordered_map<WorkerId, platform::StoreRevision> quietOf(const EntryNode &node,
+                                                                  const std::string &scope) const;
+    void writeFleetRecord(EntryNode &node, const platform::StoreWrite &write);
+    void askReboot(EntryNode &node, const maintenance::RebootRequest &request);
+    Failure checkTaken(const maintenance::HostRecord &record) const;
+    Failure checkWaves();
+    bool isQuietTime() const;
+
     void deliver(Envelope envelope);
     void receive(EntryNode &node, const Envelope &envelope);
     void receiveOutcome(EntryNode &node, const Envelope &envelope);
@@ -137,6 +167,19 @@
     StoreStep m_storeFaults;
     std::deque<StoreCall> m_storeCalls;
     std::map<EntryId, Slot> m_slots;
+    HostFleet m_hosts;
+    // By scope: who holds the lease, until when.
+    struct Lease
+    {
+        EntryId holder;
+        std::uint64_t incarnation = 0;
+        TimePoint end;
+    };
+    std::map<std::string, Lease> m_leases;
+    // The records as the store holds them, for the checks.
+    maintenance::MaintenanceRecords m_records;
+    // When an answer of the store may last have been old, late or lost.
+    TimePoint m_lastStoreFault{};
     std::vector<Orphan> m_orphans;
     std::uint64_t m_nextIncarnation = 1;
     std::map<std::string, unsigned> m_limits;
