Keep a retired HTTP server until its io_context drops the connections

Cause: an open RESTinio connection tells the server's connection limiter when it ends. Change: the destructor stops the server and hands it to a service of the io_context, which asio deletes after it has dropped all handlers. Ruled out: leaving the limiter away, which would lose the bound on connections.

Before: StoreClient.refusesAnswersOlderThanWhatItSaw and StoreClient.retriesCallsRefusedByTheRateLimit red under ASan.

--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -2,6 +2,7 @@
 #include "net/httpserver.h"
 
 #include "net/internal/connectionwatches.h"
+#include "net/internal/retiredservers.h"
 #include "net/internal/tlsreload.h"
 
 #include <fmt/format.h>
@@ -150,6 +151,7 @@
         return success();
     }
 
+    asio::io_context &context() const { return m_context; }
     std::uint16_t port() const { return m_port; }
     std::size_t openRequests() const { return m_openRequests; }
 
@@ -237,7 +239,13 @@
     : m_private(std::make_unique<Private>(context, std::move(settings), std::move(handler)))
 {}
 
-HttpServer::~HttpServer() = default;
+// A connection that is still open uses the server until the io_context drops it.
+HttpServer::~HttpServer()
+{
+    m_private->stop();
+    auto &context = m_private->context();
+    asio::use_service<detail::RetiredServers>(context).keep(std::move(m_private));
+}
 
 Result<void> HttpServer::start()
 {
