Refuse a fleet document that is not UTF-8

Change: readFleet checks the text first and names the line and the remedy. Parts read from the store are not checked so: what was accepted by an earlier version stays readable.

--- a/src/fleet/internal/fleetyaml.cpp
+++ b/src/fleet/internal/fleetyaml.cpp
@@ -1,6 +1,7 @@
 // The YAML form of the fleet document.
 #include "fleet/fleetyaml.h"
 
+#include "fleet/internal/utf8text.h"
 #include "fleet/yamlreader.h"
 
 #include <fmt/format.h>
@@ -368,6 +369,11 @@
 FleetReading readFleet(std::string_view yaml)
 {
     FleetReading reading;
+    if (const auto line = detail::lineOfInvalidUtf8(yaml)) {
+        reading.mistakes.push_back(
+                {*line, "the text is not UTF-8", "save the document with the encoding UTF-8"});
+        return reading;
+    }
     ItemLines lines;
     try {
         readSections(YAML::Load(std::string(yaml)), reading, lines);
--- a/src/fleet/tests/fleetyaml_tests.cpp
+++ b/src/fleet/tests/fleetyaml_tests.cpp
@@ -54,6 +54,14 @@
     }
 }
 
+TEST(FleetYaml, refusesTextThatIsNotUtf8WithItsLine)
+{
+    const auto reading = readFleet("pools:\n  - {name: swaps}\n  - {name: \"dc-\xff\"}\n");
+    ASSERT_EQ(reading.mistakes.size(), 1U);
+    EXPECT_EQ(reading.mistakes.front().line, 3);
+    EXPECT_TRUE(readFleet("pools:\n  - {name: bếp-chung}\n").mistakes.empty());
+}
+
 TEST(FleetYaml, reportsMistakesBetweenItemsWithTheirLines)
 {
     const auto reading = readFleet(R"(
