Free a lost holder's units by a replaced host or an operator's word

QuotaAgent::reportGone had no caller, and it kept a report by the entry's name, so that a word on a lost entry would also have marked its next life as gone. A proof is now about one registered life. An operator's word is refused while one of the entries is heard from. A holder registers its host's name and how often the platform had replaced it; a silent holder is gone when the platform's list counts more, so that an old list proves nothing.

--- a/src/platform/internal/hostclient.cpp
+++ b/src/platform/internal/hostclient.cpp
@@ -31,6 +31,7 @@
             host.worker = WorkerId(value.at("name"));
             host.live = value.at("live");
             host.finishedReboot = value.value("finishedReboot", std::string());
+            host.replacements = value.value("replacements", std::uint64_t{0});
             host.usage = value.value("usage", 0.0);
             hosts.push_back(std::move(host));
         }
--- a/src/quota/holderregistry.h
+++ b/src/quota/holderregistry.h
@@ -3,6 +3,7 @@
 // every other registered holder has closed its channels to it and told what crossed them.
 #pragma once
 
+#include "quota/hostlife.h"
 #include "quota/quotaholder.h"
 #include "quota/quotanode.h"
 
@@ -39,6 +40,7 @@
     DataCentreId dataCentre;
     // "address:port" that one process at a time can hold.
     std::string address;
+    HostLife host;
     // Set once it is known never to start work again.
     std::optional<GoneProof> gone;
     // What each other holder exchanged with this gone one.
@@ -50,7 +52,8 @@
     std::map<QuotaHolder, RegisteredHolder> holders;
 
     // Adds a holder; earlier lives of its entry at the same address are gone by that.
-    void enter(const QuotaHolder &holder, DataCentreId dataCentre, std::string address);
+    void enter(const QuotaHolder &holder, DataCentreId dataCentre, std::string address,
+               HostLife host);
     // Returns false when the holder is not registered or already known to be gone.
     bool markGone(const QuotaHolder &holder, GoneProof proof);
     // True while the holder may use units.
--- a/src/quota/internal/holderregistry.cpp
+++ b/src/quota/internal/holderregistry.cpp
@@ -41,6 +41,9 @@
     RegisteredHolder holder;
     holder.dataCentre = DataCentreId(value.at("dataCentre").get<std::string>());
     holder.address = value.at("address").get<std::string>();
+    // Absent when the entry's settings don't tell.
+    holder.host.name = value.value("host", std::string());
+    holder.host.replacements = value.value("replacements", std::uint64_t{0});
     if (value.contains("gone")) {
         holder.gone = goneProofNames.value(value.at("gone").get<std::string>());
         if (!holder.gone) {
@@ -60,7 +63,8 @@
 
 } // namespace
 
-void HolderRegistry::enter(const QuotaHolder &holder, DataCentreId dataCentre, std::string address)
+void HolderRegistry::enter(const QuotaHolder &holder, DataCentreId dataCentre, std::string address,
+                           HostLife host)
 {
     for (auto &[other, registered] : holders) {
         const bool earlierLife = other.entry == holder.entry
@@ -70,8 +74,9 @@
             registered.gone = GoneProof::Restarted;
         }
     }
-    holders.try_emplace(holder,
-                        RegisteredHolder{std::move(dataCentre), std::move(address), {}, {}});
+    holders.try_emplace(
+            holder,
+            RegisteredHolder{std::move(dataCentre), std::move(address), std::move(host), {}, {}});
 }
 
 bool HolderRegistry::markGone(const QuotaHolder &holder, GoneProof proof)
@@ -150,6 +155,10 @@
         item = {{"dataCentre", registered.dataCentre.value()},
                 {"address", registered.address},
                 {"folds", folds}};
+        if (registered.host.isKnown()) {
+            item["host"] = registered.host.name;
+            item["replacements"] = registered.host.replacements;
+        }
         if (registered.gone) {
             item["gone"] = goneProofNames.name(*registered.gone);
         }
--- a/src/quota/internal/quotaagent.cpp
+++ b/src/quota/internal/quotaagent.cpp
@@ -1,7 +1,10 @@
 // Plans the writes that keep the store's records and this entry's holdings in step.
 #include "quota/quotaagent.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cyclamenlatch::quota {
@@ -23,6 +26,14 @@
     return ledgerPrefix + workspace;
 }
 
+bool isAbout(const GoneSubject &subject, const QuotaHolder &holder,
+             const RegisteredHolder &registered)
+{
+    const auto *entry = std::get_if<EntryId>(&subject);
+    return entry != nullptr ? holder.entry == *entry
+                            : registered.dataCentre == std::get<DataCentreId>(subject);
+}
+
 std::optional<std::string> workspaceOf(const std::string &key)
 {
     const std::string prefix = ledgerPrefix;
@@ -170,9 +181,68 @@
     return m_leaving && (self == m_registry.holders.end() || self->second.gone);
 }
 
-void QuotaAgent::reportGone(const EntryId &entry, GoneProof proof)
+Result<GoneNote> QuotaAgent::takeOperatorsWord(const GoneSubject &subject)
+{
+    GoneNote note;
+    std::vector<QuotaHolder> toMark;
+    for (const auto &[holder, registered] : m_registry.holders) {
+        if (!isAbout(subject, holder, registered)) {
+            continue;
+        }
+        ++note.holders;
+        if (registered.gone) {
+            continue;
+        }
+        if (!isSilent(holder)) {
+            return failure(ErrorKind::Conflict, fmt::format("{} is alive", holder.entry.value()),
+                           "stop its process first: it then returns its units by itself");
+        }
+        toMark.push_back(holder);
+    }
+    if (note.holders == 0) {
+        return failure(ErrorKind::NotFound, "no registered entry has this name",
+                       "look at \"entry list\"; what is not listed locks no units");
+    }
+    for (const auto &holder : toMark) {
+        m_reports[holder] = GoneProof::OperatorsWord;
+    }
+    note.recorded = toMark.empty();
+    return note;
+}
+
+bool QuotaAgent::wantsHostList() const
+{
+    if (!registered() || !isLeader()) {
+        return false;
+    }
+    return std::any_of(m_registry.holders.begin(), m_registry.holders.end(),
+                       [this](const auto &item) {
+                           return item.second.host.isKnown() && isSilent(item.first);
+                       });
+}
+
+void QuotaAgent::takeHostList(const std::vector<platform::HostStatus> &hosts)
+{
+    for (const auto &[holder, registered] : m_registry.holders) {
+        if (!registered.host.isKnown() || !isSilent(holder)) {
+            continue;
+        }
+        const bool replaced =
+                std::any_of(hosts.begin(), hosts.end(), [&](const platform::HostStatus &host) {
+                    return host.worker.value() == registered.host.name
+                           && host.replacements > registered.host.replacements;
+                });
+        if (replaced) {
+            m_reports.try_emplace(holder, GoneProof::HostReplaced);
+        }
+    }
+}
+
+bool QuotaAgent::isSilent(const QuotaHolder &holder) const
 {
-    m_reports[entry] = proof;
+    const bool live = std::any_of(m_live.begin(), m_live.end(),
+                                  [&](const QuotaPeer &peer) { return peer.holder == holder; });
+    return m_registry.isActive(holder) && holder != m_settings.self && !live;
 }
 
 bool QuotaAgent::registered() const
@@ -180,6 +250,20 @@
     return m_registry.isActive(m_settings.self);
 }
 
+std::vector<std::string> QuotaAgent::limitNames() const
+{
+    std::set<std::string> names;
+    for (const auto &[workspace, units] : m_fleet.units) {
+        names.insert(workspace);
+    }
+    for (const auto &[workspace, view] : m_ledgers) {
+        if (view.ledger.out() > 0) {
+            names.insert(workspace);
+        }
+    }
+    return {names.begin(), names.end()};
+}
+
 std::optional<LimitState> QuotaAgent::limitState(const std::string &workspace) const
 {
     const auto found = m_ledgers.find(workspace);
@@ -188,6 +272,8 @@
     }
     LimitState state;
     state.limit = found->second.ledger.limit;
+    const auto wanted = m_fleet.units.find(workspace);
+    state.wanted = wanted == m_fleet.units.end() ? 0U : wanted->second;
     state.out = found->second.ledger.out();
     for (const auto &[holder, account] : found->second.ledger.accounts) {
         if (!m_registry.isActive(holder) && account.units > 0) {
@@ -205,14 +291,11 @@
     auto registry = m_registry;
     bool changed = false;
     if (!registry.holders.contains(m_settings.self) && !m_node.revoked() && !m_leaving) {
-        registry.enter(m_settings.self, m_settings.dataCentre, m_settings.address);
+        registry.enter(m_settings.self, m_settings.dataCentre, m_settings.address, m_settings.host);
         changed = true;
     }
-    for (const auto &[holder, registered] : m_registry.holders) {
-        const auto report = m_reports.find(holder.entry);
-        if (report != m_reports.end() && holder != m_settings.self) {
-            changed = registry.markGone(holder, report->second) || changed;
-        }
+    for (const auto &[holder, proof] : m_reports) {
+        changed = registry.markGone(holder, proof) || changed;
     }
     if (registered()) {
         for (const auto &gone : registry.unfoldedBy(m_settings.self)) {
@@ -406,6 +489,7 @@
             m_node.close(gone);
         }
     }
+    std::erase_if(m_reports, [this](const auto &item) { return !m_registry.isActive(item.first); });
     std::erase_if(m_goneSince,
                   [this](const auto &item) { return !m_registry.holders.contains(item.first); });
     updatePeers();
--- a/src/quota/quotaagent.h
+++ b/src/quota/quotaagent.h
@@ -4,8 +4,11 @@
 #pragma once
 
 #include "global/random.h"
+#include "global/result.h"
+#include "platform/hoststatus.h"
 #include "platform/storeitem.h"
 #include "platform/storewrite.h"
+#include "quota/gonesubject.h"
 #include "quota/holderregistry.h"
 #include "quota/quotaledger.h"
 #include "quota/quotanode.h"
@@ -29,6 +32,7 @@
     std::string address;
     // Work of a gone holder has ended this long after the proof that it is gone.
     Duration longestWork = std::chrono::minutes(10);
+    HostLife host = {};
 };
 
 // The limits of one revision of the fleet document.
@@ -51,10 +55,14 @@
 struct LimitState
 {
     std::uint64_t limit = 0;
+    // The limit of the newest fleet document that this entry knows.
+    std::uint64_t wanted = 0;
     // Units given out; more than the limit while a lower one is not in force yet.
     std::uint64_t out = 0;
     // Units that gone holders had and that are not proven free yet.
     std::uint64_t locked = 0;
+
+    bool inForce() const { return limit == wanted && out <= limit; }
 };
 
 class QuotaAgent
@@ -85,10 +93,21 @@
     bool unitsReturned() const;
     // The store knows that units were returned, so that nobody has to wait for a proof.
     bool hasLeft() const;
-    // The platform or an operator says that a holder is gone.
-    void reportGone(const EntryId &entry, GoneProof proof);
-
+    // An operator vouches that the work of these entries has ended or will within the longest
+    // work, and that they start none. Fails when one of them is alive. May be repeated.
+    Result<GoneNote> takeOperatorsWord(const GoneSubject &subject);
+    // Whether this entry is the one to look for silent holders whose host was replaced.
+    bool wantsHostList() const;
+    // The platform's list, which lags. It proves a silent holder gone when it counts more
+    // replacements of the holder's host than the holder knew of; an old list counts fewer.
+    void takeHostList(const std::vector<platform::HostStatus> &hosts);
+
+    const HolderRegistry &registry() const { return m_registry; }
+    // Registered, not known to be gone, and neither this entry nor a live one.
+    bool isSilent(const QuotaHolder &holder) const;
     bool registered() const;
+    // Workspaces that have a limit, or units out from an earlier one.
+    std::vector<std::string> limitNames() const;
     std::optional<LimitState> limitState(const std::string &workspace) const;
 
 private:
@@ -150,7 +169,8 @@
     std::map<std::string, Retry> m_retries;
     // When this entry first saw each proof; waits are counted on its own clock.
     std::map<QuotaHolder, TimePoint> m_goneSince;
-    std::map<EntryId, GoneProof> m_reports;
+    // Proofs that the registry does not hold yet, each of one life only.
+    std::map<QuotaHolder, GoneProof> m_reports;
     std::vector<QuotaResource> m_available;
     TimePoint m_nextPlan{};
     bool m_leaving = false;
--- a/src/quota/tests/quotaagent_tests.cpp
+++ b/src/quota/tests/quotaagent_tests.cpp
@@ -88,6 +88,114 @@
     EXPECT_EQ(world.running(1), limit);
 }
 
+// Kills entry 0 while it and entry 1 run half of the limit each; entry 2 wants all and may share
+// what entry 1 has.
+QuotaWorld worldWithDeadEntry(std::uint64_t seed)
+{
+    auto world = settledWorld(seed);
+    world.demand(0, limit / 2);
+    world.demand(1, limit / 2);
+    world.run(settleTime);
+    EXPECT_EQ(world.running(0), limit / 2);
+    EXPECT_EQ(world.running(1), limit / 2);
+    world.replaceHost(0);
+    world.demand(2, limit);
+    world.run(worldStep);
+    return world;
+}
+
+unsigned runningAtTheLiving(const QuotaWorld &world)
+{
+    return world.running(1) + world.running(2);
+}
+
+// Exactly what entry 0 had becomes usable, after its longest work.
+void expectFreedAfterLongestWork(QuotaWorld &world)
+{
+    for (Duration passed{}; passed < worldLongestWork / 2; passed += worldStep) {
+        world.step();
+        ASSERT_LE(runningAtTheLiving(world), limit / 2) << "the work may still run";
+    }
+    for (Duration passed{}; passed < worldLongestWork * 2; passed += worldStep) {
+        world.step();
+        ASSERT_LE(world.totalRunning(), limit);
+    }
+    EXPECT_EQ(world.ledger().out(), limit);
+    EXPECT_GE(runningAtTheLiving(world), usable);
+}
+
+TEST(QuotaAgent, operatorsWordFreesALostEntrysUnits)
+{
+    auto world = worldWithDeadEntry(10);
+    world.run(worldLongestWork * 3);
+    EXPECT_LE(runningAtTheLiving(world), limit / 2) << "without a proof nothing may be freed";
+    const auto first = world.say(2, EntryId("e-0"));
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first.value().holders, 1U);
+    EXPECT_FALSE(first.value().recorded) << "the store has not taken it yet";
+    world.run(worldStep * 10);
+    EXPECT_TRUE(world.say(3, EntryId("e-0")).value().recorded);
+    expectFreedAfterLongestWork(world);
+}
+
+TEST(QuotaAgent, operatorsWordIsRefusedOfEntriesThatAreAlive)
+{
+    auto world = settledWorld(11);
+    EXPECT_EQ(world.say(0, EntryId("e-1")).error().kind, ErrorKind::Conflict);
+    EXPECT_EQ(world.say(0, EntryId("e-0")).error().kind, ErrorKind::Conflict);
+    EXPECT_EQ(world.say(0, EntryId("e-9")).error().kind, ErrorKind::NotFound);
+    // One of the data centre's two entries is dead, the other is alive.
+    world.kill(1);
+    world.run(settleTime);
+    EXPECT_EQ(world.say(0, DataCentreId("dc-1")).error().kind, ErrorKind::Conflict);
+    world.kill(4);
+    world.run(settleTime);
+    EXPECT_EQ(world.say(0, DataCentreId("dc-1")).value().holders, 2U);
+}
+
+TEST(QuotaAgent, operatorsWordDoesNotTouchALaterLife)
+{
+    auto world = worldWithDeadEntry(12);
+    world.storeDown = true;
+    ASSERT_TRUE(world.say(2, EntryId("e-0")));
+    world.start(0);
+    world.run(settleTime);
+    world.storeDown = false;
+    world.run(worldLongestWork * 3);
+    world.demand(1, 0);
+    world.demand(2, 0);
+    world.demand(0, limit);
+    world.run(settleTime * 2);
+    EXPECT_GE(world.running(0), usable);
+}
+
+TEST(QuotaAgent, replacedHostFreesItsEntrysUnits)
+{
+    auto world = worldWithDeadEntry(13);
+    world.run(settleTime);
+    constexpr std::uint64_t beforeTheReplacement = 1;
+    world.showHosts(beforeTheReplacement);
+    world.run(worldLongestWork * 3);
+    EXPECT_LE(runningAtTheLiving(world), limit / 2) << "a list from before proves nothing";
+    world.showHosts();
+    expectFreedAfterLongestWork(world);
+}
+
+TEST(QuotaAgent, anOldHostListDoesNotTouchTheLifeOnTheNewHost)
+{
+    auto world = worldWithDeadEntry(14);
+    world.start(0);
+    world.run(settleTime);
+    world.kill(0);
+    world.run(settleTime);
+    constexpr std::uint64_t beforeTheReplacement = 1;
+    world.showHosts(beforeTheReplacement);
+    world.showHosts();
+    world.run(worldLongestWork * 3);
+    EXPECT_FALSE(world.say(2, EntryId("e-0")).value().recorded)
+            << "the second life died on a host that was not replaced";
+}
+
 TEST(QuotaAgent, nothingIsMintedTwiceWhenAllEntriesRestart)
 {
     auto world = settledWorld(6);
@@ -155,6 +263,19 @@
     return sum / steps;
 }
 
+// An operator says the truth of one entry to all others.
+void sayOfDead(QuotaWorld &world, unsigned index)
+{
+    if (world.alive(index)) {
+        return;
+    }
+    for (unsigned to = 0; to < entries; ++to) {
+        if (world.alive(to)) {
+            static_cast<void>(world.say(to, EntryId("e-" + std::to_string(index))));
+        }
+    }
+}
+
 void applyFault(QuotaWorld &world, unsigned fault, unsigned index, unsigned amount)
 {
     switch (fault) {
@@ -180,6 +301,14 @@
         return;
     case 9:
         return world.leave(index);
+    case 10:
+        world.replaceHost(index);
+        return;
+    case 11:
+        world.showHosts(amount % 2);
+        return;
+    case 12:
+        return sayOfDead(world, index);
     default:
         return;
     }
@@ -188,7 +317,7 @@
 void runNeverMoreThanIsGivenOut(std::uint64_t seed)
 {
     constexpr unsigned faults = 120;
-    constexpr unsigned faultKinds = 11;
+    constexpr unsigned faultKinds = 14;
     Random random(seed);
     QuotaWorld world(entries, dataCentres, seed);
     world.lossPercent = uniformBelow(random, 40);
--- a/src/quota/tests/quotaworld.h
+++ b/src/quota/tests/quotaworld.h
@@ -5,6 +5,7 @@
 
 #include "quota/quotaagent.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -58,6 +59,7 @@
         settings.dataCentre = dataCentreOf(index);
         settings.address = "127.0.0.1:" + std::to_string(index);
         settings.longestWork = worldLongestWork;
+        settings.host = {"h-" + std::to_string(index), m_replacements[index]};
         entry = Entry{};
         entry.agent = std::make_unique<QuotaAgent>(settings);
     }
@@ -73,6 +75,36 @@
         entry.agent.reset();
     }
 
+    // The platform gives the entry's address to another host; the process ends with the old one.
+    void replaceHost(unsigned index)
+    {
+        kill(index);
+        ++m_replacements[index];
+    }
+
+    // Tells the entry what an operator says, which is true only of entries that don't run.
+    Result<GoneNote> say(unsigned to, const GoneSubject &subject)
+    {
+        return m_entries[to].agent->takeOperatorsWord(subject);
+    }
+
+    // Every entry sees the platform's list as it was this many replacements ago.
+    void showHosts(std::uint64_t lag = 0)
+    {
+        std::vector<platform::HostStatus> hosts;
+        for (const auto &[index, count] : m_replacements) {
+            platform::HostStatus host;
+            host.worker = WorkerId("h-" + std::to_string(index));
+            host.replacements = count - std::min(lag, count);
+            hosts.push_back(host);
+        }
+        for (auto &entry : m_entries) {
+            if (entry.agent && !entry.paused) {
+                entry.agent->takeHostList(hosts);
+            }
+        }
+    }
+
     void pause(unsigned index, bool paused) { m_entries[index].paused = paused; }
     void leave(unsigned index) { m_entries[index].leaving = true; }
 
@@ -324,6 +356,8 @@
     Random m_random;
     unsigned m_dataCentres;
     std::vector<Entry> m_entries;
+    // By the index of the host's entry.
+    std::map<unsigned, std::uint64_t> m_replacements;
     TimePoint m_now{};
     unsigned m_limit = 0;
     std::uint64_t m_fleetRevision = 0;
--- a/standins/platform/hostmodel.h
+++ b/standins/platform/hostmodel.h
@@ -20,6 +20,8 @@
     std::string runningAttempt;
     std::string finishedAttempt;
     unsigned reboots = 0;
+    // How often another machine has taken the host's name.
+    unsigned replacements = 0;
     TimePoint backAt;
 };
 
@@ -29,6 +31,7 @@
     void setHost(const std::string &name, const std::string &minion);
     void setRebootTime(Duration time) { m_rebootTime = time; }
     void setLag(Duration lag) { m_lag = lag; }
+    void replaceHost(const std::string &name) { ++m_hosts[name].replacements; }
     // A host that never comes back from its next reboot.
     void setNeverBack(const std::string &name) { m_neverBack.insert(name); }
 
--- a/standins/platform/hostserver.cpp
+++ b/standins/platform/hostserver.cpp
@@ -27,7 +27,8 @@
         values.push_back({{"name", host.name},
                           {"live", host.live},
                           {"finishedReboot", host.finishedAttempt},
-                          {"reboots", host.reboots}});
+                          {"reboots", host.reboots},
+                          {"replacements", host.replacements}});
     }
     return {{"hosts", std::move(values)}};
 }
@@ -91,6 +92,9 @@
         for (const auto &host : body.value("hosts", json::array())) {
             m_model.setHost(host.value("name", ""), host.value("minion", ""));
         }
+        for (const auto &name : body.value("replace", json::array())) {
+            m_model.replaceHost(name.get<std::string>());
+        }
         for (const auto &name : body.value("neverBack", json::array())) {
             m_model.setNeverBack(name.get<std::string>());
         }
