Tell of limits and budgets that a document's workers can't meet

A limit above all slots, a service whose pool has no worker or whose budget lets none be maintained, and keys of a workspace that may run nothing were accepted in silence. They are accepted still, because workers come and go and a high limit is a way to set none, but readFleet gives them as notices with line and remedy; "check", "diff" and "apply" show them. Limits are not compared with slots where workers declare processors: jobs take those.

--- a/src/app/internal/checkcommand.cpp
+++ b/src/app/internal/checkcommand.cpp
@@ -5,6 +5,7 @@
 #include "fleet/fleetyaml.h"
 
 #include <iostream>
+#include <utility>
 
 namespace cyclamenlatch::app {
 
@@ -16,23 +17,32 @@
     return text.starts_with("entry:") || text.find("\nentry:") != std::string::npos;
 }
 
-std::vector<fleet::Mistake> mistakesInSettings(const std::string &text)
+struct Findings
+{
+    std::vector<fleet::Mistake> mistakes;
+    std::vector<fleet::Mistake> notices;
+};
+
+Findings checkSettings(const std::string &text)
 {
     auto reading = readEntrySettings(text);
     const auto &operators = reading.settings.operators;
-    if (!reading.mistakes.empty() || !operators || !operators->tls) {
-        return reading.mistakes;
-    }
-    const auto files = net::checkTlsFiles(*operators->tls);
-    if (!files) {
-        reading.mistakes.push_back({0, files.error().message, files.error().remedy});
+    if (reading.mistakes.empty() && operators && operators->tls) {
+        const auto files = net::checkTlsFiles(*operators->tls);
+        if (!files) {
+            reading.mistakes.push_back({0, files.error().message, files.error().remedy});
+        }
     }
-    return reading.mistakes;
+    return {std::move(reading.mistakes), {}};
 }
 
-std::vector<fleet::Mistake> mistakesIn(const std::string &text)
+Findings check(const std::string &text)
 {
-    return looksLikeSettings(text) ? mistakesInSettings(text) : fleet::readFleet(text).mistakes;
+    if (looksLikeSettings(text)) {
+        return checkSettings(text);
+    }
+    auto reading = fleet::readFleet(text);
+    return {std::move(reading.mistakes), std::move(reading.notices)};
 }
 
 } // namespace
@@ -51,7 +61,10 @@
             status = exitFailure;
             continue;
         }
-        const auto mistakes = mistakesIn(text.value());
+        const auto [mistakes, notices] = check(text.value());
+        for (const auto &notice : notices) {
+            std::cerr << argv[index] << ": note: " << notice.toString() << "\n";
+        }
         for (const auto &mistake : mistakes) {
             std::cerr << argv[index] << ": " << mistake.toString() << "\n";
         }
--- a/src/fleet/fleetyaml.h
+++ b/src/fleet/fleetyaml.h
@@ -15,6 +15,8 @@
     // Whole only when there are no mistakes.
     FleetDocument document;
     std::vector<Mistake> mistakes;
+    // What is accepted, but can't be met by the workers that the document has.
+    std::vector<Mistake> notices;
 };
 
 FleetReading readFleet(std::string_view yaml);
--- a/src/fleet/internal/fleetyaml.cpp
+++ b/src/fleet/internal/fleetyaml.cpp
@@ -1,6 +1,7 @@
 // The YAML form of the fleet document.
 #include "fleet/fleetyaml.h"
 
+#include "fleet/internal/unmeetable.h"
 #include "fleet/internal/utf8text.h"
 #include "fleet/yamlreader.h"
 
@@ -20,8 +21,7 @@
 constexpr double maxWeight = 1e6;
 constexpr unsigned maxTimeoutMilliseconds = 3600000;
 
-// Where each item stands, by "section/name".
-using ItemLines = std::map<std::string, int>;
+using detail::ItemLines;
 
 // Reads one section: a sequence of mappings, each turned into an item by readItem.
 template<typename Item, typename ReadItem>
@@ -382,6 +382,9 @@
         return reading;
     }
     CrossCheck(reading.document, lines, reading.mistakes).run();
+    if (reading.mistakes.empty()) {
+        reading.notices = detail::findUnmeetable(reading.document, lines);
+    }
     reading.document.buildIndex();
     return reading;
 }
--- a/src/fleet/tests/fleetyaml_tests.cpp
+++ b/src/fleet/tests/fleetyaml_tests.cpp
@@ -85,6 +85,46 @@
     EXPECT_EQ(lines, (std::vector<int>{7, 6, 9, 11, 12}));
 }
 
+TEST(FleetYaml, acceptsWhatCantBeMetAndTellsIt)
+{
+    const auto reading = readFleet(R"(
+dataCentres: [{name: dc-a}]
+pools: [{name: p}, {name: empty}]
+workers:
+  - {name: w-1, dataCentre: dc-a, rack: r-1, pool: p, minion: "127.0.0.1:1", slots: 8}
+  - {name: w-2, dataCentre: dc-a, rack: r-1, pool: p, minion: "127.0.0.1:2", slots: 4}
+services:
+  - {name: served, pool: p}
+  - {name: unserved, pool: empty}
+  - {name: fixed, pool: p, maxUnavailable: 0}
+workspaces:
+  - {name: met, limit: 12}
+  - {name: unmet, limit: 13}
+  - {name: barred, limit: 0}
+keys:
+  - {name: k, workspace: barred, hash: x}
+)");
+    EXPECT_TRUE(reading.mistakes.empty());
+    std::vector<int> lines;
+    for (const auto &notice : reading.notices) {
+        lines.push_back(notice.line);
+        EXPECT_FALSE(notice.remedy.empty()) << notice.message;
+    }
+    EXPECT_EQ(lines, (std::vector<int>{9, 10, 13, 14}));
+}
+
+TEST(FleetYaml, jobsMayTakeALimitAboveTheSlots)
+{
+    const auto reading = readFleet(R"(
+dataCentres: [{name: dc-a}]
+pools: [{name: p}]
+workers:
+  - {name: w-1, dataCentre: dc-a, rack: r-1, pool: p, minion: "127.0.0.1:1", processors: 16}
+workspaces: [{name: drivers, limit: 100}]
+)");
+    EXPECT_TRUE(reading.notices.empty());
+}
+
 TEST(FleetYaml, exampleDeploymentsHaveNoMistakes)
 {
     for (const std::string name : {"fremantle-quayside", "bep-chung"}) {
--- a/src/operatorapi/internal/fleetcommands.cpp
+++ b/src/operatorapi/internal/fleetcommands.cpp
@@ -56,17 +56,22 @@
     return list;
 }
 
-net::HttpReply mistakesReply(const std::vector<fleet::Mistake> &mistakes)
+json mistakesJson(const std::vector<fleet::Mistake> &mistakes)
 {
     json list = json::array();
     for (const auto &mistake : mistakes) {
         list.push_back(
                 {{"line", mistake.line}, {"message", mistake.message}, {"remedy", mistake.remedy}});
     }
+    return list;
+}
+
+net::HttpReply mistakesReply(const std::vector<fleet::Mistake> &mistakes)
+{
     return jsonReply(400, {{"error", "invalid-input"},
                            {"message", "the fleet document has mistakes; nothing was accepted"},
                            {"remedy", "correct the mistakes and apply it again"},
-                           {"mistakes", std::move(list)}});
+                           {"mistakes", mistakesJson(mistakes)}});
 }
 
 // Reads "from=<revision>" of the query.
@@ -156,7 +161,7 @@
                      "give a key with another name"}));
         }
     }
-    apply(reading.document, *from, json::object(), respond);
+    apply(reading.document, *from, {{"notices", mistakesJson(reading.notices)}}, respond);
 }
 
 void FleetCommands::diffFleet(const OperatorRequest &request,
@@ -169,7 +174,9 @@
     const auto current = m_configuration.current();
     const auto changes = fleet::diffFleets(current.fleet ? *current.fleet : fleet::FleetDocument{},
                                            reading.document);
-    respond(jsonReply(200, {{"revision", current.revision}, {"changes", changesJson(changes)}}));
+    respond(jsonReply(200, {{"revision", current.revision},
+                            {"changes", changesJson(changes)},
+                            {"notices", mistakesJson(reading.notices)}}));
 }
 
 void FleetCommands::apply(const fleet::FleetDocument &document, StoreRevision from,
