--- a/src/configuration/internal/spreadstate.cpp
+++ b/src/configuration/internal/spreadstate.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds oldAnswerDelay{500};
 constexpr std::chrono::milliseconds repairInterval{200};
 constexpr unsigned maxCountedFailures = 10;
+// Peers that have not answered, asked in one round without a configuration.
+constexpr std::size_t maxStartQuestions = 8;
 
 std::string hashIds(const std::set<KeyId> &ids)
 {
@@ -65,6 +67,16 @@
     return parsed ? std::move(parsed->parts) : std::vector<std::string>();
 }
 
+// Keeps up to this many ids, chosen at random.
+void keepSome(std::vector<EntryId> &ids, std::size_t count, Random &random)
+{
+    for (std::size_t place = 0; place < count && place < ids.size(); ++place) {
+        const auto left = static_cast<std::uint32_t>(ids.size() - place);
+        std::swap(ids[place], ids[place + uniformBelow(random, left)]);
+    }
+    ids.resize(std::min(count, ids.size()));
+}
+
 bool isNewer(const std::optional<TimePoint> &at, TimePoint than)
 {
     return at && *at > than;
@@ -144,25 +156,20 @@
 }
 
 // Asks one peer of each data centre, in its own the relay: enough to judge freshness, and anti-
-// entropy for all that pushes have missed. Before any configuration is known it asks everybody.
+// entropy for all that pushes have missed. Before any configuration is known it asks more.
 void SpreadState::askPeers(TimePoint now, Random &random, SpreadActions &actions)
 {
     std::map<DataCentreId, std::vector<const PeerView *>> byDataCentre;
     for (const auto &[id, peer] : m_peers) {
         byDataCentre[peer.address.dataCentre].push_back(&peer);
     }
-    auto question = makeDigest(now);
-    question.isQuestion = true;
-    question.askerClock = now.time_since_epoch().count();
+    std::set<EntryId> asked;
+    if (m_knownRevision == 0) {
+        asked = peersToStartFrom(now, random);
+    }
     for (const auto &[dataCentre, peers] : byDataCentre) {
-        if (m_knownRevision == 0) {
-            for (const auto *peer : peers) {
-                actions.emplace_back(SendMessage{peer->address.entry, question});
-            }
-            continue;
-        }
         const auto chosen = uniformBelow(random, static_cast<std::uint32_t>(peers.size()));
-        actions.emplace_back(SendMessage{peers[chosen]->address.entry, question});
+        asked.insert(peers[chosen]->address.entry);
         if (dataCentre != m_self.dataCentre) {
             continue;
         }
@@ -170,10 +177,32 @@
                 peers.begin(), peers.end(), [](const PeerView *left, const PeerView *right) {
                     return relayRank(left->address) < relayRank(right->address);
                 });
-        if (relay != peers[chosen] && relayRank(relay->address) > relayRank(m_self)) {
-            actions.emplace_back(SendMessage{relay->address.entry, question});
+        if (relayRank(relay->address) > relayRank(m_self)) {
+            asked.insert(relay->address.entry);
         }
     }
+    auto question = makeDigest(now);
+    question.isQuestion = true;
+    question.askerClock = now.time_since_epoch().count();
+    for (const auto &peer : asked) {
+        actions.emplace_back(SendMessage{peer, question});
+    }
+}
+
+// Those that have not answered since the start: at first all, because a revision waits for their
+// word; later some, because a fleet may be without a configuration or its peers for long.
+std::set<EntryId> SpreadState::peersToStartFrom(TimePoint now, Random &random) const
+{
+    std::vector<EntryId> unheard;
+    for (const auto &[id, peer] : m_peers) {
+        if (!peer.heardAt) {
+            unheard.push_back(id);
+        }
+    }
+    if (now >= m_startedAt + startPatience) {
+        keepSome(unheard, maxStartQuestions, random);
+    }
+    return {unheard.begin(), unheard.end()};
 }
 
 bool SpreadState::isRelay(TimePoint now) const
--- a/src/configuration/spreadstate.h
+++ b/src/configuration/spreadstate.h
@@ -105,6 +105,7 @@
     bool mayPublish(TimePoint now) const;
     void dropUnusedContent();
     void askPeers(TimePoint now, Random &random, SpreadActions &actions);
+    std::set<EntryId> peersToStartFrom(TimePoint now, Random &random) const;
     void readStore(TimePoint now, SpreadActions &actions);
     void repairWithdrawn(PeerView &peer, TimePoint now, SpreadActions &actions) const;
     void sendWithdrawnTo(const EntryId &to, SpreadActions &actions) const;
--- a/src/configuration/tests/spreadstate_tests.cpp
+++ b/src/configuration/tests/spreadstate_tests.cpp
@@ -248,6 +248,38 @@
     EXPECT_TRUE(simulation.entry(0).isFresh(simulation.now));
 }
 
+TEST(SpreadState, asksFewPeersInARoundWithoutAConfigurationAfterTheStart)
+{
+    constexpr unsigned entries = 96;
+    constexpr unsigned dataCentres = 4;
+    // One of each data centre, the relay, and eight that have not answered.
+    constexpr std::size_t most = dataCentres + 1 + 8;
+    SpreadState state(makeAddress(0, dataCentres), start);
+    std::vector<PeerAddress> peers;
+    for (unsigned index = 1; index < entries; ++index) {
+        peers.push_back(makeAddress(index, dataCentres));
+    }
+    state.setPeers(peers);
+    Random random(1);
+    const auto questions = [&](TimePoint now) {
+        std::set<EntryId> asked;
+        for (const auto &action : state.tick(now, random)) {
+            if (const auto *send = std::get_if<SendMessage>(&action)) {
+                EXPECT_TRUE(asked.insert(send->to).second) << "asked twice in a round";
+            }
+        }
+        return asked.size();
+    };
+    EXPECT_EQ(questions(start), entries - 1);
+    const auto later = questions(start + std::chrono::seconds(2));
+    EXPECT_GE(later, 8U);
+    EXPECT_LE(later, most);
+    for (const auto &peer : peers) {
+        state.receive(peer.entry, 1, Digest{}, start + std::chrono::seconds(2), random);
+    }
+    EXPECT_LE(questions(start + std::chrono::seconds(3)), dataCentres + 1);
+}
+
 TEST(SpreadState, takesNoEvidenceFromAnAnswerThatWasHeldBack)
 {
     SpreadState state(makeAddress(0, 2), start);
