Show limits and lost entries to operators

QuotaAgent::limitState had no caller: how far a limit is in force could only be read off the store's record. "limit list" asks every live entry for what it holds and runs (one datagram each, answers within a second) and shows limit, in force or pending, locked units, and held and used units for each data centre; entries that gave no answer are named. "entry list" shows the registered lives and who is silent; "entry gone" and "datacentre gone" give the operator's word and repeat it until the store holds it. Settings may name the entry's host, for the proof by a replaced host.

--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -18,7 +18,10 @@
 #include "net/workerthreads.h"
 #include "operatorapi/fleetcommands.h"
 #include "operatorapi/operatorapi.h"
+#include "platform/hostclient.h"
 #include "platform/storeclient.h"
+#include "quota/hostwatch.h"
+#include "quota/limitsurvey.h"
 #include "quota/quotatable.h"
 #include "quota/quotatrader.h"
 #include "report/reportservice.h"
@@ -59,6 +62,9 @@
     std::unique_ptr<net::HttpServer> m_operatorServer;
     platform::StoreClient m_store;
     quota::QuotaTrader m_quotaTrader;
+    quota::LimitSurvey m_limitSurvey;
+    platform::HostClient m_hosts;
+    quota::HostWatch m_hostWatch;
     admission::KeyGate m_keyGate;
     detail::FleetKeeping m_fleetKeeping;
     configuration::Configuration m_configuration;
--- a/src/app/entrysettings.h
+++ b/src/app/entrysettings.h
@@ -6,6 +6,7 @@
 #include "membership/peerbus.h"
 #include "net/tlssettings.h"
 #include "operatorapi/operatorkey.h"
+#include "quota/hostlife.h"
 
 #include <chrono>
 #include <cstdint>
@@ -35,6 +36,9 @@
     EntryId entry;
     DataCentreId dataCentre;
     ListenAddress callers;
+    // The platform's name for this entry's host and how often it had been replaced when this life
+    // of it came. Without it no replaced host proves that this entry is gone.
+    quota::HostLife host;
     // Where this entry meets its peers, the secret they share, and those known from the start.
     membership::PeerBusSettings peers;
     // Address of the platform's store, such as "http://127.0.0.1:7000".
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -2,6 +2,7 @@
 #include "app/entry.h"
 
 #include "app/appevents.h"
+#include "app/internal/limitroutes.h"
 #include "app/reportroute.h"
 #include "dispatch/quotapermits.h"
 
@@ -59,6 +60,7 @@
     quotas.self = {settings.entry, peers.incarnation()};
     quotas.dataCentre = settings.dataCentre;
     quotas.longestWork = settings.longestWork;
+    quotas.host = settings.host;
     // A port that the system chooses is no proof that an earlier life has ended.
     const auto port = settings.peers.self.port;
     quotas.address = port > 0 ? fmt::format("{}:{}", settings.peers.self.address, port)
@@ -104,6 +106,9 @@
     , m_operatorApi(operatorKeys(m_settings))
     , m_store(m_threads.context(), m_platformHttp, storeSettings(m_settings))
     , m_quotaTrader(m_threads.context(), m_peers, m_store, m_quotas, randomSeed())
+    , m_limitSurvey(m_threads.context(), m_peers, m_quotas)
+    , m_hosts(m_platformHttp, m_settings.platformUrl, storeTimeout)
+    , m_hostWatch(m_threads.context(), m_hosts, m_quotas)
     , m_fleetKeeping(
               m_threads.context(), m_settings, m_store, m_peers, m_dispatcher,
               [this](const std::shared_ptr<const fleet::FleetDocument> &fleet) { useFleet(fleet); })
@@ -125,6 +130,7 @@
     m_callerApi.setUnreadyReason([this] { return m_configuration.unreadyReason(); });
     m_fleetKeeping.addRoutes(m_operatorApi);
     m_fleetKeeping.setWaveListener([this](bool underWay) { m_report.setWaveRunning(underWay); });
+    detail::addLimitRoutes(m_operatorApi, m_quotas, m_limitSurvey, m_membership);
     addReportRoute(m_operatorApi, m_report, m_quotas);
     if (m_settings.operators) {
         m_operatorServer = std::make_unique<net::HttpServer>(
@@ -152,6 +158,7 @@
     });
     m_membership.start();
     m_quotaTrader.start();
+    m_hostWatch.start();
     m_configuration.start();
     m_jobs.start();
     m_report.start();
@@ -193,6 +200,7 @@
     m_membership.leave();
     m_quotaTrader.leave(steadyNow() + returnTime);
     m_quotaTrader.stop();
+    m_hostWatch.stop();
     m_membership.stop();
     m_report.stop();
     m_store.stop();
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr unsigned maxPort = 65535;
+constexpr unsigned maxReplacements = 1000000000;
 constexpr unsigned maxThreads = 256;
 constexpr double maxPlatformCallsPerSecond = 1e5;
 constexpr unsigned maxShutdownMilliseconds = 3600000;
@@ -34,6 +35,19 @@
     return listen;
 }
 
+quota::HostLife readHost(fleet::YamlReader &parent, std::vector<fleet::Mistake> &mistakes)
+{
+    quota::HostLife host;
+    const auto node = parent.child("host");
+    if (node.IsDefined()) {
+        fleet::YamlReader reader(node, "host", mistakes);
+        host.name = reader.requiredText("name");
+        host.replacements = reader.count("replacements", 0, 0, maxReplacements);
+        reader.refuseUnknownFields();
+    }
+    return host;
+}
+
 membership::PeerAddress readSeed(const YAML::Node &node, std::size_t index,
                                  std::vector<fleet::Mistake> &mistakes)
 {
@@ -134,6 +148,7 @@
         fleet::YamlReader reader(root, "the settings", reading.mistakes);
         settings.entry = EntryId(reader.requiredText("entry"));
         settings.dataCentre = DataCentreId(reader.requiredText("dataCentre"));
+        settings.host = readHost(reader, reading.mistakes);
         settings.callers = readListenAddress(reader, "callers", reading.mistakes);
         settings.peers = readPeers(reader, settings, reading.mistakes);
         settings.platformUrl = reader.requiredText("platform");
--- a/src/app/internal/operatorcommands.cpp
+++ b/src/app/internal/operatorcommands.cpp
@@ -1,4 +1,4 @@
-// The operators' commands: get, apply, diff, key, worker, workspace and status.
+// The operators' commands: get, apply, diff, key, worker, workspace, limit, entry and status.
 #include "app/commands.h"
 #include "app/internal/operatorclient.h"
 #include "app/internal/readfile.h"
@@ -7,9 +7,11 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
+#include <chrono>
 #include <iostream>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 DEFINE_int64(from, -1, "apply: revision that the document was made from; default: its first line");
@@ -62,8 +64,18 @@
     return std::strtoll(document.c_str() + revisionLine.size(), nullptr, 10);
 }
 
+// What was accepted but can't be met.
+void showNotices(const json &body)
+{
+    for (const auto &notice : body.value("notices", json::array())) {
+        std::cout << fmt::format("note: line {}: {}; {}\n", notice.value("line", 0),
+                                 notice.value("message", ""), notice.value("remedy", ""));
+    }
+}
+
 void showAccepted(const json &body)
 {
+    showNotices(body);
     std::cout << fmt::format("accepted as revision {}; in force at {}\n", body.value("revision", 0),
                              detail::spreadText(body["spread"]));
 }
@@ -111,6 +123,7 @@
             std::cout << "  + " << change.value("after", "") << "\n";
         }
     }
+    showNotices(answer.value().body);
     return status;
 }
 
@@ -185,6 +198,96 @@
     return status;
 }
 
+std::string inForceText(const json &limit)
+{
+    if (limit.value("inForce", false)) {
+        return "in force";
+    }
+    return fmt::format("pending, {} out", limit.value("out", 0U));
+}
+
+int runLimitList(const Arguments &)
+{
+    bool toShow = false;
+    const auto answer = detail::askEntry("GET", "/v1/limits");
+    const int status = detail::finishAnswer(answer, toShow);
+    if (!toShow) {
+        return status;
+    }
+    const auto &body = answer.value().body;
+    for (const auto &limit : body.at("limits")) {
+        std::cout << fmt::format("{:<20} limit {:<6} {}, locked {}\n", limit.value("workspace", ""),
+                                 limit.value("limit", 0U), inForceText(limit),
+                                 limit.value("locked", 0U));
+        for (const auto &dataCentre : limit.at("dataCentres")) {
+            std::cout << fmt::format("  {:<18} held {:<7} used {}\n",
+                                     dataCentre.value("dataCentre", ""),
+                                     dataCentre.value("held", 0U), dataCentre.value("used", 0U));
+        }
+    }
+    const auto silent = body.value("silent", std::vector<std::string>());
+    if (!silent.empty()) {
+        std::cout << fmt::format("not counted, no answer: {}\n", fmt::join(silent, ", "));
+    }
+    return status;
+}
+
+int runEntryList(const Arguments &)
+{
+    bool toShow = false;
+    const auto answer = detail::askEntry("GET", "/v1/entries");
+    const int status = detail::finishAnswer(answer, toShow);
+    if (!toShow) {
+        return status;
+    }
+    for (const auto &entry : answer.value().body.at("entries")) {
+        std::cout << fmt::format("{:<16} {:<10} {:<22} {}\n", entry.value("entry", ""),
+                                 entry.value("dataCentre", ""), entry.value("address", ""),
+                                 entry.value("state", ""));
+    }
+    return status;
+}
+
+// Says it again until the store holds it: the entry that was told may end before.
+int sayGone(const json &subject)
+{
+    constexpr unsigned attempts = 20;
+    constexpr std::chrono::milliseconds pause{250};
+    for (unsigned attempt = 1; attempt <= attempts; ++attempt) {
+        bool toShow = false;
+        const auto answer = detail::askEntry("POST", "/v1/entries/gone", subject.dump());
+        const bool recorded = answer && answer.value().body.value("recorded", false);
+        const bool again = answer && answer.value().isSuccess() && !recorded;
+        if (again && attempt < attempts) {
+            std::this_thread::sleep_for(pause);
+            continue;
+        }
+        const int status = detail::finishAnswer(answer, toShow);
+        if (!toShow) {
+            return status;
+        }
+        if (!recorded) {
+            std::cerr << "noted, but not in the store yet; repeat the command until it is\n";
+            return exitFailure;
+        }
+        std::cout << fmt::format("recorded for {} registered lives; their units are free after the "
+                                 "longest work\n",
+                                 answer.value().body.value("holders", 0U));
+        return status;
+    }
+    return exitFailure;
+}
+
+int runEntryGone(const Arguments &arguments)
+{
+    return sayGone({{"entry", arguments[0]}});
+}
+
+int runDataCentreGone(const Arguments &arguments)
+{
+    return sayGone({{"dataCentre", arguments[0]}});
+}
+
 int runStatus(const Arguments &)
 {
     bool toShow = false;
@@ -214,6 +317,10 @@
         {"key withdraw", "NAME", 1, runKeyWithdraw},
         {"worker label", "NAME label=value label- ...", 2, runWorkerLabel},
         {"workspace list", "", 0, runWorkspaceList},
+        {"limit list", "", 0, runLimitList},
+        {"entry list", "", 0, runEntryList},
+        {"entry gone", "NAME", 1, runEntryGone},
+        {"datacentre gone", "NAME", 1, runDataCentreGone},
         {"status", "", 0, runStatus},
 };
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -21,7 +21,8 @@
         "  worker label NAME label=value label- ...\n"
         "  get | apply FILE | diff FILE       the fleet document\n"
         "  key give WORKSPACE NAME | key withdraw NAME\n"
-        "  workspace list | status\n"
+        "  workspace list | limit list | entry list | status\n"
+        "  entry gone NAME | datacentre gone NAME   lost for good\n"
         "Operators' commands ask the entry of --operator_url (--operator_key, --ca_file).\n"
         "See cyclamenlatch --help for the flags.\n";
 
--- a/src/membership/peertopic.h
+++ b/src/membership/peertopic.h
@@ -16,6 +16,7 @@
     Maintenance = 6,
     Jobs = 7,
     Report = 8,
+    LimitSurvey = 11,
 };
 
 inline constexpr NamedValue<PeerTopic> peerTopicEntries[] = {
@@ -27,6 +28,7 @@
         {PeerTopic::Maintenance, "maintenance"},
         {PeerTopic::Jobs, "jobs"},
         {PeerTopic::Report, "report"},
+        {PeerTopic::LimitSurvey, "limit-survey"},
 };
 inline constexpr NameTable peerTopicNames{peerTopicEntries};
 
