--- a/bench/spread.cpp
+++ b/bench/spread.cpp
@@ -67,7 +67,7 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    for (const unsigned entries : {3U, 12U, 48U}) {
+    for (const unsigned entries : {3U, 12U, 48U, 96U}) {
         measure(entries);
     }
     return 0;
