Count the most connections at the stand-in minion

Change: its ledger has mostConnections, of connections that brought work or probes; "forgetPeaks" starts both peaks again. Conclusion: a test can judge what entries do to a minion together.

--- a/standins/minion/minionserver.cpp
+++ b/standins/minion/minionserver.cpp
@@ -26,6 +26,9 @@
 
 void MinionServer::handle(net::HttpRequest request, net::HttpResponder respond)
 {
+    if (request.path == "/run" || request.path == "/healthz") {
+        noteConnection(request.connection);
+    }
     if (request.path == "/run") {
         return run(std::move(request), std::move(respond));
     }
@@ -44,6 +47,14 @@
     respond(jsonReply(404, {{"error", "no such address"}}));
 }
 
+void MinionServer::noteConnection(const std::shared_ptr<net::ConnectionWatch> &connection)
+{
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(m_connections, [](const auto &watch) { return watch.expired(); });
+    m_connections.insert(connection);
+    m_mostConnections = std::max(m_mostConnections, m_connections.size());
+}
+
 void MinionServer::run(net::HttpRequest request, net::HttpResponder respond)
 {
     const std::string requestId(request.headers.find("Request-Id").value_or(""));
@@ -140,6 +151,7 @@
                            {"duplicates", duplicates},
                            {"running", m_running},
                            {"mostRunning", m_mostRunning},
+                           {"mostConnections", m_mostConnections},
                            {"cut", m_cut},
                            {"sentWhileDown", m_sentWhileDown},
                            {"reboots", m_reboots},
@@ -163,6 +175,10 @@
     }
     m_faults.down = down;
     m_faults.slowdown = body.value("slowdown", m_faults.slowdown);
+    if (body.value("forgetPeaks", false)) {
+        m_mostRunning = m_running;
+        m_mostConnections = 0;
+    }
     return jsonReply(200, json::object());
 }
 
--- a/standins/minion/minionserver.h
+++ b/standins/minion/minionserver.h
@@ -7,8 +7,10 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
@@ -45,6 +47,8 @@
         std::uint64_t runs = 0;
     };
 
+    // Counts the open connections that brought work or probes.
+    void noteConnection(const std::shared_ptr<net::ConnectionWatch> &connection);
     void run(net::HttpRequest request, net::HttpResponder respond);
     // Says whether the request that a probe names still runs here.
     net::HttpReply answerHealth(const net::HttpRequest &request);
@@ -62,6 +66,8 @@
     MinionFaults m_faults;
     unsigned m_running = 0;
     unsigned m_mostRunning = 0;
+    std::set<std::weak_ptr<net::ConnectionWatch>, std::owner_less<>> m_connections;
+    std::size_t m_mostConnections = 0;
     // Work that was running when the minion went down.
     unsigned m_cut = 0;
     // Work that was sent while the minion was down.
