Divide each minion's slots over entries by demand

Cause: each entry used all slots of each minion by its own count. Change: pure parts: LoadSender tells an entry's open requests by queue and workspace within 4,000 B/s; FleetLoad divides each worker's slots over workspaces by weight and demand, and over entries by where that demand is. Fractions are rounded by systematic sampling in rendezvous order. Measured in LoadSender.staysInItsBytesAndTellsEveryRow: at most 4,400 B/s with 840 rows that change each 100 ms and 7 peers, and every row is told. Conclusion: entries that know the same divide a minion exactly; nothing uses it yet.

--- /dev/null
+++ b/src/dispatch/loadsender.h
@@ -0,0 +1,59 @@
+// Decides when an entry tells its load, and which rows. The bytes that it sends in a second are
+// bounded, whatever the number of peers, queues and workspaces: with more to say it speaks less
+// often. Pure: time is passed in.
+#pragma once
+
+#include "dispatch/entryload.h"
+#include "dispatch/loaddigest.h"
+#include "global/time.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+
+namespace cyclamenlatch::dispatch {
+
+struct LoadSenderSettings
+{
+    Duration shortestGap = std::chrono::milliseconds(100);
+    // An entry that has nothing to say says so this often.
+    Duration longestGap = std::chrono::seconds(1);
+    // Rows are told again after this, since messages get lost.
+    Duration refreshAfter = std::chrono::seconds(3);
+    std::size_t bytesPerSecond = 4000;
+    // Bytes of a digest without rows, with its envelope.
+    std::size_t envelopeBytes = 180;
+    std::size_t rowBytes = 10;
+    std::size_t rowsPerDigest = 40;
+};
+
+class LoadSender
+{
+public:
+    explicit LoadSender(LoadSenderSettings settings = {});
+
+    // The digest that is due now, for each of the peers.
+    std::optional<LoadDigest> next(const EntryLoad &load, std::size_t peers, TimePoint now);
+
+private:
+    struct Told
+    {
+        LoadValue value;
+        TimePoint at{};
+    };
+
+    bool isDue(const LoadValue &value, const Told *told, TimePoint now) const;
+    // Appends rows that are due, from the first key on.
+    void addRows(EntryLoad::const_iterator begin, EntryLoad::const_iterator end, TimePoint now,
+                 LoadDigest &digest);
+    void addEnded(const EntryLoad &load, LoadDigest &digest);
+
+    LoadSenderSettings m_settings;
+    std::map<LoadKey, Told> m_told;
+    // Where the next digest begins, so that no row waits for ever behind the others.
+    LoadKey m_turn;
+    std::optional<TimePoint> m_sentAt;
+    TimePoint m_nextAt{};
+};
+
+} // namespace cyclamenlatch::dispatch
--- /dev/null
+++ b/src/dispatch/tests/fleetload_tests.cpp
@@ -0,0 +1,195 @@
+// Slots divided over entries that tell each other their load.
+#include "dispatch/fleetload.h"
+#include "dispatch/loadsender.h"
+#include "dispatch/namehash.h"
+#include "membership/peermessage.h"
+
+#include <gtest/gtest.h>
+
+#include <numeric>
+
+namespace cyclamenlatch::dispatch {
+namespace {
+
+constexpr TimePoint start{std::chrono::seconds(100)};
+constexpr unsigned slots = 8;
+
+std::shared_ptr<const routing::RoutingTable> makeTable(unsigned workers)
+{
+    fleet::FleetDocument fleet;
+    fleet.services.push_back({ServiceId("s"), PoolId("p"), 1});
+    for (const auto *name : {"q", "special", "urgent"}) {
+        fleet::Queue queue;
+        queue.id = QueueId(name);
+        queue.service = ServiceId("s");
+        queue.urgent = queue.id.value() == "urgent";
+        fleet.queues.push_back(queue);
+    }
+    fleet.queues[1].selector = fleet::Selector::parse("special=true").value();
+    for (unsigned index = 0; index < workers; ++index) {
+        fleet::Worker worker;
+        worker.id = WorkerId("w-" + std::to_string(index));
+        worker.pool = PoolId("p");
+        worker.slots = slots;
+        worker.minionAddress = worker.id.value();
+        if (index == 0) {
+            worker.labels["special"] = "true";
+        }
+        fleet.workers.push_back(worker);
+    }
+    fleet.workspaces.push_back({WorkspaceId("large"), 3, 1000});
+    fleet.workspaces.push_back({WorkspaceId("small"), 1, 1000});
+    return std::make_shared<const routing::RoutingTable>(fleet);
+}
+
+EntryLoad load(const std::string &queue, const std::string &workspace, unsigned demand)
+{
+    return {{{QueueId(queue), WorkspaceId(workspace)}, {demand}}};
+}
+
+LoadDigest digestOf(const EntryLoad &load)
+{
+    LoadSender sender;
+    return sender.next(load, 1, start).value();
+}
+
+// Entries that have heard each other.
+class Group
+{
+public:
+    Group(const std::vector<EntryLoad> &loads, unsigned workers)
+        : m_loads(loads)
+    {
+        const auto table = makeTable(workers);
+        for (std::size_t index = 0; index < loads.size(); ++index) {
+            m_entries.emplace_back(idOf(index));
+            m_entries.back().setTable(table);
+        }
+        for (std::size_t from = 0; from < loads.size(); ++from) {
+            for (std::size_t to = 0; to < loads.size(); ++to) {
+                if (from != to) {
+                    m_entries[to].receive(idOf(from), 1, digestOf(loads[from]), start);
+                }
+            }
+        }
+    }
+
+    SlotShares shares(std::size_t entry, TimePoint now = start)
+    {
+        return m_entries[entry].shares(m_loads[entry], now);
+    }
+    unsigned total(std::size_t entry)
+    {
+        const auto all = shares(entry);
+        return std::accumulate(all.begin(), all.end(), 0U);
+    }
+
+private:
+    static EntryId idOf(std::size_t index) { return EntryId("e-" + std::to_string(index)); }
+
+    std::vector<EntryLoad> m_loads;
+    std::vector<FleetLoad> m_entries;
+};
+
+TEST(FleetLoad, entriesThatKnowTheSameDivideEachMinionExactly)
+{
+    Group group({load("q", "large", 7), load("q", "small", 300), load("urgent", "small", 9)}, 40);
+    std::vector<unsigned> sums(40);
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        const auto shares = group.shares(entry);
+        for (std::size_t worker = 0; worker < shares.size(); ++worker) {
+            sums[worker] += shares[worker];
+        }
+    }
+    EXPECT_EQ(sums, std::vector<unsigned>(40, slots));
+}
+
+TEST(FleetLoad, fullMinionsAreDividedByTheWeightsOfWhatComesThroughEachEntry)
+{
+    Group group({load("q", "large", 9999), load("q", "small", 9999)}, 400);
+    EXPECT_NEAR(group.total(0), 400 * slots * 0.75, 400 * 0.1);
+    EXPECT_NEAR(group.total(1), 400 * slots * 0.25, 400 * 0.1);
+}
+
+TEST(FleetLoad, urgentDemandGoesFirst)
+{
+    Group group({load("urgent", "small", 100), load("q", "large", 9999)}, 100);
+    EXPECT_NEAR(group.total(0), 100, 15);
+}
+
+TEST(FleetLoad, slotsThatNobodyAsksForAreLentEqually)
+{
+    Group group({load("q", "small", 100), {}}, 100);
+    EXPECT_NEAR(group.total(0), 100 * (1 + 3.5), 15);
+    EXPECT_NEAR(group.total(1), 100 * 3.5, 15);
+}
+
+TEST(FleetLoad, demandCountsOnlyOnWorkersThatItsQueueMatches)
+{
+    Group group({load("special", "small", 9999), load("q", "small", 9999)}, 100);
+    const auto shares = group.shares(0);
+    EXPECT_GT(shares[0], 0U);
+    EXPECT_EQ(std::accumulate(shares.begin() + 1, shares.end(), 0U), 0U);
+}
+
+TEST(FleetLoad, entryThatHearsNobodyComesToUseWhatItReaches)
+{
+    Group group({load("q", "small", 9999), load("q", "small", 9999)}, 10);
+    EXPECT_LT(group.total(0), 10 * slots);
+    const auto shares = group.shares(0, start + std::chrono::seconds(4));
+    EXPECT_EQ(shares, SlotShares(10, slots));
+}
+
+TEST(FleetLoad, earlierLifeOfAnEntryIsNotHeard)
+{
+    FleetLoad entry(EntryId("e-0"));
+    entry.setTable(makeTable(10));
+    entry.receive(EntryId("e-1"), 2, digestOf(load("q", "small", 9999)), start);
+    const auto before = entry.shares(load("q", "small", 9999), start);
+    entry.receive(EntryId("e-1"), 1, {{{nameHash("q"), nameHash("small"), 0}}}, start);
+    EXPECT_EQ(entry.shares(load("q", "small", 9999), start), before);
+}
+
+TEST(LoadSender, staysInItsBytesAndTellsEveryRow)
+{
+    // Every row changes all the time: 150 queues, 280 workspaces, 7 peers.
+    constexpr std::size_t peers = 7;
+    constexpr int seconds = 600;
+    constexpr std::size_t sealBytes = 180;
+    EntryLoad rows;
+    LoadSender sender;
+    std::map<std::pair<NameHash, NameHash>, TimePoint> told;
+    std::size_t bytes = 0;
+    for (int tick = 0; tick < seconds * 10; ++tick) {
+        const auto now = start + std::chrono::milliseconds(100) * tick;
+        for (unsigned workspace = 0; workspace < 280; ++workspace) {
+            for (unsigned queue = workspace % 50; queue < 150; queue += 50) {
+                rows[{QueueId("q-" + std::to_string(queue)),
+                      WorkspaceId("ws-" + std::to_string(workspace))}] = {1U + 50 * (tick % 2)};
+            }
+        }
+        if (const auto digest = sender.next(rows, peers, now)) {
+            bytes += peers * (sealBytes + membership::encode(*digest).size());
+            for (const auto &row : digest->rows) {
+                told[{row.queue, row.workspace}] = now;
+            }
+        }
+    }
+    EXPECT_LE(bytes / seconds, 4400U);
+    EXPECT_EQ(told.size(), rows.size());
+}
+
+TEST(LoadSender, tellsChangesAtOnceAndNothingWhenNothingChanges)
+{
+    LoadSender sender;
+    EXPECT_EQ(sender.next(load("q", "small", 5), 2, start)->rows.size(), 1U);
+    const auto next = start + std::chrono::milliseconds(200);
+    EXPECT_FALSE(sender.next(load("q", "small", 5), 2, next));
+    EXPECT_EQ(sender.next(load("q", "small", 50), 2, next)->rows.at(0).demand, 50);
+    const auto ended = sender.next({}, 2, next + std::chrono::milliseconds(200));
+    EXPECT_EQ(ended->rows.at(0).demand, 0);
+    EXPECT_TRUE(sender.next({}, 2, next + std::chrono::milliseconds(1300))->rows.empty());
+}
+
+} // namespace
+} // namespace cyclamenlatch::dispatch
--- a/src/routing/routingtable.h
+++ b/src/routing/routingtable.h
@@ -58,6 +58,9 @@
     // Weight of a workspace when a pool is full; 1 for one that is not configured.
     double weight(const WorkspaceId &workspace) const;
     const std::vector<RoutedWorker> &workers() const { return m_workers; }
+    const std::unordered_map<QueueId, QueueRoute> &queues() const { return m_queues; }
+    // Weights of the configured workspaces.
+    const std::unordered_map<WorkspaceId, double> &weights() const { return m_weights; }
 
 private:
     std::vector<RoutedWorker> m_workers;
