Hold minions' slots and connections over all entries

Cause: connections were divided by the number of live entries, so that entries which don't hear each other took all 64 each, and before the first change of membership each had 64; a probe could find every connection busy; slots were not divided at all. Change: entries exchange their loads (topic Load) and the scheduler starts against its share of slots, or one request of a queue of which nothing runs. Connections are divided by mostEntries of the settings, by the known entries if these are more; two stay for health checks and one of each entry's for probes. Conclusion: the sum of connections can't exceed 64 while at most mostEntries run; slots are over-used by about one until an entry's digest is late.

--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -9,6 +9,7 @@
 #include "callerapi/callerapi.h"
 #include "configuration/configuration.h"
 #include "dispatch/dispatcher.h"
+#include "dispatch/loadexchange.h"
 #include "dispatch/outcomeservice.h"
 #include "global/result.h"
 #include "membership/membership.h"
@@ -52,6 +53,7 @@
     membership::Membership m_membership;
     quota::QuotaTable m_quotas;
     dispatch::Dispatcher m_dispatcher;
+    dispatch::LoadExchange m_loadExchange;
     dispatch::OutcomeService m_outcomes;
     report::ReportService m_report;
     OutcomeWatch m_outcomeWatch;
--- a/src/app/entrysettings.h
+++ b/src/app/entrysettings.h
@@ -53,6 +53,9 @@
     // Time after a keyed request's own timeout until its owner counts it as unknown when the entry
     // that ran it has not reported its end.
     std::chrono::milliseconds reportGrace{5000};
+    // Entries that may run at once over all data centres. The connections to each minion are
+    // divided by it, so a value below the true one lets more be open than a minion takes.
+    unsigned mostEntries = 8;
     // Time after SIGTERM in which requests are still taken, so that the balancer sees /readyz
     // fail and moves away.
     std::chrono::milliseconds drainDelay{1000};
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr std::size_t maxConnectionsPerMinion = 64;
 constexpr std::chrono::milliseconds storeTimeout{2000};
 constexpr std::chrono::milliseconds drainPollInterval{20};
 // Time to return units, after the shutdown deadline of open requests.
@@ -75,6 +74,13 @@
     return outcomes;
 }
 
+dispatch::DispatchSettings dispatchSettings(const EntrySettings &settings)
+{
+    dispatch::DispatchSettings dispatch;
+    dispatch.mostEntries = settings.mostEntries;
+    return dispatch;
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -89,8 +95,9 @@
     , m_peers(m_threads.context(), m_settings.peers)
     , m_membership(m_threads.context(), m_peers, m_settings.peers.seeds, randomSeed())
     , m_quotas(quotaSettings(m_settings, m_peers))
-    , m_dispatcher(m_threads.context(), m_minionHttp, dispatch::DispatchSettings{},
+    , m_dispatcher(m_threads.context(), m_minionHttp, dispatchSettings(m_settings),
                    dispatch::quotaPermits(m_quotas), randomSeed())
+    , m_loadExchange(m_threads.context(), m_peers, m_dispatcher)
     , m_outcomes(m_threads.context(), m_peers, outcomeSettings(m_settings))
     , m_report(m_threads.context(), m_peers)
     , m_outcomeWatch([this](const report::ObservedOutcome &outcome) { m_report.observe(outcome); })
@@ -119,7 +126,6 @@
     , m_fleetCommands(m_configuration)
     , m_jobs(m_threads.context(), m_store, m_platformHttp, m_settings.platformUrl, m_quotas,
              {m_settings.entry, m_peers.incarnation()})
-    , m_minionHttp(maxConnectionsPerMinion)
 {
     dispatch::tellAvailable(m_quotas, m_threads.context(), m_dispatcher);
     m_fleetCommands.addRoutes(m_operatorApi);
@@ -154,9 +160,12 @@
              m_settings.dataCentre.value(), m_settings.callers.address, m_callerServer.port());
     m_membership.setOnChange([this](const std::vector<membership::Member> &live) {
         m_quotaTrader.setLive(live);
-        m_dispatcher.setLiveEntries(live.size() + 1);
+        // Also those that are only suspected: they may go on to use their connections.
+        m_dispatcher.setKnownEntries(m_peers.peers().size() + 1);
     });
+    m_dispatcher.setKnownEntries(m_peers.peers().size() + 1);
     m_membership.start();
+    m_loadExchange.start();
     m_quotaTrader.start();
     m_hostWatch.start();
     m_configuration.start();
@@ -194,6 +203,7 @@
     }
     logEvent(entryStopped, "{} requests cut", m_callerServer.openRequests());
     m_outcomes.stop();
+    m_loadExchange.stop();
     m_configuration.stop();
     m_jobs.stop();
     // Peers stop sending units here before the last ones are returned.
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -10,6 +10,7 @@
 constexpr unsigned maxPort = 65535;
 constexpr unsigned maxReplacements = 1000000000;
 constexpr unsigned maxThreads = 256;
+constexpr unsigned maxEntries = 1000;
 constexpr double maxPlatformCallsPerSecond = 1e5;
 constexpr unsigned maxShutdownMilliseconds = 3600000;
 constexpr unsigned maxLongestWorkMilliseconds = 86400000;
@@ -161,6 +162,7 @@
                 "callerReadTimeoutMs", 30000, minReadMilliseconds, maxReadMilliseconds));
         settings.reportGrace = std::chrono::milliseconds(
                 reader.count("reportGraceMs", 5000, 0, maxReportGraceMilliseconds));
+        settings.mostEntries = reader.count("mostEntries", settings.mostEntries, 1, maxEntries);
         settings.drainDelay = std::chrono::milliseconds(
                 reader.count("drainDelayMs", 1000, 0, maxShutdownMilliseconds));
         settings.shutdownDeadline = std::chrono::milliseconds(
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -37,8 +37,15 @@
     void setFleet(std::shared_ptr<const fleet::FleetDocument> fleet);
     // Workers that get nothing new, besides those whose label says so.
     void setLeaving(std::set<WorkerId> leaving);
-    // Number of live entries, this one included; they share the connections to each minion.
-    void setLiveEntries(unsigned entries);
+    // Number of entries that may live, this one included; they share the connections to each
+    // minion.
+    void setKnownEntries(unsigned entries);
+    // Slots of each minion that this entry may use, by the table that they were computed for.
+    void setSlotShares(const std::shared_ptr<const routing::RoutingTable> &table,
+                       const SlotShares &shares);
+    // Open requests by queue and workspace.
+    EntryLoad load() const;
+    std::shared_ptr<const routing::RoutingTable> table() const;
     // The completion runs exactly once, on the HTTP client's thread or this one. The returned
     // ticket is for cancel.
     Ticket submit(DispatchRequest request, Completion completion);
--- a/src/dispatch/dispatchsettings.h
+++ b/src/dispatch/dispatchsettings.h
@@ -32,6 +32,11 @@
     Duration unknownSlotHold = std::chrono::seconds(2);
     // Connections to one minion over all entries.
     unsigned connectionsPerMinion = 64;
+    // Of these, kept for the health checks of a wave's leader and its forerunner.
+    unsigned healthConnections = 2;
+    // Entries that may live at once. The connections are divided by this number and not by that
+    // of the live ones, since entries that can't hear each other must keep the bound too.
+    unsigned mostEntries = 1;
     // Wait before a minion whose slots are held by other entries is tried again.
     Duration slotRetry = std::chrono::milliseconds(20);
     // Distinct workers on which the same work must fail to count as the work's fault.
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -121,12 +121,31 @@
     m_scheduler.setLeaving(std::move(leaving));
 }
 
-void Dispatcher::setLiveEntries(unsigned entries)
+void Dispatcher::setSlotShares(const std::shared_ptr<const routing::RoutingTable> &table,
+                               const SlotShares &shares)
+{
+    const std::lock_guard lock(m_mutex);
+    m_scheduler.setSlotShares(*table, shares);
+}
+
+EntryLoad Dispatcher::load() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_scheduler.load();
+}
+
+std::shared_ptr<const routing::RoutingTable> Dispatcher::table() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_scheduler.table();
+}
+
+void Dispatcher::setKnownEntries(unsigned entries)
 {
     unsigned share = 0;
     {
         const std::lock_guard lock(m_mutex);
-        m_scheduler.setLiveEntries(entries);
+        m_scheduler.setKnownEntries(entries);
         share = m_scheduler.connectionShare();
     }
     m_http.setMaxConnectionsPerHost(share);
--- /dev/null
+++ b/src/dispatch/internal/loadexchange.cpp
@@ -0,0 +1,85 @@
+// Runs the exchange of loads on a timer.
+#include "dispatch/loadexchange.h"
+
+#include <optional>
+#include <utility>
+
+namespace cyclamenlatch::dispatch {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{100};
+
+} // namespace
+
+LoadExchange::LoadExchange(asio::io_context &context, membership::PeerBus &bus,
+                           Dispatcher &dispatcher)
+    : m_bus(bus)
+    , m_dispatcher(dispatcher)
+    , m_fleet(bus.self().entry)
+    , m_timer(context)
+{
+    m_bus.subscribe(membership::PeerTopic::Load,
+                    [this](const membership::PeerMessage &message) { receive(message); });
+}
+
+void LoadExchange::start()
+{
+    tick();
+}
+
+void LoadExchange::stop()
+{
+    const std::lock_guard lock(m_mutex);
+    m_stopped = true;
+    m_timer.cancel();
+}
+
+void LoadExchange::receive(const membership::PeerMessage &message)
+{
+    const auto digest = membership::decode<LoadDigest>(message.body);
+    if (!digest) {
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    m_fleet.receive(message.from, message.incarnation, *digest, steadyNow());
+}
+
+void LoadExchange::scheduleTick()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_stopped) {
+        return;
+    }
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void LoadExchange::tick()
+{
+    const auto own = m_dispatcher.load();
+    const auto table = m_dispatcher.table();
+    const auto peers = m_bus.peers().size();
+    const auto now = steadyNow();
+    SlotShares shares;
+    std::optional<LoadDigest> digest;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_fleet.table() != table) {
+            m_fleet.setTable(table);
+        }
+        shares = m_fleet.shares(own, now);
+        digest = m_sender.next(own, peers, now);
+    }
+    m_dispatcher.setSlotShares(table, shares);
+    if (digest) {
+        m_bus.sendToAll(membership::PeerTopic::Load, membership::encode(*digest));
+    }
+    scheduleTick();
+}
+
+} // namespace cyclamenlatch::dispatch
--- a/src/dispatch/internal/scheduler.cpp
+++ b/src/dispatch/internal/scheduler.cpp
@@ -89,14 +89,26 @@
     }
 }
 
-void Scheduler::setLiveEntries(unsigned entries)
+void Scheduler::setKnownEntries(unsigned entries)
 {
-    m_liveEntries = std::max(entries, 1U);
+    m_knownEntries = std::max(entries, 1U);
+}
+
+void Scheduler::setSlotShares(const routing::RoutingTable &table, const SlotShares &shares)
+{
+    if (&table != m_table.get() || shares.size() != table.workers().size()) {
+        return;
+    }
+    for (std::size_t index = 0; index < shares.size(); ++index) {
+        m_workers[table.workers()[index].id].slotShare = shares[index];
+    }
 }
 
 unsigned Scheduler::connectionShare() const
 {
-    return std::max(1U, m_settings.connectionsPerMinion / m_liveEntries);
+    const unsigned entries = std::max(m_settings.mostEntries, m_knownEntries);
+    const unsigned forCalls = m_settings.connectionsPerMinion - m_settings.healthConnections;
+    return std::max(1U, forCalls / entries);
 }
 
 FairQueue &Scheduler::lineOf(const Request &request)
@@ -124,6 +136,7 @@
     }
     auto &request = m_requests[work.ticket];
     request.work = work;
+    ++m_load[{work.queue, work.workspace}].demand;
     request.route = route;
     request.table = m_table;
     auto [pool, isNew] = m_pools.try_emplace(route->pool);
@@ -255,12 +268,16 @@
 
 // Failures occupy a worker only as far as it fails more than its pool: when all work fails
 // alike, turning it away would help nobody.
-double Scheduler::loadOf(const WorkerState &worker, double poolFailureShare, TimePoint now) const
+double Scheduler::loadOf(const WorkerState &worker, unsigned leastSlots, double poolFailureShare,
+                         TimePoint now) const
 {
     if (worker.leaving || worker.health.isEjected(now) || worker.slotsTakenUntil > now) {
         return routing::fullLoad;
     }
-    const unsigned slots = std::min(worker.slots, connectionShare());
+    const unsigned share = std::max(worker.slotShare, leastSlots);
+    // One connection is kept free for a probe.
+    const unsigned connections = std::max(1U, connectionShare() - 1);
+    const unsigned slots = std::min({worker.slots, share, connections});
     if (slots == 0) {
         return routing::fullLoad;
     }
@@ -274,7 +291,19 @@
     return (worker.outstanding + occupancy * std::max(0.0, excess)) / open;
 }
 
+// A queue of which nothing runs may take a slot that others use, so that it is never starved by
+// what this entry believes of them.
 const routing::RoutedWorker *Scheduler::reserveWorker(const Request &request, TimePoint now)
+{
+    const auto *worker = reserveWorker(request, 0, now);
+    if (worker != nullptr || m_queues[request.work.queue].running > 0) {
+        return worker;
+    }
+    return reserveWorker(request, 1, now);
+}
+
+const routing::RoutedWorker *Scheduler::reserveWorker(const Request &request, unsigned leastSlots,
+                                                      TimePoint now)
 {
     const auto &workers = request.table->workers();
     const auto &candidates = request.route->candidates;
@@ -285,7 +314,7 @@
         if (request.failedOn.contains(id) && request.failedOn.size() < candidates.size()) {
             return routing::fullLoad;
         }
-        return loadOf(m_workers.at(id), poolFailureShare, now);
+        return loadOf(m_workers.at(id), leastSlots, poolFailureShare, now);
     };
     while (const auto chosen = routing::chooseLessLoaded(candidates.size(), load, m_random)) {
         const auto &routed = workers[candidates[*chosen]];
@@ -304,6 +333,7 @@
     ++state.outstanding;
     ++state.calls;
     ++poolOf(request).running;
+    ++m_queues[request.work.queue].running;
     request.state = State::Running;
     request.worker = worker.id;
     request.minionAddress = worker.minionAddress;
@@ -377,6 +407,10 @@
 {
     const auto found = m_requests.find(ticket);
     m_wakes.erase({found->second.wake, ticket});
+    const auto load = m_load.find({found->second.work.queue, found->second.work.workspace});
+    if (--load->second.demand == 0) {
+        m_load.erase(load);
+    }
     m_requests.erase(found);
 }
 
--- a/src/dispatch/internal/schedulercalls.cpp
+++ b/src/dispatch/internal/schedulercalls.cpp
@@ -34,6 +34,7 @@
     auto &request = found->second;
     const auto pool = request.route->pool;
     --poolOf(request).running;
+    --m_queues[request.work.queue].running;
     const double used = toSeconds(now - request.startedAt);
     const double weight = m_table->weight(request.work.workspace);
     lineOf(request).charge(request.work.workspace, weight, used - request.chargedSeconds);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -5,7 +5,9 @@
 
 #include "dispatch/callverdict.h"
 #include "dispatch/dispatchsettings.h"
+#include "dispatch/entryload.h"
 #include "dispatch/fairqueue.h"
+#include "dispatch/fleetload.h"
 #include "dispatch/probeverdict.h"
 #include "dispatch/scheduleraction.h"
 #include "dispatch/schedulerwork.h"
@@ -14,6 +16,7 @@
 #include "global/random.h"
 #include "routing/routingtable.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,8 +36,10 @@
     void setTable(std::shared_ptr<const routing::RoutingTable> table, TimePoint now,
                   SchedulerActions &actions);
     void setLeaving(std::set<WorkerId> leaving);
-    // Number of live entries, which share the connections to each minion.
-    void setLiveEntries(unsigned entries);
+    // Number of entries that may live, which share the connections to each minion.
+    void setKnownEntries(unsigned entries);
+    // Slots of each minion that this entry may use now. Ignored when the table is not this one.
+    void setSlotShares(const routing::RoutingTable &table, const SlotShares &shares);
     void submit(const SchedulerWork &work, TimePoint now, SchedulerActions &actions);
     // The caller is gone. A queued request is dropped; a running one ends as it will.
     void cancel(Ticket ticket, SchedulerActions &actions);
@@ -55,6 +60,8 @@
     std::size_t open() const { return m_requests.size(); }
     // Connections that this entry may have to one minion.
     unsigned connectionShare() const;
+    const EntryLoad &load() const { return m_load; }
+    const std::shared_ptr<const routing::RoutingTable> &table() const { return m_table; }
 
 private:
     enum class State { Queued, BackingOff, Running };
@@ -62,6 +69,8 @@
     {
         PoolId pool;
         unsigned slots = 0;
+        // Of the slots, those that this entry may use; the other entries use the rest.
+        unsigned slotShare = std::numeric_limits<unsigned>::max();
         bool leaving = false;
         // Slots in use: calls in flight, and for a short while those of unknown outcome.
         unsigned outstanding = 0;
@@ -78,6 +87,8 @@
         double meanSeconds = 0;
         // Decaying longest run, in seconds.
         double longestSeconds = 0;
+        // Calls of this queue in flight.
+        unsigned running = 0;
     };
     struct PoolState
     {
@@ -137,7 +148,11 @@
     FairQueue::Start tryStart(Ticket ticket, TimePoint now, SchedulerActions &actions);
     // Chooses a worker and takes one of its slots.
     const routing::RoutedWorker *reserveWorker(const Request &request, TimePoint now);
-    double loadOf(const WorkerState &worker, double poolFailureShare, TimePoint now) const;
+    // May use at least so many slots of each worker, whatever its share.
+    const routing::RoutedWorker *reserveWorker(const Request &request, unsigned leastSlots,
+                                               TimePoint now);
+    double loadOf(const WorkerState &worker, unsigned leastSlots, double poolFailureShare,
+                  TimePoint now) const;
     void start(Request &request, const routing::RoutedWorker &worker, TimePoint now,
                SchedulerActions &actions);
     bool acquireWorkspace(const WorkspaceId &workspace);
@@ -170,11 +185,13 @@
     Random m_random;
     std::shared_ptr<const routing::RoutingTable> m_table;
     std::set<WorkerId> m_leaving;
-    unsigned m_liveEntries = 1;
+    unsigned m_knownEntries = 1;
     std::unordered_map<WorkerId, WorkerState> m_workers;
     std::unordered_map<PoolId, PoolState> m_pools;
     std::unordered_map<QueueId, QueueState> m_queues;
     std::unordered_map<Ticket, Request> m_requests;
+    // Invariant: counts the open requests by queue and workspace.
+    EntryLoad m_load;
     // Invariant: one element for each open request, at its wake time.
     std::set<std::pair<TimePoint, Ticket>> m_wakes;
     std::multimap<TimePoint, Hold> m_holds;
--- a/src/dispatch/tests/scheduler_tests.cpp
+++ b/src/dispatch/tests/scheduler_tests.cpp
@@ -103,6 +103,50 @@
     EXPECT_EQ(bench.taken<GiveUp>()[0].outcome, Outcome::Unknown);
 }
 
+TEST(Scheduler, startsNoMoreThanItsShareOfSlotsButOneOfEachQueue)
+{
+    Bench bench(makeFleet(2, 8, false));
+    bench.scheduler.setSlotShares(*bench.scheduler.table(), {3, 0});
+    for (Ticket ticket = 1; ticket <= 10; ++ticket) {
+        bench.submit(ticket);
+    }
+    EXPECT_EQ(bench.taken<StartCall>().size(), 3U);
+    EXPECT_EQ(bench.scheduler.inFlight(WorkerId("w-1")), 0U);
+    // The other queue has nothing running yet.
+    bench.submit(11, "alarms");
+    bench.submit(12, "alarms");
+    EXPECT_EQ(bench.taken<StartCall>().size(), 4U);
+    bench.scheduler.setSlotShares(*bench.scheduler.table(), {3, 2});
+    bench.pass(milliseconds(100));
+    EXPECT_EQ(bench.scheduler.inFlight(WorkerId("w-0")), 3U);
+    EXPECT_EQ(bench.scheduler.inFlight(WorkerId("w-1")), 2U);
+}
+
+TEST(Scheduler, connectionsOfAllEntriesTogetherStayWithinTheMinionsBound)
+{
+    for (unsigned most = 1; most <= 100; ++most) {
+        for (unsigned known = 1; known <= most; ++known) {
+            DispatchSettings settings;
+            settings.mostEntries = most;
+            Bench bench(makeFleet(1, 8, false), {}, settings);
+            bench.scheduler.setKnownEntries(known);
+            const unsigned sum = most * bench.scheduler.connectionShare();
+            EXPECT_LE(sum, std::max(most, settings.connectionsPerMinion - 2)) << most;
+        }
+    }
+}
+
+TEST(Scheduler, keepsAConnectionForProbes)
+{
+    DispatchSettings settings;
+    settings.mostEntries = 8;
+    Bench bench(makeFleet(1, 8, false), {}, settings);
+    for (Ticket ticket = 1; ticket <= 10; ++ticket) {
+        bench.submit(ticket);
+    }
+    EXPECT_EQ(bench.taken<StartCall>().size() + 1, bench.scheduler.connectionShare());
+}
+
 TEST(Scheduler, provenNotRunIsRetriedOnAnotherWorker)
 {
     Bench bench(makeFleet(2, 8, false));
--- a/src/membership/peertopic.h
+++ b/src/membership/peertopic.h
@@ -16,6 +16,7 @@
     Maintenance = 6,
     Jobs = 7,
     Report = 8,
+    Load = 9,
     LimitSurvey = 11,
 };
 
@@ -28,6 +29,7 @@
         {PeerTopic::Maintenance, "maintenance"},
         {PeerTopic::Jobs, "jobs"},
         {PeerTopic::Report, "report"},
+        {PeerTopic::Load, "load"},
         {PeerTopic::LimitSurvey, "limit-survey"},
 };
 inline constexpr NameTable peerTopicNames{peerTopicEntries};
