--- a/tests/integration/failures_tests.cpp
+++ b/tests/integration/failures_tests.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <iostream>
 
 namespace cyclamenlatch {
 namespace {
@@ -100,6 +101,29 @@
     expectTrueOutcomes(fleet, counts);
 }
 
+TEST(Failures, sixEntriesShareTheSlotsAndConnectionsOfOneMinion)
+{
+    constexpr std::uint64_t slots = 8;
+    // 64 connections, less 2 for health checks, divided by the 8 entries of the settings.
+    constexpr std::uint64_t connectionsPerEntry = 7;
+    TestFleet fleet(2, 1);
+    CallerLoad load(fleet, "once", 50, 48);
+    std::uint64_t mostRunning = 0;
+    // Alone, the entries would run the workspace's whole limit of 24.
+    TestFleet::await([&] {
+        fleet.setMinion(0, {{"forgetPeaks", true}});
+        load.awaitCompleted(100);
+        mostRunning = fleet.ledgerSum("mostRunning");
+        return mostRunning <= slots + 3;
+    });
+    const auto mostConnections = fleet.ledgerSum("mostConnections");
+    std::cout << "most running " << mostRunning << ", most connections " << mostConnections << "\n";
+    EXPECT_LE(mostConnections, fleet.entryCount() * connectionsPerEntry);
+    const auto counts = load.stop();
+    EXPECT_EQ(counts.lost, 0U);
+    expectTrueOutcomes(fleet, counts);
+}
+
 TEST(Failures, storeOutageCutsNoRequest)
 {
     TestFleet fleet(1, 2);
