--- a/src/dispatch/internal/fleetload.cpp
+++ b/src/dispatch/internal/fleetload.cpp
@@ -116,6 +116,7 @@
     // Workers that serve the same queues differ in their rounding only.
     std::map<std::pair<unsigned, std::vector<const QueueDemand *>>, std::vector<double>> divided;
     SlotShares shares;
+    shares.reserve(workers.size());
     for (std::size_t index = 0; index < workers.size(); ++index) {
         const auto slots = workers[index].slots;
         auto [parts, isNew] = divided.try_emplace({slots, queuesOf[index]});
@@ -148,6 +149,7 @@
     }
     const auto listOf = [](const std::map<NameHash, WorkspaceDemand> &demands) {
         std::vector<WorkspaceDemand> list;
+        list.reserve(demands.size());
         for (const auto &[workspace, demand] : demands) {
             list.push_back(demand);
         }
