Pace digests in nanoseconds

Cause: the gap after a digest was divided in whole seconds, so that one of less than 4,000 bytes in all gave no gap but the shortest, and larger ones a gap that was too short. The test passed because its digests took just over a second. Change: the gap is divided in nanoseconds. Conclusion: the bound holds for every size.

--- a/src/dispatch/internal/loadsender.cpp
+++ b/src/dispatch/internal/loadsender.cpp
@@ -44,7 +44,8 @@
         return std::nullopt;
     }
     const auto bytes = m_settings.envelopeBytes + m_settings.rowBytes * digest.rows.size();
-    const Duration gap = std::chrono::seconds(bytes * peers) / m_settings.bytesPerSecond;
+    const Duration inAll = std::chrono::seconds(bytes * peers);
+    const Duration gap = inAll / m_settings.bytesPerSecond;
     m_sentAt = now;
     m_nextAt = now + std::max(m_settings.shortestGap, gap);
     return digest;
