--- a/src/callerapi/tests/callerapi_tests.cpp
+++ b/src/callerapi/tests/callerapi_tests.cpp
@@ -213,7 +213,7 @@
 
     // Above what the server reads at all there is no reply.
     EXPECT_EQ(connect().ask(post("swaps", key, std::string(9 * mebibyte + 1, 'x'))), "");
-    const auto hugeField = "A: " + std::string(65 * 1024, 'a') + "\r\n";
+    const auto hugeField = "A: " + std::string(std::size_t{65} * 1024, 'a') + "\r\n";
     EXPECT_EQ(connect().ask(post("swaps", key + hugeField, "x")), "");
     EXPECT_EQ(connect().ask(post("swaps", key + manyFields + manyFields, "x")), "");
     expectServing();
