Read how a spare pool lends from the fleet document

Cause: the weights and the hysteresis of automatic moves had no place where users could set them. Change: a spare pool has lendAutomatically, movesWeight, bufferWeight, hysteresis and moveSeconds; any pool has a weight. Conclusion: the planner can be given the users' weights; nothing reads them yet.

--- a/src/fleet/internal/fleetyaml.cpp
+++ b/src/fleet/internal/fleetyaml.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned maxSlots = 4096;
 constexpr unsigned maxLimit = 1000000;
 constexpr double maxWeight = 1e6;
+constexpr double maxMoveSeconds = 3600;
 constexpr unsigned maxTimeoutMilliseconds = 3600000;
 
 using detail::ItemLines;
@@ -64,11 +65,26 @@
     return dataCentre;
 }
 
+LendingPolicy readLending(YamlReader &reader)
+{
+    LendingPolicy lending;
+    lending.automatic = reader.flag("lendAutomatically", lending.automatic);
+    lending.movesWeight = reader.number("movesWeight", lending.movesWeight, 0, maxWeight);
+    lending.bufferWeight = reader.number("bufferWeight", lending.bufferWeight, 0, maxWeight);
+    lending.hysteresis = reader.number("hysteresis", lending.hysteresis, 1, maxWeight);
+    lending.moveSeconds = reader.number("moveSeconds", lending.moveSeconds, 0.1, maxMoveSeconds);
+    return lending;
+}
+
 Pool readPool(YamlReader &reader)
 {
     Pool pool;
     pool.id = PoolId(reader.requiredText("name"));
     pool.spare = reader.flag("spare", false);
+    pool.weight = reader.number("weight", pool.weight, 1e-6, maxWeight);
+    if (pool.spare) {
+        pool.lending = readLending(reader);
+    }
     return pool;
 }
 
@@ -308,6 +324,15 @@
     out << YAML::Key << field << YAML::Value << value;
 }
 
+void writeLending(YAML::Emitter &out, const LendingPolicy &lending)
+{
+    writeField(out, "lendAutomatically", lending.automatic);
+    writeField(out, "movesWeight", lending.movesWeight);
+    writeField(out, "bufferWeight", lending.bufferWeight);
+    writeField(out, "hysteresis", lending.hysteresis);
+    writeField(out, "moveSeconds", lending.moveSeconds);
+}
+
 template<typename Item, typename WriteItem>
 void writeSection(YAML::Emitter &out, const char *section, const std::vector<Item> &items,
                   const WriteItem &writeItem)
@@ -429,8 +454,13 @@
     out << YAML::BeginMap;
     writeSection(out, "dataCentres", document.dataCentres,
                  [&out](const DataCentre &item) { writeField(out, "region", item.region); });
-    writeSection(out, "pools", document.pools,
-                 [&out](const Pool &item) { writeField(out, "spare", item.spare); });
+    writeSection(out, "pools", document.pools, [&out](const Pool &item) {
+        writeField(out, "spare", item.spare);
+        writeField(out, "weight", item.weight);
+        if (item.spare) {
+            writeLending(out, item.lending);
+        }
+    });
     writeSection(out, "workers", document.workers, [&out](const Worker &item) {
         writeField(out, "dataCentre", item.dataCentre.value());
         writeField(out, "rack", item.rack.value());
