Tell the demand on each pool

Cause: moves between pools are decided from demand, which only the scheduler sees. Change: the scheduler counts requests handed in for each pool and tells them with the queue and the mean run. Conclusion: totals since the start, so that whoever gathers them may lose a message.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -62,6 +62,7 @@
     // Closes the connections to a worker's minion that carry nothing.
     void closeIdleConnections(const WorkerId &worker);
     std::size_t queued() const;
+    std::vector<PoolDemandSample> poolDemands() const;
 
 private:
     // A request whose completion has not run.
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -192,6 +192,12 @@
     return m_scheduler.inFlight(worker);
 }
 
+std::vector<PoolDemandSample> Dispatcher::poolDemands() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_scheduler.poolDemands();
+}
+
 std::size_t Dispatcher::queued() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/dispatch/internal/scheduler.cpp
+++ b/src/dispatch/internal/scheduler.cpp
@@ -144,6 +144,7 @@
         pool->second.retries = RetryBudget(initialRetries);
     }
     pool->second.retries.addFresh(m_settings.retry);
+    ++pool->second.arrivals;
     if (refuseEarly(request, now, actions)) {
         return;
     }
@@ -518,6 +519,16 @@
     return found != m_workers.end() && found->second.health.isEjected(now);
 }
 
+std::vector<PoolDemandSample> Scheduler::poolDemands() const
+{
+    std::vector<PoolDemandSample> samples;
+    for (const auto &[id, pool] : m_pools) {
+        samples.push_back(
+                {id, pool.arrivals, pool.urgent.size() + pool.normal.size(), pool.meanSeconds});
+    }
+    return samples;
+}
+
 std::size_t Scheduler::queued() const
 {
     std::size_t count = 0;
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -8,6 +8,7 @@
 #include "dispatch/entryload.h"
 #include "dispatch/fairqueue.h"
 #include "dispatch/fleetload.h"
+#include "dispatch/pooldemandsample.h"
 #include "dispatch/probeverdict.h"
 #include "dispatch/scheduleraction.h"
 #include "dispatch/schedulerwork.h"
@@ -24,6 +25,7 @@
 #include <string>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 namespace cyclamenlatch::dispatch {
 
@@ -57,6 +59,8 @@
     unsigned inFlight(const WorkerId &worker) const;
     bool isEjected(const WorkerId &worker, TimePoint now) const;
     std::size_t queued() const;
+    // Of every pool that had a request.
+    std::vector<PoolDemandSample> poolDemands() const;
     std::size_t open() const { return m_requests.size(); }
     // Connections that this entry may have to one minion.
     unsigned connectionShare() const;
@@ -95,6 +99,8 @@
         FairQueue urgent;
         FairQueue normal;
         RetryBudget retries;
+        // Requests handed in since the start.
+        std::uint64_t arrivals = 0;
         // Calls of this pool in flight.
         unsigned running = 0;
         // Moving average of a successful run, in seconds; 0 before the first.
