Let moves claim in the ledgers that waves use

Cause: a worker that drained to change its pool was not counted against any budget, and a wave could take it at the same time. Change: a move enters a claim in every ledger of its worker before the worker drains, and the claim is removed when the record shows that the move is over. Claims name the record's attempt, so that they may be removed on any old reading. A worker whose desired pool is gone goes home. The test of a single move expects the new step; it still checks that the worker leaves only when quiet.

--- a/bench/revisions.cpp
+++ b/bench/revisions.cpp
@@ -54,6 +54,10 @@
         start.workers.push_back(worker);
         revisions.drains.push_back(leastDrain + uniformBelow(random, drainSpread));
     }
+    for (unsigned index = 0; index < pools; ++index) {
+        start.pools.push_back({PoolId("p-" + std::to_string(index))});
+    }
+    start.buildIndex();
     auto last = start;
     last.workers[0].pool = PoolId("p-1");
     last.workers[7].pool = PoolId("p-4");
--- a/src/capacity/assignmentplanner.h
+++ b/src/capacity/assignmentplanner.h
@@ -3,6 +3,7 @@
 // nothing, and any entry may go on at any step.
 #pragma once
 
+#include "capacity/moveclaims.h"
 #include "capacity/workerassignment.h"
 #include "fleet/fleetdocument.h"
 #include "platform/storewrite.h"
@@ -18,13 +19,15 @@
     std::unordered_map<WorkerId, VersionedAssignment> assignments;
     // Draining workers that nobody uses any more, with the record's revision that was confirmed.
     std::unordered_map<WorkerId, platform::StoreRevision> quiet;
+    MoveLedgers ledgers;
     // Workers of one pool that may drain at once.
     unsigned drainsPerPool = 1;
     // Workers without a record that may get one in this pass; bounds the writes of a new fleet.
     unsigned newRecords = 20;
 };
 
-// The writes that bring each worker one step nearer to where it should be.
+// The writes that bring each worker one step nearer to where it should be, and those of the ledgers
+// that go with them.
 std::vector<platform::StoreWrite> planAssignments(const AssignmentView &view, std::int64_t now);
 
 // The worker's record, or the one that the fleet document stands for.
--- a/src/capacity/internal/assignmentplanner.cpp
+++ b/src/capacity/internal/assignmentplanner.cpp
@@ -1,6 +1,9 @@
 // One planning pass over the workers' assignments.
 #include "capacity/assignmentplanner.h"
 
+#include <iterator>
+#include <utility>
+
 namespace cyclamenlatch::capacity {
 
 namespace {
@@ -10,11 +13,12 @@
     return {assignmentKey(changed.worker), writeAssignment(changed), found.revision, ""};
 }
 
+// Workers that drain, or are about to.
 std::unordered_map<PoolId, unsigned> countDraining(const AssignmentView &view)
 {
     std::unordered_map<PoolId, unsigned> draining;
     for (const auto &[worker, found] : view.assignments) {
-        if (found.assignment.step == AssignmentStep::Draining) {
+        if (found.assignment.step != AssignmentStep::Serving) {
             ++draining[found.assignment.pool];
         }
     }
@@ -27,6 +31,116 @@
     return quiet != view.quiet.end() && quiet->second == found.revision;
 }
 
+// Sets the pool that the document wants, when the document is newer than the last wish or the
+// wished pool is gone.
+void followDocument(WorkerAssignment &changed, const fleet::Worker &worker,
+                    const fleet::FleetDocument &fleet)
+{
+    if (changed.home == worker.pool && fleet.findPool(changed.desired) != nullptr) {
+        return;
+    }
+    changed.home = worker.pool;
+    changed.desired = worker.pool;
+    changed.setBy = "fleet";
+}
+
+// One planning pass.
+class AssignmentPass
+{
+public:
+    AssignmentPass(const AssignmentView &view, std::int64_t now)
+        : m_view(view)
+        , m_now(now)
+        , m_claims(view.ledgers)
+        , m_draining(countDraining(view))
+        , m_newRecords(view.newRecords)
+    {}
+
+    std::vector<platform::StoreWrite> run()
+    {
+        m_claims.removeOver(m_view.assignments);
+        for (const auto &worker : m_view.fleet->workers) {
+            advance(worker);
+        }
+        auto ledgerWrites = m_claims.writes();
+        std::move(ledgerWrites.begin(), ledgerWrites.end(), std::back_inserter(m_writes));
+        return std::move(m_writes);
+    }
+
+private:
+    void advance(const fleet::Worker &worker)
+    {
+        const auto found = assignmentOf(m_view, worker);
+        auto changed = found.assignment;
+        followDocument(changed, worker, *m_view.fleet);
+        if (changed.desired == changed.pool) {
+            changed.step = AssignmentStep::Serving;
+        } else {
+            step(found, changed);
+        }
+        // A worker is recorded in its first pool, so that a later document means a move.
+        const bool isNew = found.revision == 0 && m_newRecords > 0;
+        m_newRecords -= isNew ? 1 : 0;
+        if (isNew || changed != found.assignment) {
+            m_writes.push_back(writeOf(found, changed));
+        }
+    }
+
+    void step(const VersionedAssignment &found, WorkerAssignment &changed)
+    {
+        switch (changed.step) {
+        case AssignmentStep::Serving:
+            return begin(changed);
+        case AssignmentStep::Claiming:
+            return claim(changed);
+        case AssignmentStep::Draining:
+            return drain(found, changed);
+        }
+    }
+
+    void begin(WorkerAssignment &changed)
+    {
+        auto &draining = m_draining[changed.pool];
+        if (draining >= m_view.drainsPerPool
+            || !m_claims.hasRoom(changed.worker, changed.attempt + 1)) {
+            return;
+        }
+        ++draining;
+        ++changed.attempt;
+        changed.step = AssignmentStep::Claiming;
+    }
+
+    void claim(WorkerAssignment &changed)
+    {
+        if (!m_claims.hasRoom(changed.worker, changed.attempt)) {
+            changed.step = AssignmentStep::Serving;
+        } else if (m_claims.isHeld(changed.worker, changed.attempt)) {
+            changed.step = AssignmentStep::Draining;
+        } else {
+            m_claims.add(changed.worker, changed.attempt);
+        }
+    }
+
+    // A worker that is needed after a failure is taken back.
+    void drain(const VersionedAssignment &found, WorkerAssignment &changed)
+    {
+        if (m_claims.isOverfull(changed.worker)) {
+            changed.step = AssignmentStep::Serving;
+        } else if (isQuiet(m_view, found)) {
+            changed.pool = changed.desired;
+            changed.step = AssignmentStep::Serving;
+            changed.joined = m_now;
+        }
+    }
+
+    const AssignmentView &m_view;
+    const std::int64_t m_now;
+    MoveClaims m_claims;
+    std::unordered_map<PoolId, unsigned> m_draining;
+    unsigned m_newRecords;
+    std::vector<platform::StoreWrite> m_writes;
+};
+
 } // namespace
 
 VersionedAssignment assignmentOf(const AssignmentView &view, const fleet::Worker &worker)
@@ -46,37 +160,7 @@
 
 std::vector<platform::StoreWrite> planAssignments(const AssignmentView &view, std::int64_t now)
 {
-    std::vector<platform::StoreWrite> writes;
-    auto draining = countDraining(view);
-    auto newRecords = view.newRecords;
-    for (const auto &worker : view.fleet->workers) {
-        const auto found = assignmentOf(view, worker);
-        auto changed = found.assignment;
-        if (changed.home != worker.pool) {
-            changed.home = worker.pool;
-            changed.desired = worker.pool;
-            changed.setBy = "fleet";
-        }
-        if (changed.desired == changed.pool) {
-            changed.step = AssignmentStep::Serving;
-        } else if (changed.step == AssignmentStep::Serving) {
-            if (draining[changed.pool] < view.drainsPerPool) {
-                ++draining[changed.pool];
-                changed.step = AssignmentStep::Draining;
-            }
-        } else if (isQuiet(view, found)) {
-            changed.pool = changed.desired;
-            changed.step = AssignmentStep::Serving;
-            changed.joined = now;
-        }
-        // A worker is recorded in its first pool, so that a later document means a move.
-        const bool isNew = found.revision == 0 && newRecords > 0;
-        newRecords -= isNew ? 1 : 0;
-        if (isNew || changed != found.assignment) {
-            writes.push_back(writeOf(found, changed));
-        }
-    }
-    return writes;
+    return AssignmentPass(view, now).run();
 }
 
 fleet::FleetDocument withAssignments(
--- a/src/capacity/internal/workerassignment.cpp
+++ b/src/capacity/internal/workerassignment.cpp
@@ -20,7 +20,8 @@
                 {"home", assignment.home.value()},
                 {"step", assignmentStepNames.name(assignment.step)},
                 {"setBy", assignment.setBy},
-                {"joined", assignment.joined}}
+                {"joined", assignment.joined},
+                {"attempt", assignment.attempt}}
             .dump();
 }
 
@@ -35,6 +36,7 @@
         assignment.home = PoolId(value.at("home"));
         assignment.setBy = value.at("setBy");
         assignment.joined = value.at("joined");
+        assignment.attempt = value.value("attempt", std::uint64_t{0});
         const auto step = assignmentStepNames.value(value.at("step").get<std::string>());
         if (step) {
             assignment.step = *step;
--- a/src/capacity/tests/pools_tests.cpp
+++ b/src/capacity/tests/pools_tests.cpp
@@ -29,6 +29,9 @@
             entry.pool = spare;
             fleet.workers.push_back(entry);
         }
+        for (const auto &pool : {spare, swaps, rosters}) {
+            fleet.pools.push_back({pool});
+        }
         view.fleet = &fleet;
     }
 
@@ -77,6 +80,9 @@
     world.pass(false);
     EXPECT_EQ(world.view.assignments.at(worker).assignment.pool, spare);
     world.setPool(swaps);
+    world.pass(true);
+    EXPECT_EQ(world.first().step, AssignmentStep::Claiming);
+    EXPECT_EQ(world.first().pool, spare);
     world.pass(false);
     EXPECT_EQ(world.first().step, AssignmentStep::Draining);
     EXPECT_EQ(world.first().pool, spare);
--- a/src/capacity/workerassignment.h
+++ b/src/capacity/workerassignment.h
@@ -22,10 +22,12 @@
     // is newer and wins.
     PoolId home;
     AssignmentStep step = AssignmentStep::Serving;
-    // Who set desired: an operator's name, "fleet" or "automatic".
+    // Who set desired: an operator's name, "fleet" or automaticMover.
     std::string setBy;
     // Milliseconds since the epoch when the worker joined its pool.
     std::int64_t joined = 0;
+    // Grows with each move that begins; names the move's claims in ledgers.
+    std::uint64_t attempt = 0;
 
     bool operator==(const WorkerAssignment &) const = default;
 };
@@ -37,6 +39,9 @@
     platform::StoreRevision revision = 0;
 };
 
+// Stands in setBy for moves that the planner decided.
+inline constexpr const char *automaticMover = "automatic";
+
 inline constexpr const char *assignmentPrefix = "workers/";
 
 std::string assignmentKey(const WorkerId &worker);
