Move workers between pools by themselves

A decision is one conditional write, after which the move is like an operator's and any entry finishes it. Workers are lent only where they match a queue.

--- a/src/app/internal/fleetkeeping.cpp
+++ b/src/app/internal/fleetkeeping.cpp
@@ -42,6 +42,16 @@
     return draining;
 }
 
+capacity::DemandAnswer demandOf(const dispatch::Dispatcher &dispatcher)
+{
+    capacity::DemandAnswer answer;
+    for (const auto &sample : dispatcher.poolDemands()) {
+        answer.pools.push_back({sample.pool, sample.arrivals,
+                                static_cast<std::uint32_t>(sample.queued), sample.meanSeconds});
+    }
+    return answer;
+}
+
 maintenance::MaintenanceSettings maintenanceSettings(const EntrySettings &settings)
 {
     maintenance::MaintenanceSettings maintenance;
@@ -67,7 +77,15 @@
                   m_maintenance.setFleet(fleet);
                   listener(fleet);
               })
-{}
+    , m_demand(
+              peers, [&dispatcher] { return demandOf(dispatcher); },
+              [this](const EntryId &entry, std::uint64_t incarnation,
+                     capacity::DemandAnswer answer) {
+                  m_pools.takeDemand(entry, incarnation, std::move(answer));
+              })
+{
+    m_pools.setDemandAsker([this] { m_demand.ask(); });
+}
 
 void FleetKeeping::addRoutes(operatorapi::OperatorApi &api)
 {
@@ -78,6 +96,7 @@
 void FleetKeeping::start()
 {
     m_drains.subscribe();
+    m_demand.subscribe();
     m_maintenance.start();
     m_pools.start();
 }
--- a/src/app/internal/fleetkeeping.h
+++ b/src/app/internal/fleetkeeping.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "app/entrysettings.h"
+#include "capacity/demandexchange.h"
 #include "capacity/poolcontroller.h"
 #include "dispatch/dispatcher.h"
 #include "maintenance/draincoordinator.h"
@@ -49,6 +50,7 @@
     platform::HostClient m_hosts;
     maintenance::MaintenanceController m_maintenance;
     capacity::PoolController m_pools;
+    capacity::DemandExchange m_demand;
     // Declared last, so that its completions end before what they use does.
     net::HttpClient m_http;
 };
--- a/src/capacity/internal/moveplanner.cpp
+++ b/src/capacity/internal/moveplanner.cpp
@@ -42,6 +42,13 @@
     return spare.workers.size() > kept ? spare.workers.size() - kept : 0;
 }
 
+std::vector<WorkerId>::const_iterator firstSuited(const std::vector<WorkerId> &free,
+                                                  const PoolDemand &pool)
+{
+    return std::find_if(free.begin(), free.end(),
+                        [&](const WorkerId &worker) { return !pool.unsuited.contains(worker); });
+}
+
 std::optional<MoveDecision> returnOne(const PoolDemand &pool, const PoolDemand &spare,
                                       const MoveSettings &settings)
 {
@@ -88,13 +95,13 @@
     std::vector<MoveDecision> decisions;
     std::vector<PoolDemand> state = pools;
     auto left = lendable(spare, settings);
-    std::size_t next = 0;
+    auto free = spare.workers;
     while (left > 0) {
         PoolDemand *best = nullptr;
         double bestSaved = 0;
         for (auto &pool : state) {
             const auto saved = expectedWaitSaved(pool, settings.moveTime) * pool.weight;
-            if (saved > bestSaved) {
+            if (saved > bestSaved && firstSuited(free, pool) != free.end()) {
                 best = &pool;
                 bestSaved = saved;
             }
@@ -103,9 +110,10 @@
         if (best == nullptr || bestSaved <= cost * settings.hysteresis) {
             break;
         }
-        const auto &worker = spare.workers[next++];
-        decisions.push_back({worker, spare.pool, best->pool, bestSaved, cost});
-        best->workers.push_back(worker);
+        const auto worker = firstSuited(free, *best);
+        decisions.push_back({*worker, spare.pool, best->pool, bestSaved, cost});
+        best->workers.push_back(*worker);
+        free.erase(worker);
         --left;
     }
     for (const auto &pool : pools) {
--- a/src/capacity/internal/poolcontroller.cpp
+++ b/src/capacity/internal/poolcontroller.cpp
@@ -2,6 +2,7 @@
 #include "capacity/poolcontroller.h"
 
 #include "capacity/capacityevents.h"
+#include "maintenance/recordjson.h"
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
@@ -15,8 +16,8 @@
 
 constexpr const char *leaderKey = "pool-leaders/fleet";
 constexpr std::chrono::milliseconds tickInterval{250};
-constexpr std::chrono::milliseconds watchWait{10000};
-constexpr std::chrono::milliseconds watchRetryInterval{500};
+// Moves are decided once in so many ticks.
+constexpr unsigned ticksPerDecision = 4;
 
 std::int64_t recordNow()
 {
@@ -34,18 +35,25 @@
     , m_draining(std::move(draining))
     , m_listener(std::move(listener))
     , m_lease(m_strand, store, leaderKey, m_entry.value(),
-              [this](bool held) {
-                  logEvent(held ? poolLeadershipTaken : poolLeadershipLost, "{}", m_entry.value());
-              })
+              [this](bool held) { onLeadership(held); })
     , m_timer(m_strand)
-    , m_recordsTimer(m_strand)
+    , m_follower(m_strand, store, assignmentPrefix,
+                 [this](const platform::StoreListing &listing, bool) { take(listing); })
+    , m_ledgerFollower(m_strand, store, maintenance::recordPrefix,
+                       [this](const platform::StoreListing &listing, bool isWhole) {
+                           if (isWhole) {
+                               m_ledgers = maintenance::MaintenanceRecords();
+                           }
+                           m_ledgers.take(listing);
+                           plan();
+                       })
 {}
 
 void PoolController::start()
 {
     m_lease.start();
     asio::post(m_strand, [this] {
-        readRecords();
+        m_follower.start();
         armTick();
     });
 }
@@ -56,7 +64,8 @@
         m_stopped = true;
         m_lease.stop();
         m_timer.cancel();
-        m_recordsTimer.cancel();
+        m_follower.stop();
+        m_ledgerFollower.stop();
     });
 }
 
@@ -68,42 +77,15 @@
     });
 }
 
-void PoolController::readRecords()
-{
-    m_store.list(assignmentPrefix, [this](Result<platform::StoreListing> listing) {
-        asio::post(m_strand, [this, listing = std::move(listing)] { judgeRecords(listing); });
-    });
-}
-
-void PoolController::watchRecords()
-{
-    m_store.watch(assignmentPrefix, m_revision, watchWait,
-                  [this](Result<platform::StoreListing> listing) {
-                      asio::post(m_strand,
-                                 [this, listing = std::move(listing)] { judgeRecords(listing); });
-                  });
-}
-
-void PoolController::judgeRecords(const Result<platform::StoreListing> &listing)
+void PoolController::onLeadership(bool held)
 {
     if (m_stopped) {
         return;
     }
-    if (!listing) {
-        return retryRecords();
-    }
-    take(listing.value());
-    watchRecords();
-}
-
-void PoolController::retryRecords()
-{
-    m_recordsTimer.expires_after(watchRetryInterval);
-    m_recordsTimer.async_wait([this](const asio::error_code &error) {
-        if (!error) {
-            readRecords();
-        }
-    });
+    logEvent(held ? poolLeadershipTaken : poolLeadershipLost, "{}", m_entry.value());
+    m_ledgers = maintenance::MaintenanceRecords();
+    m_automatic.restart();
+    held ? m_ledgerFollower.start() : m_ledgerFollower.stop();
 }
 
 void PoolController::take(const platform::StoreListing &listing)
@@ -112,11 +94,11 @@
         return;
     }
     m_revision = listing.revision;
-    bool changed = false;
+    bool placesChanged = false;
     for (const auto &item : listing.items) {
         const WorkerId worker(item.key.substr(std::string_view(assignmentPrefix).size()));
         if (item.deleted) {
-            changed = m_assignments.erase(worker) > 0 || changed;
+            placesChanged = m_assignments.erase(worker) > 0 || placesChanged;
             continue;
         }
         auto assignment = readAssignment(item.value);
@@ -126,13 +108,15 @@
         }
         auto &kept = m_assignments[worker];
         if (item.revision > kept.revision) {
-            changed = true;
+            placesChanged = placesChanged || kept.revision == 0
+                            || kept.assignment.pool != assignment.value().pool;
             kept = {std::move(assignment.value()), item.revision};
         }
     }
-    if (changed) {
+    if (placesChanged) {
         publish();
     }
+    plan();
 }
 
 void PoolController::publish()
@@ -157,7 +141,17 @@
 
 void PoolController::tick()
 {
-    if (!m_lease.held() || !m_fleet || m_revision == 0) {
+    plan();
+    const bool isTurn = ++m_ticks % ticksPerDecision == 0;
+    if (isTurn && m_lease.held() && m_askDemand) {
+        m_askDemand();
+        decideMoves();
+    }
+}
+
+void PoolController::plan()
+{
+    if (m_stopped || !m_lease.held() || !m_fleet || m_revision == 0 || m_ledgers.revision() == 0) {
         return;
     }
     DrainMarks marks;
@@ -175,15 +169,91 @@
     }
 }
 
-AssignmentView PoolController::view() const
+void PoolController::decideMoves()
+{
+    if (!m_fleet || m_revision == 0 || m_ledgers.revision() == 0) {
+        return;
+    }
+    LendingView lending;
+    lending.fleet = m_fleet.get();
+    lending.assignments = &m_assignments;
+    lending.out = workersOut();
+    lending.loads = m_demand.loads(steadyNow());
+    lending.now = recordNow();
+    for (const auto &move : m_automatic.decide(lending)) {
+        carryOut(move);
+    }
+}
+
+void PoolController::carryOut(const DecidedMove &move)
+{
+    if (!m_writing.insert(move.write.key).second) {
+        return;
+    }
+    m_store.compareAndSwap(move.write, [this, move](const Result<platform::StoreRevision> &result) {
+        asio::post(m_strand, [this, move, written = result.has_value()] {
+            m_writing.erase(move.write.key);
+            if (written) {
+                logEvent(moveDecided, "{}", move.decision.toString());
+            }
+        });
+    });
+}
+
+AssignmentView PoolController::records() const
 {
     AssignmentView view;
     view.fleet = m_fleet.get();
     view.assignments = m_assignments;
+    return view;
+}
+
+AssignmentView PoolController::view() const
+{
+    auto view = records();
     view.quiet = m_draining.quiet();
+    view.ledgers.records = m_ledgers.ledgers();
+    view.ledgers.budgets = maintenance::budgetsOf(withAssignments(*m_fleet, m_assignments), {});
+    view.ledgers.countOutages = isWaveUnderWay();
     return view;
 }
 
+bool PoolController::isWaveUnderWay() const
+{
+    const auto &waves = m_ledgers.waves();
+    return std::any_of(waves.begin(), waves.end(), [](const auto &item) {
+        return item.second.record.state != maintenance::WaveState::Done;
+    });
+}
+
+// Workers that a wave has, and those that failed.
+std::unordered_set<WorkerId> PoolController::workersOut() const
+{
+    const bool countOutages = isWaveUnderWay();
+    std::unordered_set<WorkerId> out;
+    for (const auto &[name, ledger] : m_ledgers.ledgers()) {
+        for (const auto &claim : ledger.record.claims) {
+            if (!attemptOf(claim.wave)) {
+                out.insert(claim.worker);
+            }
+        }
+        for (const auto &outage : ledger.record.outages) {
+            if (countOutages) {
+                out.insert(outage.worker);
+            }
+        }
+    }
+    return out;
+}
+
+void PoolController::takeDemand(const EntryId &entry, std::uint64_t incarnation,
+                                DemandAnswer answer)
+{
+    asio::post(m_strand, [this, entry, incarnation, answer = std::move(answer)] {
+        m_demand.take(entry, incarnation, answer, steadyNow());
+    });
+}
+
 void PoolController::write(const platform::StoreWrite &write)
 {
     if (!m_writing.insert(write.key).second) {
@@ -192,18 +262,25 @@
     m_store.compareAndSwap(write, [this, write](Result<platform::StoreRevision> revision) {
         asio::post(m_strand, [this, write, written = revision.has_value()] {
             m_writing.erase(write.key);
-            if (!written) {
-                return;
+            if (written) {
+                logStep(write);
             }
-            const auto assignment = readAssignment(write.value).value();
-            const bool moved = assignment.step == AssignmentStep::Serving;
-            logEvent(moved ? workerMoved : assignmentStepped, "{} is {} in {}, should be in {}",
-                     assignment.worker.value(), assignmentStepNames.name(assignment.step),
-                     assignment.pool.value(), assignment.desired.value());
         });
     });
 }
 
+void PoolController::logStep(const platform::StoreWrite &write) const
+{
+    if (!write.key.starts_with(assignmentPrefix)) {
+        return;
+    }
+    const auto assignment = readAssignment(write.value).value();
+    const bool moved = assignment.step == AssignmentStep::Serving;
+    logEvent(moved ? workerMoved : assignmentStepped, "{} is {} in {}, should be in {}",
+             assignment.worker.value(), assignmentStepNames.name(assignment.step),
+             assignment.pool.value(), assignment.desired.value());
+}
+
 void PoolController::move(const WorkerId &worker, const PoolId &pool, const std::string &setBy,
                           platform::StoreRevision revision, MoveCompletion completion)
 {
@@ -244,7 +321,7 @@
                 fmt::format("there is no worker {} or no pool {}", worker.value(), pool.value()),
                 "add it to the fleet document first, or correct the name");
     }
-    auto found = assignmentOf(view(), *known);
+    auto found = assignmentOf(records(), *known);
     if (revision != 0 && found.revision != revision) {
         return failure(ErrorKind::Conflict,
                        fmt::format("{} was sent to {} by {} meanwhile", worker.value(),
@@ -262,7 +339,7 @@
     asio::post(m_strand, [this, completion = std::move(completion)] {
         std::vector<VersionedAssignment> all;
         if (m_fleet) {
-            const auto known = view();
+            const auto known = records();
             for (const auto &worker : m_fleet->workers) {
                 all.push_back(assignmentOf(known, worker));
             }
--- a/src/capacity/poolcontroller.h
+++ b/src/capacity/poolcontroller.h
@@ -3,11 +3,15 @@
 #pragma once
 
 #include "capacity/assignmentplanner.h"
+#include "capacity/automaticmoves.h"
+#include "capacity/demandbook.h"
 #include "capacity/draining.h"
 #include "fleet/fleetdocument.h"
 #include "global/ids.h"
+#include "maintenance/maintenancerecords.h"
 #include "platform/leaderlease.h"
 #include "platform/storeclient.h"
+#include "platform/storefollower.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -18,6 +22,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace cyclamenlatch::capacity {
@@ -28,6 +33,8 @@
     using Assignments = std::unordered_map<WorkerId, VersionedAssignment>;
     using FleetListener = std::function<void(std::shared_ptr<const fleet::FleetDocument>)>;
     using MoveCompletion = std::function<void(Result<VersionedAssignment>)>;
+    // Asks entries for their demand; thread-safe, and doesn't block.
+    using DemandAsker = std::function<void()>;
     using ListCompletion = std::function<void(std::vector<VersionedAssignment>)>;
 
     // The listener gets the document with each worker in the pool of its record, again whenever
@@ -35,6 +42,8 @@
     PoolController(asio::io_context &context, EntryId entry, platform::StoreClient &store,
                    Draining draining, FleetListener listener);
 
+    // Without it no worker moves by itself. Set before start.
+    void setDemandAsker(DemandAsker asker) { m_askDemand = std::move(asker); }
     void start();
     void stop();
     // All below are thread-safe.
@@ -44,20 +53,27 @@
     void move(const WorkerId &worker, const PoolId &pool, const std::string &setBy,
               platform::StoreRevision revision, MoveCompletion completion);
     void list(ListCompletion completion);
+    // What an entry answers to the asker.
+    void takeDemand(const EntryId &entry, std::uint64_t incarnation, DemandAnswer answer);
 
 private:
     using Strand = asio::strand<asio::io_context::executor_type>;
 
-    void readRecords();
-    void watchRecords();
-    void judgeRecords(const Result<platform::StoreListing> &listing);
-    void retryRecords();
+    void onLeadership(bool held);
     void take(const platform::StoreListing &listing);
     void publish();
     void armTick();
     void tick();
+    // One step of every move, when this entry leads and has read all records.
+    void plan();
+    void decideMoves();
+    void carryOut(const DecidedMove &move);
+    AssignmentView records() const;
     AssignmentView view() const;
+    std::unordered_set<WorkerId> workersOut() const;
+    bool isWaveUnderWay() const;
     void write(const platform::StoreWrite &write);
+    void logStep(const platform::StoreWrite &write) const;
     Result<VersionedAssignment> checkedMove(const WorkerId &worker, const PoolId &pool,
                                             const std::string &setBy,
                                             platform::StoreRevision revision) const;
@@ -69,7 +85,6 @@
     const FleetListener m_listener;
     platform::LeaderLease m_lease;
     asio::steady_timer m_timer;
-    asio::steady_timer m_recordsTimer;
     bool m_stopped = false;
     std::shared_ptr<const fleet::FleetDocument> m_fleet;
     // Of the store when the assignments were read; 0 before the first reading.
@@ -77,6 +92,14 @@
     Assignments m_assignments;
     // Keys with a write under way.
     std::set<std::string> m_writing;
+    DemandAsker m_askDemand;
+    platform::StoreFollower m_follower;
+    // Used while leading: the ledgers that waves share.
+    platform::StoreFollower m_ledgerFollower;
+    maintenance::MaintenanceRecords m_ledgers;
+    DemandBook m_demand;
+    AutomaticMoves m_automatic;
+    unsigned m_ticks = 0;
     // Whether entries were told of draining workers and not yet that there are none.
     bool m_asked = false;
 };
--- a/src/capacity/pooldemand.h
+++ b/src/capacity/pooldemand.h
@@ -3,6 +3,7 @@
 
 #include "global/ids.h"
 
+#include <unordered_set>
 #include <vector>
 
 namespace cyclamenlatch::capacity {
@@ -26,6 +27,8 @@
     double queued = 0;
     // Seconds that the present overload is expected to go on.
     double overloadRemaining = 0;
+    // Spare workers that would match none of the pool's queues.
+    std::unordered_set<WorkerId> unsuited;
     // Weight of the pool's users against others'.
     double weight = 1;
 };
--- a/src/membership/peertopic.h
+++ b/src/membership/peertopic.h
@@ -17,6 +17,7 @@
     Jobs = 7,
     Report = 8,
     Load = 9,
+    Demand = 10,
     LimitSurvey = 11,
 };
 
@@ -30,6 +31,7 @@
         {PeerTopic::Jobs, "jobs"},
         {PeerTopic::Report, "report"},
         {PeerTopic::Load, "load"},
+        {PeerTopic::Demand, "demand"},
         {PeerTopic::LimitSurvey, "limit-survey"},
 };
 inline constexpr NameTable peerTopicNames{peerTopicEntries};
