--- a/src/dispatch/tests/dispatcher_tests.cpp
+++ b/src/dispatch/tests/dispatcher_tests.cpp
@@ -17,7 +17,6 @@
 using testing::fieldOf;
 using testing::RawMinion;
 using testing::readRequest;
-using testing::reset;
 using testing::send;
 using testing::serveWell;
 using testing::Socket;
