--- a/src/quota/internal/quotaagent.cpp
+++ b/src/quota/internal/quotaagent.cpp
@@ -224,13 +224,14 @@
 void QuotaAgent::takeHostList(const std::vector<platform::HostStatus> &hosts)
 {
     for (const auto &[holder, registered] : m_registry.holders) {
-        if (!registered.host.isKnown() || !isSilent(holder)) {
+        const auto &known = registered.host;
+        if (!known.isKnown() || !isSilent(holder)) {
             continue;
         }
         const bool replaced =
-                std::any_of(hosts.begin(), hosts.end(), [&](const platform::HostStatus &host) {
-                    return host.worker.value() == registered.host.name
-                           && host.replacements > registered.host.replacements;
+                std::any_of(hosts.begin(), hosts.end(), [&known](const platform::HostStatus &host) {
+                    return host.worker.value() == known.name
+                           && host.replacements > known.replacements;
                 });
         if (replaced) {
             m_reports.try_emplace(holder, GoneProof::HostReplaced);
