Charge workspaces for what other entries ran for them

Cause: each entry shared by its own charges, so a workspace that comes through several entries was paid at each of them. Change: load digests carry the slot time charged by queue and workspace as a wrapping total; the others charge the difference to the workspace's flow, and virtual time goes on as if the work had started there. Idle rows are kept for two minutes, and a row that fell to no demand is told three times.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -43,8 +43,10 @@
     // Slots of each minion that this entry may use, by the table that they were computed for.
     void setSlotShares(const std::shared_ptr<const routing::RoutingTable> &table,
                        const SlotShares &shares);
-    // Open requests by queue and workspace.
-    EntryLoad load() const;
+    // Charges workspaces for what other entries ran for them.
+    void chargeRemote(const std::vector<RemoteUse> &uses);
+    // Open requests and slot time used, by queue and workspace.
+    EntryLoad load();
     std::shared_ptr<const routing::RoutingTable> table() const;
     // The completion runs exactly once, on the HTTP client's thread or this one. The returned
     // ticket is for cancel.
--- a/src/dispatch/dispatchsettings.h
+++ b/src/dispatch/dispatchsettings.h
@@ -37,6 +37,8 @@
     // Entries that may live at once. The connections are divided by this number and not by that
     // of the live ones, since entries that can't hear each other must keep the bound too.
     unsigned mostEntries = 1;
+    // What an idle workspace has used is forgotten after this; peers forget it earlier.
+    Duration idleLoadKept = std::chrono::minutes(2);
     // Wait before a minion whose slots are held by other entries is tried again.
     Duration slotRetry = std::chrono::milliseconds(20);
     // Distinct workers on which the same work must fail to count as the work's fault.
--- a/src/dispatch/entryload.h
+++ b/src/dispatch/entryload.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "global/ids.h"
+#include "global/time.h"
 
 #include <compare>
 #include <map>
@@ -20,6 +21,10 @@
 {
     // Requests that run or wait.
     unsigned demand = 0;
+    // Slot time charged since this entry's start.
+    double usedSeconds = 0;
+    // When the demand last came or went.
+    TimePoint changedAt{};
 };
 
 using EntryLoad = std::map<LoadKey, LoadValue>;
--- a/src/dispatch/fairqueue.h
+++ b/src/dispatch/fairqueue.h
@@ -42,6 +42,8 @@
 
     // Charges a workspace for used slot time; negative corrects an estimate that was too high.
     void charge(const WorkspaceId &workspace, double weight, double slotSeconds);
+    // Charges a workspace for what it used through another entry.
+    void chargeElsewhere(const WorkspaceId &workspace, double weight, double slotSeconds);
     void unpark(const WorkspaceId &workspace);
 
     std::size_t size() const { return m_positions.size(); }
--- a/src/dispatch/fleetload.h
+++ b/src/dispatch/fleetload.h
@@ -5,6 +5,7 @@
 
 #include "dispatch/entryload.h"
 #include "dispatch/loaddigest.h"
+#include "dispatch/remoteuse.h"
 #include "dispatch/slotdivision.h"
 #include "global/time.h"
 #include "routing/routingtable.h"
@@ -25,7 +26,7 @@
     // An entry that is silent for longer gets no slots from the others.
     Duration silentAfter = std::chrono::seconds(3);
     // A row that is not told again for this long has ended.
-    Duration rowLifetime = std::chrono::seconds(10);
+    Duration rowLifetime = std::chrono::seconds(60);
 };
 
 class FleetLoad
@@ -39,6 +40,9 @@
                  TimePoint now);
     // What this entry may use, given its own load.
     SlotShares shares(const EntryLoad &own, TimePoint now);
+    // What other entries have charged since the last call. What they charged before they were first
+    // heard, or while they were silent, is left out.
+    std::vector<RemoteUse> takeUse();
 
 private:
     struct RowKey
@@ -51,6 +55,7 @@
     struct Row
     {
         unsigned demand = 0;
+        std::uint32_t used = 0;
         TimePoint toldAt{};
     };
     struct Peer
@@ -68,6 +73,7 @@
     };
 
     void forgetSilent(TimePoint now);
+    void addUse(const RowKey &key, std::uint32_t units);
     void setEntries();
     void addDemand(const RowKey &key, std::size_t entry, unsigned demand);
     std::vector<double> divideWorker(unsigned slots,
@@ -78,13 +84,15 @@
     FleetLoadSettings m_settings;
     std::shared_ptr<const routing::RoutingTable> m_table;
     std::unordered_map<NameHash, const routing::QueueRoute *> m_routes;
-    std::unordered_map<NameHash, double> m_weights;
+    std::unordered_map<NameHash, WorkspaceId> m_workspaces;
     std::map<EntryId, Peer> m_peers;
     // This entry and those that are heard of, in order of their names.
     std::vector<EntryId> m_entries;
     // For the entries above, by worker of the table.
     std::vector<RoundingOrder> m_orders;
     std::map<NameHash, QueueDemand> m_demands;
+    // Not yet taken, in units of LoadRow::used.
+    std::map<RowKey, std::int64_t> m_use;
 };
 
 } // namespace cyclamenlatch::dispatch
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -128,9 +128,16 @@
     m_scheduler.setSlotShares(*table, shares);
 }
 
-EntryLoad Dispatcher::load() const
+void Dispatcher::chargeRemote(const std::vector<RemoteUse> &uses)
 {
     const std::lock_guard lock(m_mutex);
+    m_scheduler.chargeRemote(uses);
+}
+
+EntryLoad Dispatcher::load()
+{
+    const std::lock_guard lock(m_mutex);
+    m_scheduler.dropIdleLoad(steadyNow());
     return m_scheduler.load();
 }
 
--- a/src/dispatch/internal/fairqueue.cpp
+++ b/src/dispatch/internal/fairqueue.cpp
@@ -130,6 +130,16 @@
     }
 }
 
+// Virtual time passes as if the work had started here, so that a workspace which was idle meanwhile
+// has no claim on that time; but not past those that wait here.
+void FairQueue::chargeElsewhere(const WorkspaceId &workspace, double weight, double slotSeconds)
+{
+    const double startTag = std::max(m_flows[workspace].tag, m_virtualTime);
+    charge(workspace, weight, slotSeconds);
+    const double reached = m_order.empty() ? startTag : std::min(startTag, m_order.begin()->first);
+    m_virtualTime = std::max(m_virtualTime, reached);
+}
+
 void FairQueue::unpark(const WorkspaceId &workspace)
 {
     const auto found = m_flows.find(workspace);
--- a/src/dispatch/internal/fleetload.cpp
+++ b/src/dispatch/internal/fleetload.cpp
@@ -18,13 +18,14 @@
 {
     m_table = std::move(table);
     m_routes.clear();
-    m_weights.clear();
+    m_workspaces.clear();
+    m_workspaces.emplace(nameHash(""), WorkspaceId());
     m_entries.clear();
     for (const auto &[queue, route] : m_table->queues()) {
         m_routes.emplace(nameHash(queue.value()), &route);
     }
     for (const auto &[workspace, weight] : m_table->weights()) {
-        m_weights.emplace(nameHash(workspace.value()), m_table->weight(workspace));
+        m_workspaces.emplace(nameHash(workspace.value()), workspace);
     }
 }
 
@@ -40,8 +41,38 @@
     }
     peer.heardAt = now;
     for (const auto &row : digest.rows) {
-        peer.rows[{row.queue, row.workspace}] = {row.demand, now};
+        const RowKey key{row.queue, row.workspace};
+        const auto [known, isNew] = peer.rows.try_emplace(key);
+        if (!isNew) {
+            addUse(key, row.used - known->second.used);
+        }
+        known->second = {row.demand, row.used, now};
+    }
+}
+
+// The difference of two wrapping totals, which may be negative.
+void FleetLoad::addUse(const RowKey &key, std::uint32_t units)
+{
+    const auto change = static_cast<std::int32_t>(units);
+    if (change != 0) {
+        m_use[key] += change;
+    }
+}
+
+std::vector<RemoteUse> FleetLoad::takeUse()
+{
+    constexpr double secondsPerUnit = 0.01;
+    std::vector<RemoteUse> uses;
+    for (const auto &[key, units] : m_use) {
+        const auto route = m_routes.find(key.queue);
+        const auto workspace = m_workspaces.find(key.workspace);
+        if (route != m_routes.end() && workspace != m_workspaces.end()) {
+            uses.push_back({route->second->queue, workspace->second,
+                            static_cast<double>(units) * secondsPerUnit});
+        }
     }
+    m_use.clear();
+    return uses;
 }
 
 void FleetLoad::forgetSilent(TimePoint now)
@@ -51,7 +82,7 @@
     });
     for (auto &[entry, peer] : m_peers) {
         std::erase_if(peer.rows, [&](const auto &item) {
-            return item.second.demand == 0 || now - item.second.toldAt > m_settings.rowLifetime;
+            return now - item.second.toldAt > m_settings.rowLifetime;
         });
     }
 }
@@ -160,8 +191,8 @@
 
 double FleetLoad::weightOf(NameHash workspace) const
 {
-    const auto found = m_weights.find(workspace);
-    return found == m_weights.end() ? 1 : found->second;
+    const auto found = m_workspaces.find(workspace);
+    return found == m_workspaces.end() ? 1 : m_table->weight(found->second);
 }
 
 } // namespace cyclamenlatch::dispatch
--- a/src/dispatch/internal/loadexchange.cpp
+++ b/src/dispatch/internal/loadexchange.cpp
@@ -66,6 +66,7 @@
     const auto peers = m_bus.peers().size();
     const auto now = steadyNow();
     SlotShares shares;
+    std::vector<RemoteUse> uses;
     std::optional<LoadDigest> digest;
     {
         const std::lock_guard lock(m_mutex);
@@ -73,9 +74,11 @@
             m_fleet.setTable(table);
         }
         shares = m_fleet.shares(own, now);
+        uses = m_fleet.takeUse();
         digest = m_sender.next(own, peers, now);
     }
     m_dispatcher.setSlotShares(table, shares);
+    m_dispatcher.chargeRemote(uses);
     if (digest) {
         m_bus.sendToAll(membership::PeerTopic::Load, membership::encode(*digest));
     }
--- a/src/dispatch/internal/loadsender.cpp
+++ b/src/dispatch/internal/loadsender.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/namehash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace cyclamenlatch::dispatch {
@@ -13,6 +14,8 @@
 // A demand that has changed by less than this part, or by less than this count, can wait.
 constexpr double negligibleChange = 0.25;
 constexpr double negligibleCount = 2;
+constexpr double negligibleUsedSeconds = 0.5;
+constexpr double usedUnitsPerSecond = 100;
 
 LoadRow makeRow(const LoadKey &key, const LoadValue &value)
 {
@@ -21,6 +24,7 @@
     row.queue = nameHash(key.queue.value());
     row.workspace = nameHash(key.workspace.value());
     row.demand = static_cast<std::uint16_t>(std::min(value.demand, most));
+    row.used = static_cast<std::uint32_t>(std::llround(value.usedSeconds * usedUnitsPerSecond));
     return row;
 }
 
@@ -35,8 +39,8 @@
     if (peers == 0 || now < m_nextAt) {
         return std::nullopt;
     }
+    std::erase_if(m_told, [&load](const auto &item) { return !load.contains(item.first); });
     LoadDigest digest;
-    addEnded(load, digest);
     const auto begin = load.upper_bound(m_turn);
     addRows(begin, load.end(), now, digest);
     addRows(load.begin(), begin, now, digest);
@@ -51,19 +55,6 @@
     return digest;
 }
 
-// Rows of which nothing is left are told once; peers let them expire if that gets lost.
-void LoadSender::addEnded(const EntryLoad &load, LoadDigest &digest)
-{
-    for (auto told = m_told.begin(); told != m_told.end();) {
-        if (load.contains(told->first) || digest.rows.size() >= m_settings.rowsPerDigest) {
-            ++told;
-            continue;
-        }
-        digest.rows.push_back(makeRow(told->first, {}));
-        told = m_told.erase(told);
-    }
-}
-
 void LoadSender::addRows(EntryLoad::const_iterator begin, EntryLoad::const_iterator end,
                          TimePoint now, LoadDigest &digest)
 {
@@ -72,12 +63,15 @@
             return;
         }
         const auto &[key, value] = *item;
-        const auto told = m_told.find(key);
-        if (!isDue(value, told == m_told.end() ? nullptr : &told->second, now)) {
+        const auto found = m_told.find(key);
+        if (!isDue(value, found == m_told.end() ? nullptr : &found->second, now)) {
             continue;
         }
         digest.rows.push_back(makeRow(key, value));
-        m_told[key] = {value, now};
+        auto &told = m_told[key];
+        told.noDemand = value.demand == 0 ? told.noDemand + 1 : 0;
+        told.value = value;
+        told.at = now;
         m_turn = key;
     }
 }
@@ -87,10 +81,17 @@
     if (told == nullptr) {
         return true;
     }
-    if (value.demand > 0 && now >= told->at + m_settings.refreshAfter) {
+    const bool isRepeated = value.demand > 0 || told->noDemand < m_settings.tellsOfNoDemand;
+    if (isRepeated && now >= told->at + m_settings.refreshAfter) {
+        return true;
+    }
+    if (std::abs(value.usedSeconds - told->value.usedSeconds) >= negligibleUsedSeconds) {
         return true;
     }
     const double before = told->value.demand;
+    if (before > 0 && value.demand == 0) {
+        return true;
+    }
     const double change = std::abs(value.demand - before);
     return change >= negligibleCount && change >= before * negligibleChange;
 }
--- a/src/dispatch/internal/scheduler.cpp
+++ b/src/dispatch/internal/scheduler.cpp
@@ -104,6 +104,38 @@
     }
 }
 
+void Scheduler::chargeRemote(const std::vector<RemoteUse> &uses)
+{
+    for (const auto &use : uses) {
+        const auto *route = m_table->findQueue(use.queue);
+        const auto pool = route == nullptr ? m_pools.end() : m_pools.find(route->pool);
+        if (pool == m_pools.end()) {
+            continue;
+        }
+        auto &line = route->urgent ? pool->second.urgent : pool->second.normal;
+        line.chargeElsewhere(use.workspace, m_table->weight(use.workspace), use.seconds);
+    }
+}
+
+void Scheduler::charge(const Request &request, double seconds)
+{
+    const auto &workspace = request.work.workspace;
+    lineOf(request).charge(workspace, m_table->weight(workspace), seconds);
+    loadOf(request.work).usedSeconds += seconds;
+}
+
+LoadValue &Scheduler::loadOf(const SchedulerWork &work)
+{
+    return m_load[{work.queue, work.workspace}];
+}
+
+void Scheduler::dropIdleLoad(TimePoint now)
+{
+    std::erase_if(m_load, [&](const auto &item) {
+        return item.second.demand == 0 && now - item.second.changedAt > m_settings.idleLoadKept;
+    });
+}
+
 unsigned Scheduler::connectionShare() const
 {
     const unsigned entries = std::max(m_settings.mostEntries, m_knownEntries);
@@ -136,7 +168,9 @@
     }
     auto &request = m_requests[work.ticket];
     request.work = work;
-    ++m_load[{work.queue, work.workspace}].demand;
+    auto &load = loadOf(work);
+    ++load.demand;
+    load.changedAt = now;
     request.route = route;
     request.table = m_table;
     auto [pool, isNew] = m_pools.try_emplace(route->pool);
@@ -342,8 +376,7 @@
     request.seenNotRunning = false;
     ++request.attempts;
     request.chargedSeconds = poolOf(request).costSeconds[request.work.workspace];
-    lineOf(request).charge(request.work.workspace, m_table->weight(request.work.workspace),
-                           request.chargedSeconds);
+    charge(request, request.chargedSeconds);
     setWake(request, now + silenceLimit(request));
     actions.push_back(StartCall{request.work.ticket, worker.id, worker.minionAddress,
                                 request.work.deadline, request.attempts});
@@ -408,10 +441,7 @@
 {
     const auto found = m_requests.find(ticket);
     m_wakes.erase({found->second.wake, ticket});
-    const auto load = m_load.find({found->second.work.queue, found->second.work.workspace});
-    if (--load->second.demand == 0) {
-        m_load.erase(load);
-    }
+    --loadOf(found->second.work).demand;
     m_requests.erase(found);
 }
 
--- a/src/dispatch/internal/schedulercalls.cpp
+++ b/src/dispatch/internal/schedulercalls.cpp
@@ -36,8 +36,7 @@
     --poolOf(request).running;
     --m_queues[request.work.queue].running;
     const double used = toSeconds(now - request.startedAt);
-    const double weight = m_table->weight(request.work.workspace);
-    lineOf(request).charge(request.work.workspace, weight, used - request.chargedSeconds);
+    charge(request, used - request.chargedSeconds);
     auto &cost = poolOf(request).costSeconds[request.work.workspace];
     cost = movingAverage(cost, used);
     freeUnits(request, verdict, now);
@@ -45,6 +44,7 @@
     if (verdict == CallVerdict::Success) {
         learnDuration(request, used);
     }
+    loadOf(request.work).changedAt = now;
     request.mayHaveRun |= verdict == CallVerdict::Unknown || verdict == CallVerdict::Failure;
     if (!tryRetry(request, verdict, now)) {
         learnFinalHealth(request, now);
--- a/src/dispatch/loadrow.h
+++ b/src/dispatch/loadrow.h
@@ -14,11 +14,13 @@
     NameHash workspace = 0;
     // Requests that run or wait.
     std::uint16_t demand = 0;
+    // Slot time charged since the entry's start, in 10 ms; wraps.
+    std::uint32_t used = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(queue, workspace, demand);
+        archive(queue, workspace, demand, used);
     }
 };
 
--- a/src/dispatch/loadsender.h
+++ b/src/dispatch/loadsender.h
@@ -18,12 +18,13 @@
     Duration shortestGap = std::chrono::milliseconds(100);
     // An entry that has nothing to say says so this often.
     Duration longestGap = std::chrono::seconds(1);
-    // Rows are told again after this, since messages get lost.
+    // Rows are told again after this, since messages get lost; those without demand so often.
     Duration refreshAfter = std::chrono::seconds(3);
+    unsigned tellsOfNoDemand = 3;
     std::size_t bytesPerSecond = 4000;
     // Bytes of a digest without rows, with its envelope.
     std::size_t envelopeBytes = 180;
-    std::size_t rowBytes = 10;
+    std::size_t rowBytes = 14;
     std::size_t rowsPerDigest = 40;
 };
 
@@ -40,14 +41,14 @@
     {
         LoadValue value;
         TimePoint at{};
+        // Times in a row that no demand was told.
+        unsigned noDemand = 0;
     };
 
     bool isDue(const LoadValue &value, const Told *told, TimePoint now) const;
     // Appends rows that are due, from the first key on.
     void addRows(EntryLoad::const_iterator begin, EntryLoad::const_iterator end, TimePoint now,
                  LoadDigest &digest);
-    void addEnded(const EntryLoad &load, LoadDigest &digest);
-
     LoadSenderSettings m_settings;
     std::map<LoadKey, Told> m_told;
     // Where the next digest begins, so that no row waits for ever behind the others.
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -42,6 +42,8 @@
     void setKnownEntries(unsigned entries);
     // Slots of each minion that this entry may use now. Ignored when the table is not this one.
     void setSlotShares(const routing::RoutingTable &table, const SlotShares &shares);
+    // Charges workspaces for what other entries ran for them.
+    void chargeRemote(const std::vector<RemoteUse> &uses);
     void submit(const SchedulerWork &work, TimePoint now, SchedulerActions &actions);
     // The caller is gone. A queued request is dropped; a running one ends as it will.
     void cancel(Ticket ticket, SchedulerActions &actions);
@@ -65,6 +67,8 @@
     // Connections that this entry may have to one minion.
     unsigned connectionShare() const;
     const EntryLoad &load() const { return m_load; }
+    // Forgets the load of queues and workspaces that have been idle for long.
+    void dropIdleLoad(TimePoint now);
     const std::shared_ptr<const routing::RoutingTable> &table() const { return m_table; }
 
 private:
@@ -177,7 +181,10 @@
     bool refuseEarly(const Request &request, TimePoint now, SchedulerActions &actions);
     std::chrono::seconds retryDelay(const Request &request) const;
     void forget(Ticket ticket);
+    LoadValue &loadOf(const SchedulerWork &work);
     void setWake(Request &request, TimePoint wake);
+    // Charges a request's workspace, here and in what peers are told.
+    void charge(const Request &request, double seconds);
     void wakeUp(Ticket ticket, TimePoint now, SchedulerActions &actions);
     Duration estimatedWait(const Request &request) const;
     Duration estimatedRun(const Request &request) const;
@@ -196,7 +203,7 @@
     std::unordered_map<PoolId, PoolState> m_pools;
     std::unordered_map<QueueId, QueueState> m_queues;
     std::unordered_map<Ticket, Request> m_requests;
-    // Invariant: counts the open requests by queue and workspace.
+    // Invariant: its demand counts the open requests by queue and workspace.
     EntryLoad m_load;
     // Invariant: one element for each open request, at its wake time.
     std::set<std::pair<TimePoint, Ticket>> m_wakes;
--- a/src/dispatch/tests/fairqueue_tests.cpp
+++ b/src/dispatch/tests/fairqueue_tests.cpp
@@ -36,6 +36,46 @@
     EXPECT_NEAR(started[small], 250, 2);
 }
 
+// How many of the first requests that start are the small workspace's.
+int smallAmongFirst(FairQueue &line, int count)
+{
+    int smallStarted = 0;
+    int total = 0;
+    line.startAll([&](Ticket ticket) {
+        if (total == count) {
+            return FairQueue::Start::QueueBlocked;
+        }
+        ++total;
+        const bool isSmall = ticket % 2 == 0;
+        smallStarted += isSmall ? 1 : 0;
+        line.charge(isSmall ? small : large, 1, 1);
+        return FairQueue::Start::Started;
+    });
+    return smallStarted;
+}
+
+TEST(FairQueue, useThroughAnotherEntryIsPaidForHere)
+{
+    FairQueue line;
+    for (Ticket ticket = 1; ticket <= 200; ++ticket) {
+        line.push(ticket, ticket % 2 == 0 ? small : large, queue, 1);
+    }
+    line.chargeElsewhere(large, 1, 20);
+    EXPECT_NEAR(smallAmongFirst(line, 60), 40, 1);
+}
+
+TEST(FairQueue, useThroughAnotherEntryGivesNoClaimToThoseWhoWereIdle)
+{
+    FairQueue line;
+    for (int run = 0; run < 100; ++run) {
+        line.chargeElsewhere(large, 1, 1);
+    }
+    for (Ticket ticket = 1; ticket <= 200; ++ticket) {
+        line.push(ticket, ticket % 2 == 0 ? small : large, queue, 1);
+    }
+    EXPECT_NEAR(smallAmongFirst(line, 60), 30, 2);
+}
+
 TEST(FairQueue, longRunsArePaidForLater)
 {
     FairQueue line;
--- a/src/dispatch/tests/fleetload_tests.cpp
+++ b/src/dispatch/tests/fleetload_tests.cpp
@@ -140,6 +140,29 @@
     EXPECT_EQ(shares, SlotShares(10, slots));
 }
 
+TEST(FleetLoad, whatOthersUsedIsTakenOnceAndOnlyFromWhenTheyWereHeard)
+{
+    FleetLoad entry(EntryId("e-0"));
+    entry.setTable(makeTable(10));
+    const auto tell = [&](std::uint64_t incarnation, std::uint32_t used) {
+        entry.receive(EntryId("e-1"), incarnation, {{{nameHash("q"), nameHash("small"), 1, used}}},
+                      start);
+    };
+    // The total wraps.
+    tell(1, 0xffffff00U);
+    EXPECT_TRUE(entry.takeUse().empty());
+    tell(1, 0x00000100U);
+    tell(1, 0x000000f0U);
+    const auto uses = entry.takeUse();
+    ASSERT_EQ(uses.size(), 1U);
+    EXPECT_EQ(uses[0].workspace, WorkspaceId("small"));
+    EXPECT_DOUBLE_EQ(uses[0].seconds, 0x1f0 * 0.01);
+    EXPECT_TRUE(entry.takeUse().empty());
+    // A new life counts from the start again.
+    tell(2, 0x10U);
+    EXPECT_TRUE(entry.takeUse().empty());
+}
+
 TEST(FleetLoad, earlierLifeOfAnEntryIsNotHeard)
 {
     FleetLoad entry(EntryId("e-0"));
@@ -165,7 +188,8 @@
         for (unsigned workspace = 0; workspace < 280; ++workspace) {
             for (unsigned queue = workspace % 50; queue < 150; queue += 50) {
                 rows[{QueueId("q-" + std::to_string(queue)),
-                      WorkspaceId("ws-" + std::to_string(workspace))}] = {1U + 50 * (tick % 2)};
+                      WorkspaceId("ws-" + std::to_string(workspace))}] = {1U + 50 * (tick % 2),
+                                                                          1.0 * tick};
             }
         }
         if (const auto digest = sender.next(rows, peers, now)) {
@@ -186,9 +210,13 @@
     const auto next = start + std::chrono::milliseconds(200);
     EXPECT_FALSE(sender.next(load("q", "small", 5), 2, next));
     EXPECT_EQ(sender.next(load("q", "small", 50), 2, next)->rows.at(0).demand, 50);
-    const auto ended = sender.next({}, 2, next + std::chrono::milliseconds(200));
-    EXPECT_EQ(ended->rows.at(0).demand, 0);
-    EXPECT_TRUE(sender.next({}, 2, next + std::chrono::milliseconds(1300))->rows.empty());
+    auto now = next + std::chrono::milliseconds(200);
+    EXPECT_EQ(sender.next(load("q", "small", 0), 2, now)->rows.at(0).demand, 0);
+    // Told again in case that it got lost, then no more.
+    for (const std::size_t rows : {1U, 1U, 0U, 0U}) {
+        now += std::chrono::seconds(4);
+        EXPECT_EQ(sender.next(load("q", "small", 0), 2, now)->rows.size(), rows);
+    }
 }
 
 } // namespace
