--- a/bench/entriessimulation.cpp
+++ b/bench/entriessimulation.cpp
@@ -30,7 +30,7 @@
         auto &entry = *m_entries.emplace_back(std::make_unique<Entry>(id, seed * entries + index));
         entry.scheduler.setTable(table, m_now, entry.actions);
         entry.load.setTable(table);
-        if (exchange == Exchange::Digests) {
+        if (exchange != Exchange::None) {
             schedule(m_now + tickInterval * index / entries, [this, index] { tick(index); });
         }
     }
@@ -70,6 +70,10 @@
     auto &entry = *m_entries[index];
     const auto &load = entry.scheduler.load();
     entry.scheduler.setSlotShares(*entry.load.table(), entry.load.shares(load, m_now));
+    const auto uses = entry.load.takeUse();
+    if (m_exchange == Exchange::Digests) {
+        entry.scheduler.chargeRemote(uses);
+    }
     const auto digest = entry.sender.next(load, m_entries.size() - 1, m_now);
     if (digest && !entry.cutOff) {
         tell(index, *digest);
@@ -167,9 +171,8 @@
     const auto at = overruns ? call.deadline : m_now + run;
     schedule(at, [this, entry, ticket = call.ticket, &minion, overruns, began = m_now] {
         changeRunning(minion, -1);
-        if (began >= m_countFrom && !overruns) {
-            m_work[m_requests[ticket - 1].workspace] += toSeconds(m_requests[ticket - 1].work);
-        }
+        const auto from = std::max(began, m_countFrom);
+        m_used[m_requests[ticket - 1].workspace] += std::max(0.0, toSeconds(m_now - from));
         auto &state = *m_entries[entry];
         state.scheduler.callEnded(ticket, overruns ? CallVerdict::Unknown : CallVerdict::Success,
                                   m_now, state.actions);
@@ -200,10 +203,10 @@
     return static_cast<double>(good) / static_cast<double>(m_requests.size());
 }
 
-double EntriesSimulation::workSeconds(const WorkspaceId &workspace) const
+double EntriesSimulation::usedSeconds(const WorkspaceId &workspace) const
 {
-    const auto found = m_work.find(workspace);
-    return found == m_work.end() ? 0 : found->second;
+    const auto found = m_used.find(workspace);
+    return found == m_used.end() ? 0 : found->second;
 }
 
 double EntriesSimulation::bytesPerSecond(unsigned entry) const
--- a/bench/entriessimulation.h
+++ b/bench/entriessimulation.h
@@ -20,6 +20,8 @@
 enum class Exchange {
     // Entries tell each other their load.
     Digests,
+    // As Digests, but what other entries used is not charged.
+    SlotsOnly,
     // Each entry uses all slots of each minion by its own count alone.
     None,
 };
@@ -54,8 +56,8 @@
     std::size_t requestCount() const { return m_requests.size(); }
     double shareInDeadline() const;
     const SharedUse &use() const { return m_use; }
-    // Work that was done for a workspace, in seconds on a minion that is not over-used.
-    double workSeconds(const WorkspaceId &workspace) const;
+    // Slot time used by a workspace, in seconds.
+    double usedSeconds(const WorkspaceId &workspace) const;
     // Requests of one entry that were started.
     unsigned started(unsigned entry) const { return m_entries[entry]->started; }
     // Bodies of digests that one entry sent in a second, on average.
@@ -117,7 +119,7 @@
     std::vector<SimulatedRequest> m_requests;
     std::vector<SimulatedEnd> m_ends;
     std::vector<TimePoint> m_arrivals;
-    std::map<WorkspaceId, double> m_work;
+    std::map<WorkspaceId, double> m_used;
     SharedUse m_use;
 };
 
--- a/bench/share.cpp
+++ b/bench/share.cpp
@@ -1,5 +1,7 @@
 // One full pool, workspaces of unlike weight and unlike run times. Figures: the largest distance of
-// a workspace's used slot time from its share, and the p99 wait of small workspaces under a flood.
+// a workspace's used slot time from its share, with one entry and with three of which one workspace
+// uses only one; and the p99 wait of small workspaces under a flood.
+#include "bench/entriessimulation.h"
 #include "bench/figure.h"
 #include "bench/schedulersimulation.h"
 #include "bench/simulatedfleet.h"
@@ -51,30 +53,82 @@
     return simulation;
 }
 
-double largestDistance(Policy policy, std::uint64_t seed)
+// Every workspace asks for more than its share of the 80 slots.
+std::vector<Tenant> greedyTenants()
 {
     using std::chrono::milliseconds;
-    // Every workspace asks for more than its share of the 80 slots.
-    const std::vector<Tenant> tenants{
+    return {
             {"large-1", 8, milliseconds(50), 100}, {"large-2", 6, milliseconds(400), 100},
             {"medium", 3, milliseconds(100), 60},  {"small-1", 1, milliseconds(200), 30},
             {"small-2", 1, milliseconds(20), 30},  {"small-3", 1, milliseconds(100), 30},
     };
-    const auto simulation = simulate(policy, tenants, seed);
+}
+
+template<typename UsedSeconds>
+double largestDistanceOf(const std::vector<Tenant> &tenants, UsedSeconds usedSeconds)
+{
     double used = 0;
     double weights = 0;
     for (const auto &tenant : tenants) {
-        used += simulation->usedSeconds(WorkspaceId(tenant.name));
+        used += usedSeconds(WorkspaceId(tenant.name));
         weights += tenant.weight;
     }
     double largest = 0;
     for (const auto &tenant : tenants) {
-        const double share = simulation->usedSeconds(WorkspaceId(tenant.name)) / used;
+        const double share = usedSeconds(WorkspaceId(tenant.name)) / used;
         largest = std::max(largest, std::abs(share - tenant.weight / weights));
     }
     return largest;
 }
 
+double largestDistance(Policy policy, std::uint64_t seed)
+{
+    const auto tenants = greedyTenants();
+    const auto simulation = simulate(policy, tenants, seed);
+    return largestDistanceOf(tenants, [&simulation](const WorkspaceId &workspace) {
+        return simulation->usedSeconds(workspace);
+    });
+}
+
+// One workspace comes through the first entry only, the others through all.
+double distanceOverEntries(Exchange exchange, const std::string &throughOne, std::uint64_t seed)
+{
+    constexpr unsigned entries = 3;
+    const auto tenants = greedyTenants();
+    auto fleet = makeFleet(1, workers, slots, false, 2);
+    for (const auto &tenant : tenants) {
+        fleet.workspaces.push_back({WorkspaceId(tenant.name), tenant.weight, 1000});
+    }
+    EntriesSimulation simulation(fleet, entries, exchange, seed);
+    simulation.countFrom(warmUp);
+    Random random(seed);
+    for (const auto &tenant : tenants) {
+        const auto gap =
+                std::chrono::duration_cast<Duration>(tenant.meanWork / tenant.offeredSlots);
+        for (Duration at = exponential(gap, random); at < length; at += exponential(gap, random)) {
+            const unsigned entry = tenant.name == throughOne ? 0 : uniformBelow(random, entries);
+            simulation.submitAt(at, entry,
+                                {QueueId("q-0"), WorkspaceId(tenant.name),
+                                 exponential(tenant.meanWork, random), timeout});
+        }
+    }
+    simulation.runUntil(length);
+    return largestDistanceOf(tenants, [&simulation](const WorkspaceId &workspace) {
+        return simulation.usedSeconds(workspace);
+    });
+}
+
+void printOverEntries(const std::string &throughOne, std::uint64_t seed)
+{
+    const double shared = distanceOverEntries(Exchange::Digests, throughOne, seed);
+    const double slotsOnly = distanceOverEntries(Exchange::SlotsOnly, throughOne, seed);
+    const double alone = distanceOverEntries(Exchange::None, throughOne, seed);
+    print({"share", "three-entries-" + throughOne + "-through-one", shared, "share of slot time",
+           alone, "<= 0.03", seed});
+    print({"share", "three-entries-" + throughOne + "-through-one-slots-only", slotsOnly,
+           "share of slot time", alone, "", seed});
+}
+
 double smallWait(Policy policy, std::uint64_t seed)
 {
     using std::chrono::milliseconds;
@@ -102,6 +156,9 @@
     print({"share", "max-distance", largestDistance(Policy::Scheduler, FLAGS_seed),
            "share of slot time", largestDistance(Policy::FifoRandom, FLAGS_seed), "<= 0.03",
            FLAGS_seed});
+    for (const auto *throughOne : {"large-1", "large-2", "medium", "small-1"}) {
+        printOverEntries(throughOne, FLAGS_seed);
+    }
     print({"share", "small-wait-p99", smallWait(Policy::Scheduler, FLAGS_seed), "ms",
            smallWait(Policy::FifoRandom, FLAGS_seed), "", FLAGS_seed});
     return 0;
