Carry the probe's verdicts and the raw minion's reset through the merged code

Cause: the call simulation of several entries and a caller test were written against the interfaces before the probe verdicts and before the raw minion closed its socket under its lock. Change: both use the new ones. The simulation answers that the work still runs, as it did.

--- a/bench/entriessimulation.cpp
+++ b/bench/entriessimulation.cpp
@@ -143,8 +143,8 @@
             if (const auto *call = std::get_if<dispatch::StartCall>(&action)) {
                 startCall(entry, *call);
             } else if (const auto *probe = std::get_if<dispatch::ProbeMinion>(&action)) {
-                state.scheduler.probeEnded(probe->ticket, probe->attempt, true, true, m_now,
-                                           state.actions);
+                state.scheduler.probeEnded(probe->ticket, probe->attempt,
+                                           dispatch::ProbeVerdict::Running, m_now, state.actions);
             } else if (const auto *relay = std::get_if<dispatch::RelayAnswer>(&action)) {
                 auto &end = m_ends[relay->ticket - 1];
                 end.succeeded = true;
--- a/src/callerapi/tests/callerapi_tests.cpp
+++ b/src/callerapi/tests/callerapi_tests.cpp
@@ -316,7 +316,7 @@
         self.noteRun();
         const auto whole = answer(fieldOf(request, "Request-Id"), std::string(1000, 'a'));
         dispatch::testing::send(socket, whole.substr(0, whole.size() - 500));
-        dispatch::testing::reset(socket);
+        self.reset(socket);
     });
     start(minion.address());
     const auto reply = connect().ask(post("swaps", keyHeader("k-1.secret"), "x"));
