Keep sockets registered between the calls of a connection

libcurl drops its interest in a socket at the end of each call, and the client then deregistered it. It now stays registered until libcurl closes it, unless it was watched for writing, which the reactor would go on reporting.

--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -255,6 +255,8 @@
         int wanted = 0;
         bool readPending = false;
         bool writePending = false;
+        // Has been watched for writing; the reactor goes on reporting that.
+        bool wasWritten = false;
     };
     using SocketPointer = std::shared_ptr<Socket>;
 
@@ -345,7 +347,9 @@
 
     static int closeSocket(void *context, curl_socket_t socket)
     {
-        static_cast<Private *>(context)->m_connections.remove(socket);
+        auto *self = static_cast<Private *>(context);
+        self->m_connections.remove(socket);
+        self->forgetSocket(socket);
         return ::close(socket);
     }
 
@@ -358,13 +362,7 @@
     void changeSocket(curl_socket_t handle, int what)
     {
         if (what == CURL_POLL_REMOVE) {
-            const auto found = m_sockets.find(handle);
-            if (found != m_sockets.end()) {
-                found->second->wanted = 0;
-                found->second->descriptor.release();
-                m_sockets.erase(found);
-            }
-            return;
+            return restSocket(handle);
         }
         auto &socket = m_sockets[handle];
         if (!socket) {
@@ -374,6 +372,29 @@
         waitFor(handle, socket);
     }
 
+    // Stays registered for the connection's next call, which saves two system calls.
+    void restSocket(curl_socket_t handle)
+    {
+        const auto found = m_sockets.find(handle);
+        if (found == m_sockets.end()) {
+            return;
+        }
+        found->second->wanted = 0;
+        if (found->second->wasWritten) {
+            forgetSocket(handle);
+        }
+    }
+
+    void forgetSocket(curl_socket_t handle)
+    {
+        const auto found = m_sockets.find(handle);
+        if (found != m_sockets.end()) {
+            found->second->wanted = 0;
+            found->second->descriptor.release();
+            m_sockets.erase(found);
+        }
+    }
+
     void waitFor(curl_socket_t handle, const SocketPointer &socket)
     {
         if ((socket->wanted & CURL_POLL_IN) != 0 && !socket->readPending) {
@@ -386,6 +407,7 @@
         }
         if ((socket->wanted & CURL_POLL_OUT) != 0 && !socket->writePending) {
             socket->writePending = true;
+            socket->wasWritten = true;
             socket->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
                                           [this, handle, socket](const asio::error_code &error) {
                                               socket->writePending = false;
