Set the HTTP client's timer again only when it must end earlier

libcurl moves its timeout with each call, and each move set the kernel's timer. The timer now stays when it ends before the time that libcurl wants, and is set again when it ends.

--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -1,6 +1,7 @@
 // Drives libcurl's multi socket interface from one Asio thread for each part of the hosts.
 #include "net/httpclient.h"
 
+#include "global/time.h"
 #include "net/internal/connectiontable.h"
 
 #include <asio/executor_work_guard.hpp>
@@ -437,25 +438,50 @@
 
     void changeTimer(long delayMilliseconds)
     {
+        m_timerDue.reset();
         if (delayMilliseconds < 0) {
-            m_timer.cancel();
             return;
         }
         if (delayMilliseconds == 0) {
             return actSoon();
         }
-        m_timer.expires_after(std::chrono::milliseconds(delayMilliseconds));
+        m_timerDue = steadyNow() + std::chrono::milliseconds(delayMilliseconds);
+        armTimer();
+    }
+
+    // A timer that is due earlier stays and is set again then: each call moves the time, and setting
+    // it costs a system call.
+    void armTimer()
+    {
+        if (m_timerArmedAt && *m_timerArmedAt <= *m_timerDue) {
+            return;
+        }
+        m_timerArmedAt = m_timerDue;
+        m_timer.expires_at(
+                std::chrono::time_point_cast<std::chrono::steady_clock::duration>(*m_timerDue));
         m_timer.async_wait([this](const asio::error_code &error) {
             if (!error) {
-                act(CURL_SOCKET_TIMEOUT, 0);
+                onTimerEnd();
             }
         });
     }
 
+    void onTimerEnd()
+    {
+        m_timerArmedAt.reset();
+        if (!m_timerDue) {
+            return;
+        }
+        if (*m_timerDue > steadyNow()) {
+            return armTimer();
+        }
+        m_timerDue.reset();
+        act(CURL_SOCKET_TIMEOUT, 0);
+    }
+
     // libcurl asks for this at the start of each call; a timer would cost a system call.
     void actSoon()
     {
-        m_timer.cancel();
         if (std::exchange(m_actPosted, true)) {
             return;
         }
@@ -532,6 +558,10 @@
     asio::io_context m_context{1};
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     asio::steady_timer m_timer;
+    // When libcurl wants to be called.
+    std::optional<TimePoint> m_timerDue;
+    // When m_timer ends; not after m_timerDue.
+    std::optional<TimePoint> m_timerArmedAt;
     CURLM *m_multi = nullptr;
     bool m_actPosted = false;
     std::unordered_map<CURL *, std::unique_ptr<Transfer>> m_transfers;
