--- a/src/net/internal/httpheaders.cpp
+++ b/src/net/internal/httpheaders.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Most messages have no more fields.
+constexpr std::size_t usualCount = 8;
+
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
@@ -20,6 +23,9 @@
 
 void HttpHeaders::add(std::string name, std::string value)
 {
+    if (m_headers.empty()) {
+        m_headers.reserve(usualCount);
+    }
     m_headers.push_back({std::move(name), std::move(value)});
 }
 
