--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -449,8 +449,8 @@
         armTimer();
     }
 
-    // A timer that is due earlier stays and is set again then: each call moves the time, and setting
-    // it costs a system call.
+    // A timer that is due earlier stays and is set again then: each call moves the time, and
+    // setting it costs a system call.
     void armTimer()
     {
         if (m_timerArmedAt && *m_timerArmedAt <= *m_timerDue) {
