Align the second column of the burn page's tables by what it holds

Cause: the page was looked at as rendered for the first time (headless Chromium, the report of scripts/demo-fleet after its wave). Plots, legends and tables read well; the share by weight, a number, stood left like a name. Change: only the service table has two columns of names.

--- a/src/report/internal/reportrender.cpp
+++ b/src/report/internal/reportrender.cpp
@@ -119,13 +119,14 @@
         "body{font:15px/1.45 system-ui,sans-serif;max-width:70em;margin:2em auto;padding:0 1em;"
         "background:#fff;color:#222}table{border-collapse:collapse;margin:1em 0}"
         "td,th{padding:.25em .7em;border-bottom:1px solid #ddd;text-align:right}"
-        "td:first-child,th:first-child,td:nth-child(2),th:nth-child(2){text-align:left}"
+        "td:first-child,th:first-child,.two td:nth-child(2),.two th:nth-child(2){text-align:left}"
         "svg{max-width:100%;height:auto;font:12px system-ui,sans-serif}"
         ".all td{font-weight:600}.hot{color:#b03030}.note{color:#8a5a00}";
 
 std::string burnTableHtml(const FleetReport &report)
 {
-    std::string html = "<table><tr><th>Service</th><th>Workspace</th><th>Objective</th>";
+    std::string html =
+            "<table class=\"two\"><tr><th>Service</th><th>Workspace</th><th>Objective</th>";
     for (const auto &window : burnWindows) {
         html += fmt::format("<th>Burn {}</th>", window.name);
     }
