Log a move between pools only when a worker changes its pool

Cause: a worker's first record, and one taken back before it left, were logged as event 1503 worker-moved. Lending.demandOnOnePoolMakesTheSparePoolGiveAWorker took the first such line: it passed on 'w-0 is serving in swaps' before any move and failed in 1 of 2 full runs, when w-2's first record was written first. Ruled out: a worker sent back early (no 1504 asks for it), and load (12 of 12 passed alone at load 21). Change: the event is logged when the written record names another pool than the known one; other steps are 1502. The check is unchanged and now sees moves only, and prints the leader's log on failure.

--- a/src/capacity/internal/poolcontroller.cpp
+++ b/src/capacity/internal/poolcontroller.cpp
@@ -259,24 +259,35 @@
     if (!m_writing.insert(write.key).second) {
         return;
     }
-    m_store.compareAndSwap(write, [this, write](Result<platform::StoreRevision> revision) {
-        asio::post(m_strand, [this, write, written = revision.has_value()] {
+    const bool moves = changesPool(write);
+    m_store.compareAndSwap(write, [this, write, moves](Result<platform::StoreRevision> revision) {
+        asio::post(m_strand, [this, write, moves, written = revision.has_value()] {
             m_writing.erase(write.key);
             if (written) {
-                logStep(write);
+                logStep(write, moves);
             }
         });
     });
 }
 
-void PoolController::logStep(const platform::StoreWrite &write) const
+// Not so for a worker's first record, and for one that is taken back before it has left.
+bool PoolController::changesPool(const platform::StoreWrite &write) const
+{
+    if (!write.key.starts_with(assignmentPrefix)) {
+        return false;
+    }
+    const auto assignment = readAssignment(write.value).value();
+    const auto known = m_assignments.find(assignment.worker);
+    return known != m_assignments.end() && known->second.assignment.pool != assignment.pool;
+}
+
+void PoolController::logStep(const platform::StoreWrite &write, bool moves) const
 {
     if (!write.key.starts_with(assignmentPrefix)) {
         return;
     }
     const auto assignment = readAssignment(write.value).value();
-    const bool moved = assignment.step == AssignmentStep::Serving;
-    logEvent(moved ? workerMoved : assignmentStepped, "{} is {} in {}, should be in {}",
+    logEvent(moves ? workerMoved : assignmentStepped, "{} is {} in {}, should be in {}",
              assignment.worker.value(), assignmentStepNames.name(assignment.step),
              assignment.pool.value(), assignment.desired.value());
 }
--- a/src/capacity/poolcontroller.h
+++ b/src/capacity/poolcontroller.h
@@ -73,7 +73,8 @@
     std::unordered_set<WorkerId> workersOut() const;
     bool isWaveUnderWay() const;
     void write(const platform::StoreWrite &write);
-    void logStep(const platform::StoreWrite &write) const;
+    bool changesPool(const platform::StoreWrite &write) const;
+    void logStep(const platform::StoreWrite &write, bool moves) const;
     Result<VersionedAssignment> checkedMove(const WorkerId &worker, const PoolId &pool,
                                             const std::string &setBy,
                                             platform::StoreRevision revision) const;
--- a/tests/capacity/lending_tests.cpp
+++ b/tests/capacity/lending_tests.cpp
@@ -199,7 +199,8 @@
     EXPECT_NE(decided.find(" from spare to swaps: expected wait saved "), std::string::npos)
             << decided;
     const auto moved = fleet.entry(leader).waitFor("E1503 worker-moved: ");
-    EXPECT_NE(moved.find(" is serving in swaps, should be in swaps"), std::string::npos) << moved;
+    EXPECT_NE(moved.find(" is serving in swaps, should be in swaps"), std::string::npos)
+            << fleet.entry(leader).printed();
     while (fleet.runsOn(1) + fleet.runsOn(2) == 0) {
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
     }
--- a/tests/jobs/childprocess.h
+++ b/tests/jobs/childprocess.h
@@ -67,6 +67,9 @@
         }
     }
 
+    // What has been read of its output, for the message of a failed check.
+    const std::string &printed() const { return m_text; }
+
     // Sends a signal that does not end the process.
     void signal(int signal) const
     {
