Bound the waiting jobs of a workspace and cancel them together

Anyone with a key could fill the store with waiting jobs, and an operator could only cancel jobs one by one. A workspace may now have waitingJobs (10,000 unless the fleet document says otherwise) waiting jobs. The entry that leads the jobs tells all entries each second how many wait; each adds what it took since and refuses the rest with 429 and outcome not-run. A repeated Idempotency-Key whose job is recorded is still answered with that job.

Between two messages every entry may take a few too many; jobs that have ended count against no bound. Jobs that one message names are told for the 32 workspaces with the most waiting jobs.

--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -2,6 +2,7 @@
 #include "app/entry.h"
 
 #include "app/appevents.h"
+#include "app/internal/joboperatorroutes.h"
 #include "app/internal/limitroutes.h"
 #include "app/reportroute.h"
 #include "dispatch/quotapermits.h"
@@ -125,7 +126,7 @@
                [this](const std::vector<KeyId> &ids) { m_keyGate.addWithdrawn(ids); }})
     , m_fleetCommands(m_configuration)
     , m_jobs(m_threads.context(), m_store, m_platformHttp, m_settings.platformUrl, m_quotas,
-             {m_settings.entry, m_peers.incarnation()})
+             {m_settings.entry, m_peers.incarnation()}, m_peers)
 {
     dispatch::tellAvailable(m_quotas, m_threads.context(), m_dispatcher);
     m_fleetCommands.addRoutes(m_operatorApi);
@@ -137,6 +138,7 @@
     m_fleetKeeping.addRoutes(m_operatorApi);
     m_fleetKeeping.setWaveListener([this](bool underWay) { m_report.setWaveRunning(underWay); });
     detail::addLimitRoutes(m_operatorApi, m_quotas, m_limitSurvey, m_membership);
+    detail::addJobOperatorRoutes(m_operatorApi, m_jobs.desk());
     addReportRoute(m_operatorApi, m_report, m_quotas);
     if (m_settings.operators) {
         m_operatorServer = std::make_unique<net::HttpServer>(
@@ -149,6 +151,7 @@
 
 Result<void> Entry::start()
 {
+    m_jobs.subscribe();
     m_fleetKeeping.start();
     BOOST_OUTCOME_TRY(m_peers.start());
     m_outcomes.start();
--- a/src/app/internal/jobcommand.cpp
+++ b/src/app/internal/jobcommand.cpp
@@ -1,5 +1,6 @@
 // "job submit|show|cancel": long-lived jobs through an entry's callers' interface.
 #include "app/commands.h"
+#include "app/internal/operatorclient.h"
 #include "app/internal/readfile.h"
 #include "net/sendandwait.h"
 
@@ -14,6 +15,7 @@
 DECLARE_string(key);
 DECLARE_string(output);
 DEFINE_string(caller_url, "http://127.0.0.1:8101", "job: an entry's address for callers");
+DEFINE_string(workspace, "", "job cancel: cancel all jobs of this workspace");
 DEFINE_string(body, "", "job submit: the job's body");
 DEFINE_string(body_file, "", "job submit: file with the job's body");
 DEFINE_string(idempotency_key, "", "job submit: the same key gives the same job");
@@ -75,6 +77,27 @@
     return sendAndPrint(std::move(call));
 }
 
+// Through the operators' interface: the jobs of a workspace, or those of one queue of it.
+int cancelWorkspace()
+{
+    nlohmann::json body{{"workspace", FLAGS_workspace}};
+    if (!FLAGS_queue.empty()) {
+        body["queue"] = FLAGS_queue;
+    }
+    const auto answer = detail::askEntry("POST", "/v1/jobs/cancel", body.dump());
+    bool toShow = false;
+    const int status = detail::finishAnswer(answer, toShow);
+    if (answer && answer.value().isSuccess()) {
+        const auto &count = answer.value().body;
+        if (toShow) {
+            std::cout << fmt::format("{} cancelled, {} could not be reached\n",
+                                     count.value("cancelled", 0), count.value("failed", 0));
+        }
+        return count.value("failed", 0) == 0 ? status : exitFailure;
+    }
+    return status;
+}
+
 } // namespace
 
 int runJob(int argc, char **argv)
@@ -83,14 +106,20 @@
     if (verb == "submit") {
         return submitJob();
     }
+    if (verb == "cancel" && !FLAGS_workspace.empty()) {
+        return cancelWorkspace();
+    }
     if (argc > 3 && (verb == "show" || verb == "cancel")) {
         net::HttpCall call;
         call.method = verb == "show" ? "GET" : "DELETE";
         call.url = fmt::format("{}/v1/jobs/{}", FLAGS_caller_url, argv[3]);
         return sendAndPrint(std::move(call));
     }
-    std::cerr << "usage: cyclamenlatch job submit --caller_url URL --key KEY --queue NAME ...\n"
-                 "       cyclamenlatch job show|cancel ID --caller_url URL --key KEY\n";
+    std::cerr
+            << "usage: cyclamenlatch job submit --caller_url URL --key KEY --queue NAME ...\n"
+               "       cyclamenlatch job show|cancel ID --caller_url URL --key KEY\n"
+               "       cyclamenlatch job cancel --workspace NAME [--queue NAME] --operator_url URL "
+               "--operator_key KEY\n";
     return exitUsage;
 }
 
--- a/src/app/jobservice.h
+++ b/src/app/jobservice.h
@@ -4,6 +4,7 @@
 #include "callerapi/jobroutes.h"
 #include "jobs/jobcontroller.h"
 #include "jobs/jobdesk.h"
+#include "membership/peerbus.h"
 #include "platform/taskclient.h"
 
 #include <asio/io_context.hpp>
@@ -18,12 +19,30 @@
 public:
     JobService(asio::io_context &context, platform::StoreClient &store, net::HttpClient &http,
                const std::string &platformUrl, quota::QuotaTable &quota,
-               jobs::JobControllerSettings settings)
+               jobs::JobControllerSettings settings, membership::PeerBus &peers)
         : m_desk(store)
         , m_routes(m_desk)
         , m_tasks(http, platformUrl, taskCallTimeout)
         , m_controller(context, store, m_tasks, quota, std::move(settings))
-    {}
+        , m_peers(peers)
+    {
+        m_controller.setWaitingListener([this](const jobs::WaitingMessage &message) {
+            m_desk.takeWaiting(message);
+            m_peers.sendToAll(membership::PeerTopic::Jobs, membership::encode(message));
+        });
+    }
+
+    // Call before the peer bus starts.
+    void subscribe()
+    {
+        m_peers.subscribe(
+                membership::PeerTopic::Jobs, [this](const membership::PeerMessage &message) {
+                    const auto waiting = membership::decode<jobs::WaitingMessage>(message.body);
+                    if (waiting) {
+                        m_desk.takeWaiting(*waiting);
+                    }
+                });
+    }
 
     void setFleet(const std::shared_ptr<const fleet::FleetDocument> &fleet)
     {
@@ -31,6 +50,8 @@
         m_controller.setFleet(fleet);
     }
     callerapi::JobRoutes &routes() { return m_routes; }
+    jobs::JobDesk &desk() { return m_desk; }
+    jobs::JobController &controller() { return m_controller; }
     void start() { m_controller.start(); }
     void stop() { m_controller.stop(); }
 
@@ -41,6 +62,7 @@
     callerapi::JobRoutes m_routes;
     platform::TaskClient m_tasks;
     jobs::JobController m_controller;
+    membership::PeerBus &m_peers;
 };
 
 } // namespace cyclamenlatch::app
--- a/src/callerapi/internal/jobroutes.cpp
+++ b/src/callerapi/internal/jobroutes.cpp
@@ -161,6 +161,9 @@
     submission.resources = resources;
     submission.body = request.body;
     submission.idempotencyKey = std::string(key);
+    if (const auto *entry = fleet.findWorkspace(entered.workspace)) {
+        submission.mostWaiting = entry->waitingJobs;
+    }
     return submission;
 }
 
--- a/src/fleet/internal/fleetyaml.cpp
+++ b/src/fleet/internal/fleetyaml.cpp
@@ -162,6 +162,7 @@
     workspace.id = WorkspaceId(reader.requiredText("name"));
     workspace.weight = reader.number("weight", 1, 1e-6, maxWeight);
     workspace.limit = reader.count("limit", 1, 0, maxLimit);
+    workspace.waitingJobs = reader.count("waitingJobs", workspace.waitingJobs, 0, maxLimit);
     workspace.serveWhenIsolated = reader.flag("serveWhenIsolated", false);
     return workspace;
 }
@@ -488,6 +489,7 @@
     writeSection(out, "workspaces", document.workspaces, [&out](const Workspace &item) {
         writeField(out, "weight", item.weight);
         writeField(out, "limit", item.limit);
+        writeField(out, "waitingJobs", item.waitingJobs);
         writeField(out, "serveWhenIsolated", item.serveWhenIsolated);
     });
     writeSection(out, "keys", document.keys, [&out](const Key &item) {
--- a/src/fleet/workspace.h
+++ b/src/fleet/workspace.h
@@ -12,6 +12,8 @@
     double weight = 1;
     // Requests and jobs that may run at once over the whole fleet.
     unsigned limit = 1;
+    // Jobs that may wait; further ones are refused.
+    unsigned waitingJobs = 10000;
     // Whether a data centre that is cut off goes on taking this workspace's keys, although a
     // withdrawal may not have reached it.
     bool serveWhenIsolated = false;
--- a/src/jobs/internal/jobbook.cpp
+++ b/src/jobs/internal/jobbook.cpp
@@ -1,6 +1,8 @@
 // Keeps records, tasks, writes under way and units in step.
 #include "jobs/jobbook.h"
 
+#include <algorithm>
+
 #include <charconv>
 #include <utility>
 
@@ -286,4 +288,23 @@
     return found == m_jobs.end() ? nullptr : &found->second.record;
 }
 
+std::vector<WaitingCount> JobBook::mostWaiting(std::size_t most) const
+{
+    std::unordered_map<WorkspaceId, std::uint32_t> waiting;
+    for (const auto &[id, entry] : m_jobs) {
+        if (entry.record.state == JobState::Submitted) {
+            ++waiting[entry.record.workspace];
+        }
+    }
+    std::vector<WaitingCount> counts;
+    counts.reserve(waiting.size());
+    for (const auto &[workspace, jobs] : waiting) {
+        counts.push_back({workspace, jobs});
+    }
+    std::sort(counts.begin(), counts.end(),
+              [](const auto &left, const auto &right) { return left.jobs > right.jobs; });
+    counts.resize(std::min(counts.size(), most));
+    return counts;
+}
+
 } // namespace cyclamenlatch::jobs
--- a/src/jobs/internal/jobcontroller.cpp
+++ b/src/jobs/internal/jobcontroller.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds unitLookInterval{2000};
 constexpr std::chrono::milliseconds removalInterval{60000};
 constexpr std::size_t maxRemovals = 50;
+constexpr std::chrono::milliseconds waitingInterval{1000};
+constexpr std::size_t maxWaitingCounts = 32;
 // Without an answer for this long the store counts as down.
 constexpr std::chrono::milliseconds storeSilence{5000};
 // Renewals per lease: two may fail before it lapses.
@@ -81,6 +83,7 @@
         requestPlan();
     }
     repeatUnclearWrites();
+    tellWaiting(now);
     m_timer.expires_after(m_settings.tickInterval);
     m_timer.async_wait([this](const asio::error_code &error) {
         if (!error) {
@@ -472,4 +475,18 @@
     }
 }
 
+void JobController::tellWaiting(TimePoint now)
+{
+    WaitingMessage message;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_waitingListener || !m_leading || !m_recordsKnown || now < m_nextWaiting) {
+            return;
+        }
+        m_nextWaiting = now + waitingInterval;
+        message.counts = m_book.mostWaiting(maxWaitingCounts);
+    }
+    m_waitingListener(message);
+}
+
 } // namespace cyclamenlatch::jobs
--- a/src/jobs/internal/jobdesk.cpp
+++ b/src/jobs/internal/jobdesk.cpp
@@ -3,13 +3,19 @@
 
 #include "jobs/jobmachine.h"
 
+#include <algorithm>
+#include <mutex>
+#include <optional>
 #include <utility>
+#include <vector>
 
 namespace cyclamenlatch::jobs {
 
 namespace {
 
 constexpr unsigned cancelTries = 8;
+// Jobs of a cancellation of many that are written at once.
+constexpr std::size_t bulkLanes = 8;
 
 boost::outcome_v2::failure_type<Error> noSuchJob()
 {
@@ -35,6 +41,36 @@
 } // namespace
 
 void JobDesk::submit(const JobSubmission &submission, Completion completion)
+{
+    const auto admitted = m_bound.admit(submission.workspace, submission.mostWaiting);
+    if (admitted) {
+        return record(submission, std::move(completion));
+    }
+    if (submission.idempotencyKey.empty()) {
+        return completion(boost::outcome_v2::failure(admitted.error()));
+    }
+    findRefused(submission, admitted.error(), std::move(completion));
+}
+
+// A submission that is repeated is refused only when the first one was not recorded.
+void JobDesk::findRefused(const JobSubmission &submission, const Error &refusal,
+                          Completion completion)
+{
+    const auto wanted = makeRecord(submission, wallNow());
+    m_store.get(jobKey(wanted.id), [wanted, refusal, completion = std::move(completion)](
+                                           const Result<std::optional<platform::StoreItem>> &item) {
+        if (!item) {
+            return completion(boost::outcome_v2::failure(item.error()));
+        }
+        const auto stored = item.value() ? readJobRecord(item.value()->value) : std::nullopt;
+        if (stored && stored->submissionHash == wanted.submissionHash) {
+            return completion(*stored);
+        }
+        completion(boost::outcome_v2::failure(refusal));
+    });
+}
+
+void JobDesk::record(const JobSubmission &submission, Completion completion)
 {
     const auto record = makeRecord(submission, wallNow());
     m_store.compareAndSwap({jobKey(record.id), writeJobRecord(record), 0, ""},
@@ -126,4 +162,70 @@
          });
 }
 
+struct JobDesk::BulkCancel
+{
+    std::mutex mutex;
+    // All below are guarded by mutex.
+    std::vector<JobId> left;
+    WorkspaceId workspace;
+    BulkCancelCount count;
+    std::size_t open = 0;
+    BulkCompletion completion;
+};
+
+void JobDesk::cancelAll(const BulkCancelFilter &filter, BulkCompletion completion)
+{
+    m_store.list(std::string(jobKeyPrefix), [this, filter, completion = std::move(completion)](
+                                                    const Result<platform::StoreListing> &found) {
+        if (!found) {
+            return completion(boost::outcome_v2::failure(found.error()));
+        }
+        const auto bulk = std::make_shared<BulkCancel>();
+        bulk->workspace = filter.workspace;
+        bulk->completion = completion;
+        for (const auto &item : found.value().items) {
+            const auto record = readJobRecord(item.value);
+            const bool matches = record && record->workspace == filter.workspace
+                                 && (filter.queue.empty() || record->queue == filter.queue);
+            if (matches && !isFinal(record->state) && !record->cancelRequested) {
+                bulk->left.push_back(record->id);
+            }
+        }
+        if (bulk->left.empty()) {
+            return completion(BulkCancelCount());
+        }
+        const auto lanes = std::min(bulk->left.size(), bulkLanes);
+        for (std::size_t lane = 0; lane < lanes; ++lane) {
+            cancelNext(bulk);
+        }
+    });
+}
+
+// Each lane takes one job after the other; the last one to end tells.
+void JobDesk::cancelNext(const std::shared_ptr<BulkCancel> &bulk)
+{
+    JobId id;
+    {
+        const std::lock_guard lock(bulk->mutex);
+        if (bulk->left.empty()) {
+            return;
+        }
+        id = bulk->left.back();
+        bulk->left.pop_back();
+        ++bulk->open;
+    }
+    cancel(id, bulk->workspace, [this, bulk](const Result<JobRecord> &cancelled) {
+        bool isLast = false;
+        {
+            const std::lock_guard lock(bulk->mutex);
+            ++(cancelled ? bulk->count.cancelled : bulk->count.failed);
+            isLast = --bulk->open == 0 && bulk->left.empty();
+        }
+        if (isLast) {
+            return bulk->completion(bulk->count);
+        }
+        cancelNext(bulk);
+    });
+}
+
 } // namespace cyclamenlatch::jobs
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "jobs/jobplan.h"
+#include "jobs/waitingmessage.h"
 #include "platform/taskstatus.h"
 #include "quota/quotatable.h"
 
@@ -62,6 +63,8 @@
     // Final records that entered their state before the given time.
     std::vector<std::pair<JobId, platform::StoreRevision>> finalBefore(WallTime time) const;
 
+    // The workspaces with the most waiting jobs, at most so many.
+    std::vector<WaitingCount> mostWaiting(std::size_t most) const;
     bool holdsUnits() const { return !m_units.empty(); }
     std::size_t size() const { return m_jobs.size(); }
     const JobRecord *find(const JobId &id) const;
--- a/src/jobs/jobcontroller.h
+++ b/src/jobs/jobcontroller.h
@@ -12,9 +12,13 @@
 #include <asio/steady_timer.hpp>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 
 namespace cyclamenlatch::jobs {
 
@@ -48,6 +52,11 @@
     void start();
     // Lets another entry lead; jobs go on.
     void stop();
+    // Hears, on the entry that leads, how many jobs wait, once a second. Set before start.
+    void setWaitingListener(std::function<void(const WaitingMessage &)> listener)
+    {
+        m_waitingListener = std::move(listener);
+    }
     bool leads() const { return m_leadership.leads(steadyNow()); }
 
 private:
@@ -71,6 +80,7 @@
     void sendCommands(platform::TaskCommand command, const std::vector<std::string> &tasks);
     void forgetEnded(const std::vector<std::string> &tasks);
     void removeOld(WallTime now);
+    void tellWaiting(TimePoint now);
     bool isStoreDown(TimePoint now) const;
 
     platform::StoreClient &m_store;
@@ -83,6 +93,7 @@
     // Guarded by m_mutex.
     asio::steady_timer m_planTimer;
     std::atomic<bool> m_stopping = false;
+    std::function<void(const WaitingMessage &)> m_waitingListener;
 
     mutable std::mutex m_mutex;
     // All below are guarded by m_mutex.
@@ -91,6 +102,7 @@
     std::shared_ptr<const CandidateIndex> m_candidates;
     std::set<WorkerId> m_blamed;
     bool m_leading = false;
+    TimePoint m_nextWaiting;
     // Counts the times that this entry began to lead; answers of an earlier one are dropped.
     std::uint64_t m_term = 0;
     WallTime m_leadingSince;
--- a/src/jobs/jobsubmission.h
+++ b/src/jobs/jobsubmission.h
@@ -16,6 +16,8 @@
     std::string body;
     // Empty: every submission makes a new job.
     std::string idempotencyKey;
+    // Jobs of the workspace that may wait.
+    unsigned mostWaiting = 10000;
 };
 
 // The id that the submission's record gets: derived from workspace and Idempotency-Key, or
