--- a/src/maintenance/hostrecord.h
+++ b/src/maintenance/hostrecord.h
@@ -25,8 +25,16 @@
     // Why the host is where it is, for people; may be empty.
     std::string note;
 
-    // Names the host's one reboot in this wave; the platform runs each attempt at most once.
-    std::string rebootAttempt() const { return wave.value() + "." + worker.value(); }
+    // When the wave was started; 0 in records of earlier versions.
+    RecordTime waveStarted = 0;
+
+    // Names the host's one reboot in this wave; the platform runs each attempt at most once. A
+    // later wave of the same name has other attempts.
+    std::string rebootAttempt() const
+    {
+        const auto start = waveStarted == 0 ? "" : "." + std::to_string(waveStarted);
+        return wave.value() + start + "." + worker.value();
+    }
 
     bool operator==(const HostRecord &) const = default;
 };
--- a/src/maintenance/internal/maintenancecontroller.cpp
+++ b/src/maintenance/internal/maintenancecontroller.cpp
@@ -4,6 +4,7 @@
 #include "maintenance/maintenanceevents.h"
 #include "maintenance/recordjson.h"
 #include "maintenance/waveplanner.h"
+#include "maintenance/waveretention.h"
 
 #include <asio/post.hpp>
 
@@ -17,6 +18,8 @@
 
 // Hosts that are not under way are probed this many times less often.
 constexpr int idleProbeFactor = 10;
+// Records of old waves removed at a time.
+constexpr std::size_t maxRemovals = 100;
 
 RecordTime recordNow()
 {
@@ -188,6 +191,7 @@
         tellWave(false);
         return;
     }
+    removeOld();
     const auto &waves = m_records.waves();
     const bool active = std::any_of(waves.begin(), waves.end(),
                                     [this](const auto &item) { return isActive(item.second); });
@@ -201,6 +205,24 @@
     planWaves();
 }
 
+void MaintenanceController::removeOld()
+{
+    const auto now = steadyNow();
+    if (now - m_removed < m_settings.removalInterval) {
+        return;
+    }
+    m_removed = now;
+    for (const auto &removal :
+         recordsToRemove(m_records, recordNow(), m_settings.retention, maxRemovals)) {
+        m_store.remove(removal.key, removal.expected,
+                       [key = removal.key](const Result<platform::StoreRevision> &removed) {
+                           if (removed && key.starts_with(wavePrefix)) {
+                               logEvent(waveRemoved, "{}", key);
+                           }
+                       });
+    }
+}
+
 void MaintenanceController::tellWave(bool underWay)
 {
     if (underWay == m_waveUnderWay || !m_waveListener) {
--- a/src/maintenance/internal/recordjson.cpp
+++ b/src/maintenance/internal/recordjson.cpp
@@ -104,6 +104,7 @@
                 {"step", hostStepNames.name(record.step)},
                 {"since", record.since},
                 {"started", record.started},
+                {"waveStarted", record.waveStarted},
                 {"note", record.note}}
             .dump();
 }
@@ -152,6 +153,7 @@
         record.step = readName(hostStepNames, value.at("step"));
         record.since = value.at("since");
         record.started = value.at("started");
+        record.waveStarted = value.value("waveStarted", RecordTime{0});
         record.note = value.at("note");
         return record;
     });
--- a/src/maintenance/internal/waveplanner.cpp
+++ b/src/maintenance/internal/waveplanner.cpp
@@ -444,6 +444,7 @@
         host.record.wave = m_wave.wave;
         host.record.worker = worker;
         host.record.dataCentre = m_view.dataCentre;
+        host.record.waveStarted = m_wave.started;
         return host;
     }
 
--- a/src/maintenance/maintenancecontroller.h
+++ b/src/maintenance/maintenancecontroller.h
@@ -62,6 +62,7 @@
 
     void askEntries();
     std::vector<LeavingMark> ownMarks() const;
+    void removeOld();
     void listHosts();
     void probeHosts();
     void probe(const fleet::Worker &worker);
@@ -99,6 +100,7 @@
     std::unordered_map<std::string, TimePoint> m_rebootAsked;
     std::unordered_map<WorkerId, TimePoint> m_probed;
     TimePoint m_hostsListed;
+    TimePoint m_removed;
 };
 
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/maintenanceevents.h
+++ b/src/maintenance/maintenanceevents.h
@@ -29,4 +29,7 @@
         1408, Severity::Warning, "host-list-failed",
         "The platform did not list its hosts; a wave waits for reboots until it does."};
 
+inline constexpr Event waveRemoved{1412, Severity::Info, "wave-removed",
+                                   "A finished wave's records were removed after their time."};
+
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/maintenancesettings.h
+++ b/src/maintenance/maintenancesettings.h
@@ -18,6 +18,9 @@
     std::chrono::milliseconds probeInterval{400};
     std::chrono::milliseconds probeTimeout{1000};
     std::chrono::milliseconds rebootRetryInterval{1000};
+    // Records of a wave are removed this long after it has finished.
+    std::chrono::hours retention{7 * 24};
+    std::chrono::milliseconds removalInterval{60000};
     std::chrono::milliseconds watchWait{10000};
     std::chrono::milliseconds watchRetryInterval{500};
 };
