Let waves know which entries left, are gone or are silent

A wave waited for the entries that the peer bus knew: one that had ended held back reboots until membership dropped it, and membership dropping it was taken for an end, which silence doesn't prove. An entry that began during a wave could also take requests before it knew what was leaving.

Entries now record themselves in the store before they take requests and read what is leaving after that. A wave and a move wait for every entry that is recorded as present, for peers that nothing is recorded of, and for whoever answers. An entry that stops with nothing in flight records that it left. "wave status" and event 1410 name the silent ones. "entry gone" and "datacentre gone" tell the waves too, after the check that none of them is heard from; the word is about the newest registered process, so that it doesn't count for one that was started since.

--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -134,10 +134,13 @@
                           configuration::freshnessBound);
     m_callerApi.setKeyGate(&m_keyGate);
     m_jobs.routes().setKeyGate(&m_keyGate);
-    m_callerApi.setUnreadyReason([this] { return m_configuration.unreadyReason(); });
+    m_callerApi.setUnreadyReason([this] {
+        const auto reason = m_configuration.unreadyReason();
+        return reason.empty() ? m_fleetKeeping.unreadyReason() : reason;
+    });
     m_fleetKeeping.addRoutes(m_operatorApi);
     m_fleetKeeping.setWaveListener([this](bool underWay) { m_report.setWaveRunning(underWay); });
-    detail::addLimitRoutes(m_operatorApi, m_quotas, m_limitSurvey, m_membership);
+    detail::addLimitRoutes(m_operatorApi, m_quotas, m_limitSurvey, m_membership, m_fleetKeeping);
     detail::addJobOperatorRoutes(m_operatorApi, m_jobs.desk());
     addReportRoute(m_operatorApi, m_report, m_quotas);
     if (m_settings.operators) {
@@ -209,6 +212,9 @@
     m_loadExchange.stop();
     m_configuration.stop();
     m_jobs.stop();
+    if (m_callerServer.openRequests() == 0 && m_dispatcher.inFlight() == 0) {
+        m_fleetKeeping.sayLeft();
+    }
     // Peers stop sending units here before the last ones are returned.
     m_membership.leave();
     m_quotaTrader.leave(steadyNow() + returnTime);
--- a/src/app/internal/fleetkeeping.h
+++ b/src/app/internal/fleetkeeping.h
@@ -7,6 +7,7 @@
 #include "capacity/poolcontroller.h"
 #include "dispatch/dispatcher.h"
 #include "maintenance/draincoordinator.h"
+#include "maintenance/entryregistrar.h"
 #include "maintenance/maintenancecontroller.h"
 #include "maintenance/waveoperations.h"
 #include "membership/peerbus.h"
@@ -17,7 +18,11 @@
 
 #include <asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
+#include <mutex>
+#include <set>
+#include <string>
 
 namespace cyclamenlatch::app::detail {
 
@@ -41,14 +46,38 @@
     void start();
     // Gives leases back.
     void stop();
-    // Takes the fleet document as it was configured.
+    // Says that nothing of this entry is in flight and none will be. Waits for the store for a
+    // short while.
+    void sayLeft();
+    // Takes the fleet document as it was configured. It is not passed on before this entry knows
+    // which workers are leaving.
     void setFleet(std::shared_ptr<const fleet::FleetDocument> fleet);
+    // Why this entry must take no requests yet; empty when it may.
+    std::string unreadyReason() const;
+    // Takes an operator's word; see maintenance::WaveOperations::entryGone.
+    void entryGone(const maintenance::EntryLife &life, const std::string &saidBy,
+                   maintenance::WaveOperations::EntryCompletion completion)
+    {
+        m_waves.entryGone(life, saidBy, std::move(completion));
+    }
 
 private:
+    void onRecorded(bool isRecorded);
+    void noteMarks();
+    void open();
+
+    mutable std::mutex m_mutex;
+    // Guarded by m_mutex: whether the fleet document is passed on, what is waited for until then,
+    // and the document that waits.
+    bool m_open = false;
+    unsigned m_marksMissing = 2;
+    std::shared_ptr<const fleet::FleetDocument> m_waitingFleet;
+
     maintenance::DrainCoordinator m_drains;
     maintenance::WaveOperations m_waves;
     platform::HostClient m_hosts;
     maintenance::MaintenanceController m_maintenance;
+    maintenance::EntryRegistrar m_registrar;
     capacity::PoolController m_pools;
     capacity::DemandExchange m_demand;
     // Declared last, so that its completions end before what they use does.
--- a/src/app/internal/limitroutes.cpp
+++ b/src/app/internal/limitroutes.cpp
@@ -102,28 +102,85 @@
                          : quota::GoneSubject(EntryId(entry));
 }
 
-net::HttpReply answerGone(quota::QuotaTable &quotas, const OperatorRequest &request)
+// The newest registered life of each entry that the word is about.
+std::vector<maintenance::EntryLife> livesOf(const QuotaAgent &agent,
+                                            const quota::GoneSubject &subject)
+{
+    std::map<EntryId, std::uint64_t> newest;
+    for (const auto &[holder, registered] : agent.registry().holders) {
+        const auto *entry = std::get_if<EntryId>(&subject);
+        const bool isAbout = entry ? holder.entry == *entry
+                                   : registered.dataCentre == std::get<DataCentreId>(subject);
+        if (isAbout) {
+            auto &incarnation = newest[holder.entry];
+            incarnation = std::max(incarnation, holder.incarnation);
+        }
+    }
+    std::vector<maintenance::EntryLife> lives;
+    lives.reserve(newest.size());
+    for (const auto &[entry, incarnation] : newest) {
+        lives.push_back({entry, incarnation});
+    }
+    return lives;
+}
+
+struct GoneWord
+{
+    std::vector<maintenance::EntryLife> lives;
+    std::string saidBy;
+    quota::GoneNote note;
+};
+
+// Tells the waves of one entry after the other. An entry that they never recorded has taken no
+// requests that a wave could wait for.
+void tellWaves(FleetKeeping &fleetKeeping, GoneWord word, const net::HttpResponder &respond)
+{
+    if (word.lives.empty()) {
+        return respond(operatorapi::jsonReply(
+                200, {{"holders", word.note.holders}, {"recorded", word.note.recorded}}));
+    }
+    const auto life = word.lives.back();
+    word.lives.pop_back();
+    const auto saidBy = word.saidBy;
+    fleetKeeping.entryGone(life, saidBy,
+                           [&fleetKeeping, word = std::move(word),
+                            respond](const Result<maintenance::EntryRecord> &told) {
+                               if (!told && told.error().kind != ErrorKind::NotFound) {
+                                   return respond(operatorapi::errorReply(told.error()));
+                               }
+                               tellWaves(fleetKeeping, word, respond);
+                           });
+}
+
+void answerGone(quota::QuotaTable &quotas, FleetKeeping &fleetKeeping,
+                const OperatorRequest &request, const net::HttpResponder &respond)
 {
     const auto subject = subjectOf(request.http.body);
     if (!subject) {
-        return operatorapi::errorReply(
+        return respond(operatorapi::errorReply(
                 {ErrorKind::InvalidInput, "the command can't be read",
-                 "send a JSON object with either \"entry\" or \"dataCentre\""});
+                 "send a JSON object with either \"entry\" or \"dataCentre\""}));
     }
     Result<quota::GoneNote> note = quota::GoneNote{};
-    quotas.update([&](QuotaAgent &agent) { note = agent.takeOperatorsWord(*subject); });
+    GoneWord word;
+    quotas.update([&](QuotaAgent &agent) {
+        note = agent.takeOperatorsWord(*subject);
+        word.lives = livesOf(agent, *subject);
+    });
     if (!note) {
-        return operatorapi::errorReply(note.error());
+        return respond(operatorapi::errorReply(note.error()));
     }
     logEvent(operatorsWord, "{} says it of {}", request.operatorName, request.http.body);
-    return operatorapi::jsonReply(
-            200, {{"holders", note.value().holders}, {"recorded", note.value().recorded}});
+    word.saidBy = request.operatorName;
+    word.note = note.value();
+    tellWaves(fleetKeeping, std::move(word), respond);
 }
 
 } // namespace
 
 void addLimitRoutes(operatorapi::OperatorApi &api, quota::QuotaTable &quotas,
-                    quota::LimitSurvey &survey, const membership::Membership &membership)
+                    quota::LimitSurvey &survey, const membership::Membership &membership,
+                    FleetKeeping &fleetKeeping)
 {
     using operatorapi::Role;
     api.addRoute("GET", "/v1/limits", Role::Read,
@@ -141,8 +198,8 @@
                      respond(operatorapi::jsonReply(200, quotas.inspect(&entriesJson)));
                  });
     api.addRoute("POST", "/v1/entries/gone", Role::Operate,
-                 [&quotas](const OperatorRequest &request, const net::HttpResponder &respond) {
-                     respond(answerGone(quotas, request));
+                 [&](const OperatorRequest &request, const net::HttpResponder &respond) {
+                     answerGone(quotas, fleetKeeping, request, respond);
                  });
 }
 
--- a/src/app/internal/wavecommand.cpp
+++ b/src/app/internal/wavecommand.cpp
@@ -57,6 +57,13 @@
         std::cout << fmt::format("  {} {} {}\n", host.value("worker", ""), host.value("step", ""),
                                  host.value("note", ""));
     }
+    for (const auto &wait : wave.value("waitsFor", json::array())) {
+        const auto entry = wait.value("entry", "");
+        std::cout << fmt::format(
+                "  hosts of {} wait for the entry {}, which does not answer: start "
+                "it, or, if its process has ended for good, say: entry gone {}\n",
+                wait.value("dataCentre", ""), entry, entry);
+    }
     for (const auto &host : wave.value("order", json::array())) {
         std::cout << "  " << host.get<std::string>() << "\n";
     }
--- a/src/app/internal/waveroutes.cpp
+++ b/src/app/internal/waveroutes.cpp
@@ -88,6 +88,13 @@
     value["perHostMs"] = status.progress.perHost.count();
     value["remainingMs"] = status.progress.remaining.count();
     value["now"] = hostsJson(status.underWay);
+    json waits = json::array();
+    for (const auto &wait : status.waits) {
+        for (const auto &entry : wait.entries) {
+            waits.push_back({{"entry", entry.value()}, {"dataCentre", wait.dataCentre.value()}});
+        }
+    }
+    value["waitsFor"] = std::move(waits);
     return value;
 }
 
--- a/src/capacity/draining.h
+++ b/src/capacity/draining.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "global/ids.h"
+#include "maintenance/entryrecord.h"
 #include "platform/storeitem.h"
 
 #include <functional>
@@ -12,13 +13,15 @@
 // Workers with the revision of the record that says they drain.
 using DrainMarks = std::unordered_map<WorkerId, platform::StoreRevision>;
 
-// Both are thread-safe and don't block.
+// All are thread-safe and don't block.
 struct Draining
 {
     // Tells every entry which workers drain, as of a revision of the store.
     std::function<void(platform::StoreRevision, const DrainMarks &)> ask;
+    // Takes marks that were read from the store.
+    std::function<void(platform::StoreRevision, const DrainMarks &)> take;
     // The marks that every entry has confirmed with nothing in flight and no connection open.
-    std::function<DrainMarks()> quiet;
+    std::function<DrainMarks(const maintenance::EntryRecords &)> quiet;
 };
 
 } // namespace cyclamenlatch::capacity
--- a/src/capacity/internal/poolcontroller.cpp
+++ b/src/capacity/internal/poolcontroller.cpp
@@ -113,6 +113,10 @@
             kept = {std::move(assignment.value()), item.revision};
         }
     }
+    if (m_marksTaken) {
+        m_draining.take(m_revision, drainMarks());
+        std::exchange(m_marksTaken, nullptr)();
+    }
     if (placesChanged) {
         publish();
     }
@@ -154,12 +158,8 @@
     if (m_stopped || !m_lease.held() || !m_fleet || m_revision == 0 || m_ledgers.revision() == 0) {
         return;
     }
-    DrainMarks marks;
-    for (const auto &[worker, found] : m_assignments) {
-        if (found.assignment.step == AssignmentStep::Draining) {
-            marks[worker] = found.revision;
-        }
-    }
+    const auto marks = drainMarks();
+    rereadForNewDrains(marks);
     if (!marks.empty() || m_asked) {
         m_draining.ask(m_revision, marks);
         m_asked = !marks.empty();
@@ -200,6 +200,38 @@
     });
 }
 
+DrainMarks PoolController::drainMarks() const
+{
+    DrainMarks marks;
+    for (const auto &[worker, found] : m_assignments) {
+        if (found.assignment.step == AssignmentStep::Draining) {
+            marks[worker] = found.revision;
+        }
+    }
+    return marks;
+}
+
+// Who must confirm a drain is read after the drain was recorded: an entry that recorded itself
+// before it is in that reading, and one that did so later has read the drain.
+void PoolController::rereadForNewDrains(const DrainMarks &marks)
+{
+    platform::StoreRevision newest = 0;
+    for (const auto &[worker, revision] : marks) {
+        newest = std::max(newest, revision);
+    }
+    if (newest > m_ledgers.revision() && newest > m_rereadFor) {
+        m_rereadFor = newest;
+        m_ledgerFollower.start();
+    }
+}
+
+DrainMarks PoolController::confirmedMarks() const
+{
+    auto marks = m_draining.quiet(m_ledgers.entries());
+    std::erase_if(marks, [this](const auto &mark) { return mark.second > m_ledgers.revision(); });
+    return marks;
+}
+
 AssignmentView PoolController::records() const
 {
     AssignmentView view;
@@ -211,7 +243,7 @@
 AssignmentView PoolController::view() const
 {
     auto view = records();
-    view.quiet = m_draining.quiet();
+    view.quiet = confirmedMarks();
     view.ledgers.records = m_ledgers.ledgers();
     view.ledgers.budgets = maintenance::budgetsOf(withAssignments(*m_fleet, m_assignments), {});
     view.ledgers.countOutages = isWaveUnderWay();
--- a/src/capacity/poolcontroller.h
+++ b/src/capacity/poolcontroller.h
@@ -44,6 +44,9 @@
 
     // Without it no worker moves by itself. Set before start.
     void setDemandAsker(DemandAsker asker) { m_askDemand = std::move(asker); }
+    // Runs once, when the marks of draining workers were read from the store and taken over. Set
+    // before start.
+    void setMarksListener(std::function<void()> listener) { m_marksTaken = std::move(listener); }
     void start();
     void stop();
     // All below are thread-safe.
@@ -68,6 +71,9 @@
     void plan();
     void decideMoves();
     void carryOut(const DecidedMove &move);
+    DrainMarks drainMarks() const;
+    void rereadForNewDrains(const DrainMarks &marks);
+    DrainMarks confirmedMarks() const;
     AssignmentView records() const;
     AssignmentView view() const;
     std::unordered_set<WorkerId> workersOut() const;
@@ -94,6 +100,7 @@
     // Keys with a write under way.
     std::set<std::string> m_writing;
     DemandAsker m_askDemand;
+    std::function<void()> m_marksTaken;
     platform::StoreFollower m_follower;
     // Used while leading: the ledgers that waves share.
     platform::StoreFollower m_ledgerFollower;
@@ -101,6 +108,8 @@
     DemandBook m_demand;
     AutomaticMoves m_automatic;
     unsigned m_ticks = 0;
+    // The newest drain for which the ledgers' prefix was read anew.
+    platform::StoreRevision m_rereadFor = 0;
     // Whether entries were told of draining workers and not yet that there are none.
     bool m_asked = false;
 };
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -59,6 +59,7 @@
 
     // Calls in flight on a worker, and those of unknown outcome that may still run there.
     unsigned inFlight(const WorkerId &worker) const;
+    unsigned inFlight() const;
     // Open connections to a worker's minion.
     std::size_t connectionsOpen(const WorkerId &worker) const;
     // Closes the connections to a worker's minion that carry nothing.
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -218,6 +218,12 @@
     return found == m_minionAddresses.end() ? std::string() : found->second;
 }
 
+unsigned Dispatcher::inFlight() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_scheduler.inFlight();
+}
+
 std::size_t Dispatcher::connectionsOpen(const WorkerId &worker) const
 {
     return m_http.connectionsOpen(minionAddress(worker));
--- a/src/dispatch/internal/scheduler.cpp
+++ b/src/dispatch/internal/scheduler.cpp
@@ -543,6 +543,15 @@
     return found == m_workers.end() ? 0 : found->second.calls + found->second.mayStillRun;
 }
 
+unsigned Scheduler::inFlight() const
+{
+    unsigned count = 0;
+    for (const auto &[id, worker] : m_workers) {
+        count += worker.calls + worker.mayStillRun;
+    }
+    return count;
+}
+
 bool Scheduler::isEjected(const WorkerId &worker, TimePoint now) const
 {
     const auto found = m_workers.find(worker);
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -59,6 +59,8 @@
     std::optional<TimePoint> nextWake() const;
     // Calls that run on a worker, or may still run there after an unknown outcome.
     unsigned inFlight(const WorkerId &worker) const;
+    // The same over all workers.
+    unsigned inFlight() const;
     bool isEjected(const WorkerId &worker, TimePoint now) const;
     std::size_t queued() const;
     // Of every pool that had a request.
--- a/src/maintenance/draincoordinator.h
+++ b/src/maintenance/draincoordinator.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "maintenance/drainhooks.h"
+#include "maintenance/entryrecord.h"
 #include "maintenance/leavingmarks.h"
 #include "maintenance/quietcollector.h"
 #include "membership/peerbus.h"
@@ -29,14 +30,20 @@
     // Tells every entry, this one included, of the marks and asks what is left; repeat it while
     // there are marks, and once after the last one is gone.
     void ask(const DrainPoll &poll);
+    // Asks peers for the marks that they know, when the store can't be read.
+    void askForMarks();
     // The marks of a scope that every entry has lately confirmed, with nothing in flight and no
-    // connection open.
-    std::unordered_map<WorkerId, platform::StoreRevision> quiet(const std::string &scope) const;
+    // connection open. The records must be at least as new as the scope's marks.
+    std::unordered_map<WorkerId, platform::StoreRevision> quiet(const std::string &scope,
+                                                                const EntryRecords &records) const;
+    // The entries that some mark of the scope waits for.
+    std::vector<EntryId> waitingFor(const std::string &scope, const EntryRecords &records) const;
 
 private:
     void onMessage(const membership::PeerMessage &message);
     DrainAnswer answer(const DrainPoll &poll);
-    std::vector<EntryId> allEntries() const;
+    void sendKnownMarks(const EntryId &to);
+    std::vector<EntryId> allEntries(const EntryRecords &records) const;
 
     membership::PeerBus &m_peers;
     const DrainHooks m_hooks;
--- a/src/maintenance/internal/draincoordinator.cpp
+++ b/src/maintenance/internal/draincoordinator.cpp
@@ -1,6 +1,10 @@
 // Sends and answers drain polls over the peer bus.
 #include "maintenance/draincoordinator.h"
 
+#include <algorithm>
+#include <set>
+#include <utility>
+
 namespace cyclamenlatch::maintenance {
 
 using membership::PeerTopic;
@@ -29,10 +33,16 @@
     m_collectors[poll.scope].take(m_peers.self().entry, m_peers.incarnation(), own, steadyNow());
 }
 
+void DrainCoordinator::askForMarks()
+{
+    m_peers.sendToAll(PeerTopic::Maintenance,
+                      membership::encode(MaintenanceMessage(MarksRequest())));
+}
+
 std::unordered_map<WorkerId, platform::StoreRevision> DrainCoordinator::quiet(
-        const std::string &scope) const
+        const std::string &scope, const EntryRecords &records) const
 {
-    const auto entries = allEntries();
+    const auto entries = allEntries(records);
     const std::lock_guard lock(m_mutex);
     const auto collector = m_collectors.find(scope);
     if (collector == m_collectors.end()) {
@@ -41,6 +51,22 @@
     return collector->second.quiet(m_marks.marks(scope), entries, steadyNow());
 }
 
+std::vector<EntryId> DrainCoordinator::waitingFor(const std::string &scope,
+                                                  const EntryRecords &records) const
+{
+    const auto entries = allEntries(records);
+    const std::lock_guard lock(m_mutex);
+    const auto collector = m_collectors.find(scope);
+    std::set<EntryId> waiting;
+    if (collector != m_collectors.end()) {
+        for (const auto &mark : m_marks.marks(scope)) {
+            const auto more = collector->second.waitingFor(mark, entries, steadyNow());
+            waiting.insert(more.begin(), more.end());
+        }
+    }
+    return {waiting.begin(), waiting.end()};
+}
+
 void DrainCoordinator::onMessage(const membership::PeerMessage &message)
 {
     const auto decoded = membership::decode<MaintenanceMessage>(message.body);
@@ -52,6 +78,23 @@
     } else if (const auto *states = std::get_if<DrainAnswer>(&*decoded)) {
         const std::lock_guard lock(m_mutex);
         m_collectors[states->scope].take(message.from, message.incarnation, *states, steadyNow());
+    } else if (const auto *known = std::get_if<KnownMarks>(&*decoded)) {
+        answer(known->poll);
+    } else {
+        sendKnownMarks(message.from);
+    }
+}
+
+void DrainCoordinator::sendKnownMarks(const EntryId &to)
+{
+    std::vector<DrainPoll> polls;
+    {
+        const std::lock_guard lock(m_mutex);
+        polls = m_marks.polls();
+    }
+    for (auto &poll : polls) {
+        m_peers.sendValue(to, PeerTopic::Maintenance,
+                          MaintenanceMessage(KnownMarks{std::move(poll)}));
     }
 }
 
@@ -72,13 +115,16 @@
     return answer;
 }
 
-std::vector<EntryId> DrainCoordinator::allEntries() const
+std::vector<EntryId> DrainCoordinator::allEntries(const EntryRecords &records) const
 {
-    std::vector<EntryId> entries{m_peers.self().entry};
+    const auto self = m_peers.self().entry;
+    std::vector<EntryId> peers;
     for (const auto &peer : m_peers.peers()) {
-        if (peer.entry != entries.front()) {
-            entries.push_back(peer.entry);
-        }
+        peers.push_back(peer.entry);
+    }
+    auto entries = entriesToAwait(peers, records);
+    if (std::find(entries.begin(), entries.end(), self) == entries.end()) {
+        entries.push_back(self);
     }
     return entries;
 }
--- a/src/maintenance/internal/leavingmarks.cpp
+++ b/src/maintenance/internal/leavingmarks.cpp
@@ -31,4 +31,13 @@
     return found == m_newest.end() ? none : found->second.marks;
 }
 
+std::vector<DrainPoll> LeavingMarks::polls() const
+{
+    std::vector<DrainPoll> polls;
+    for (const auto &[scope, poll] : m_newest) {
+        polls.push_back(poll);
+    }
+    return polls;
+}
+
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/internal/maintenancecontroller.cpp
+++ b/src/maintenance/internal/maintenancecontroller.cpp
@@ -53,7 +53,6 @@
 
 void MaintenanceController::start()
 {
-    asio::post(m_strand, [this] { loadMarks(); });
     m_lease.start();
     asio::post(m_strand, [this] { armTick(); });
 }
@@ -75,38 +74,40 @@
 }
 
 // A new entry learns what is leaving before any leader polls it.
-void MaintenanceController::loadMarks()
+void MaintenanceController::loadMarks(std::function<void()> loaded)
 {
-    m_store.list(hostPrefix, [this](Result<platform::StoreListing> listing) {
-        if (!listing) {
-            asio::post(m_strand, [this] { retryMarks(); });
-            return;
-        }
-        std::map<DataCentreId, DrainPoll> polls;
-        for (const auto &item : listing.value().items) {
-            const auto host = readHostRecord(item.value);
-            if (host && isLeaving(host.value().step)) {
-                auto &poll = polls[host.value().dataCentre];
-                poll.scope = host.value().dataCentre.value();
-                poll.revision = listing.value().revision;
-                poll.marks.push_back({host.value().worker, item.revision});
-            }
-        }
-        for (const auto &[dataCentre, poll] : polls) {
-            m_drains.take(poll);
-        }
-    });
+    m_store.list(hostPrefix,
+                 [this, loaded = std::move(loaded)](const Result<platform::StoreListing> &listing) {
+                     if (!listing) {
+                         asio::post(m_strand, [this, loaded] { retryMarks(loaded); });
+                         return;
+                     }
+                     std::map<DataCentreId, DrainPoll> polls;
+                     for (const auto &item : listing.value().items) {
+                         const auto host = readHostRecord(item.value);
+                         if (host && isLeaving(host.value().step)) {
+                             auto &poll = polls[host.value().dataCentre];
+                             poll.scope = host.value().dataCentre.value();
+                             poll.revision = listing.value().revision;
+                             poll.marks.push_back({host.value().worker, item.revision});
+                         }
+                     }
+                     for (const auto &[dataCentre, poll] : polls) {
+                         m_drains.take(poll);
+                     }
+                     loaded();
+                 });
 }
 
-void MaintenanceController::retryMarks()
+void MaintenanceController::retryMarks(std::function<void()> loaded)
 {
     if (m_stopped) {
         return;
     }
     m_marksTimer.expires_after(m_settings.watchRetryInterval);
-    m_marksTimer.async_wait([this](const asio::error_code &error) {
+    m_marksTimer.async_wait([this, loaded = std::move(loaded)](const asio::error_code &error) {
         if (!error) {
-            loadMarks();
+            loadMarks(loaded);
         }
     });
 }
@@ -203,6 +204,7 @@
     probeHosts();
     askEntries();
     planWaves();
+    noteWaits();
 }
 
 void MaintenanceController::removeOld()
@@ -223,6 +225,26 @@
     }
 }
 
+// Records whom the wave waits for, for operators who ask any entry.
+void MaintenanceController::noteWaits()
+{
+    const auto now = steadyNow();
+    auto awaited = m_drains.waitingFor(m_settings.dataCentre.value(), m_records.entries());
+    if (awaited != m_awaited) {
+        m_awaited = std::move(awaited);
+        m_awaitedSince = now;
+    }
+    const bool isLong = now - m_awaitedSince >= m_settings.waitToTell;
+    const auto known = m_records.waits().find(m_settings.dataCentre);
+    const auto told = known == m_records.waits().end() ? WaitRecord() : known->second;
+    if (told.entries == m_awaited || (!m_awaited.empty() && !isLong)) {
+        return;
+    }
+    const auto key = waitKey(m_settings.dataCentre);
+    const WaitRecord record{m_settings.dataCentre, m_awaited, recordNow()};
+    perform(platform::StoreWrite{key, writeRecord(record), m_records.revisionOf(key), ""});
+}
+
 void MaintenanceController::tellWave(bool underWay)
 {
     if (underWay == m_waveUnderWay || !m_waveListener) {
@@ -360,7 +382,7 @@
         view.placement[worker.id] = worker.dataCentre;
     }
     m_health.fill(view.observed);
-    view.observed.quiet = m_drains.quiet(m_settings.dataCentre.value());
+    view.observed.quiet = m_drains.quiet(m_settings.dataCentre.value(), m_records.entries());
     return view;
 }
 
@@ -413,6 +435,15 @@
         const bool paused = wave.value().state == WaveState::Paused;
         logEvent(paused ? wavePaused : waveFinished, "{} {}", wave.value().wave.value(),
                  wave.value().reason);
+    } else if (write.key.starts_with(waitPrefix)) {
+        const auto wait = readWaitRecord(write.value);
+        std::string names;
+        for (const auto &entry : wait.value().entries) {
+            names += (names.empty() ? "" : ", ") + entry.value();
+        }
+        if (!names.empty()) {
+            logEvent(entriesAwaited, "{}", names);
+        }
     }
 }
 
--- a/src/maintenance/internal/maintenancerecords.cpp
+++ b/src/maintenance/internal/maintenancerecords.cpp
@@ -47,6 +47,10 @@
         takeHost(item);
     } else if (item.key.starts_with(ledgerPrefix)) {
         takeLedger(item);
+    } else if (item.key.starts_with(entryPrefix)) {
+        takeEntry(item);
+    } else if (item.key.starts_with(waitPrefix)) {
+        takeWait(item);
     }
 }
 
@@ -98,4 +102,30 @@
     m_ledgers[budget] = {std::move(record.value()), item.revision};
 }
 
+void MaintenanceRecords::takeEntry(const platform::StoreItem &item)
+{
+    const EntryId entry(item.key.substr(std::string_view(entryPrefix).size()));
+    if (item.deleted) {
+        m_entries.erase(entry);
+        return;
+    }
+    auto record = readEntryRecord(item.value);
+    if (!record) {
+        logEvent(recordMalformed, "{}: {}", item.key, record.error().message);
+        return;
+    }
+    m_entries[entry] = {std::move(record.value()), item.revision};
+}
+
+void MaintenanceRecords::takeWait(const platform::StoreItem &item)
+{
+    const DataCentreId dataCentre(item.key.substr(std::string_view(waitPrefix).size()));
+    const auto record = readWaitRecord(item.value);
+    if (item.deleted || !record) {
+        m_waits.erase(dataCentre);
+        return;
+    }
+    m_waits[dataCentre] = record.value();
+}
+
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/internal/quietcollector.cpp
+++ b/src/maintenance/internal/quietcollector.cpp
@@ -31,13 +31,33 @@
            && state->second.inFlight == 0 && state->second.connections == 0;
 }
 
+bool QuietCollector::hears(const EntryId &entry, TimePoint now) const
+{
+    const auto answer = m_answers.find(entry);
+    return answer != m_answers.end() && now - answer->second.at <= freshness;
+}
+
+std::vector<EntryId> QuietCollector::heard(TimePoint now) const
+{
+    std::vector<EntryId> heard;
+    for (const auto &[entry, answer] : m_answers) {
+        if (hears(entry, now)) {
+            heard.push_back(entry);
+        }
+    }
+    return heard;
+}
+
 std::unordered_map<WorkerId, platform::StoreRevision> QuietCollector::quiet(
         const std::vector<LeavingMark> &marks, const std::vector<EntryId> &entries,
         TimePoint now) const
 {
     std::unordered_map<WorkerId, platform::StoreRevision> found;
+    auto awaited = entries;
+    const auto answering = heard(now);
+    awaited.insert(awaited.end(), answering.begin(), answering.end());
     for (const auto &mark : marks) {
-        if (waitingFor(mark, entries, now).empty()) {
+        if (waitingFor(mark, awaited, now).empty()) {
             found[mark.worker] = mark.revision;
         }
     }
--- a/src/maintenance/internal/recordjson.cpp
+++ b/src/maintenance/internal/recordjson.cpp
@@ -78,6 +78,39 @@
     return ledgerPrefix + budget;
 }
 
+std::string entryKey(const EntryId &entry)
+{
+    return entryPrefix + entry.value();
+}
+
+std::string waitKey(const DataCentreId &dataCentre)
+{
+    return waitPrefix + dataCentre.value();
+}
+
+std::string writeRecord(const EntryRecord &record)
+{
+    return json{{"entry", record.entry.value()},
+                {"dataCentre", record.dataCentre.value()},
+                {"incarnation", record.incarnation},
+                {"presence", entryPresenceNames.name(record.presence)},
+                {"since", record.since},
+                {"saidBy", record.saidBy}}
+            .dump();
+}
+
+std::string writeRecord(const WaitRecord &record)
+{
+    json entries = json::array();
+    for (const auto &entry : record.entries) {
+        entries.push_back(entry.value());
+    }
+    return json{{"dataCentre", record.dataCentre.value()},
+                {"entries", std::move(entries)},
+                {"since", record.since}}
+            .dump();
+}
+
 std::string writeRecord(const WaveRecord &record)
 {
     json hosts = json::array();
@@ -174,4 +207,31 @@
     });
 }
 
+Result<EntryRecord> readEntryRecord(const std::string &text)
+{
+    return parse(text, [](const json &value) {
+        EntryRecord record;
+        record.entry = EntryId(value.at("entry"));
+        record.dataCentre = DataCentreId(value.at("dataCentre"));
+        record.incarnation = value.at("incarnation");
+        record.presence = readName(entryPresenceNames, value.at("presence"));
+        record.since = value.at("since");
+        record.saidBy = value.at("saidBy");
+        return record;
+    });
+}
+
+Result<WaitRecord> readWaitRecord(const std::string &text)
+{
+    return parse(text, [](const json &value) {
+        WaitRecord record;
+        record.dataCentre = DataCentreId(value.at("dataCentre"));
+        for (const auto &entry : value.at("entries")) {
+            record.entries.emplace_back(entry.get<std::string>());
+        }
+        record.since = value.at("since");
+        return record;
+    });
+}
+
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/internal/waveoperations.cpp
+++ b/src/maintenance/internal/waveoperations.cpp
@@ -3,6 +3,7 @@
 
 #include "fleet/selector.h"
 #include "maintenance/hostorder.h"
+#include "maintenance/maintenanceevents.h"
 #include "maintenance/recordjson.h"
 
 #include <fmt/format.h>
@@ -161,6 +162,44 @@
     });
 }
 
+void WaveOperations::entryGone(const EntryLife &life, const std::string &saidBy,
+                               EntryCompletion completion)
+{
+    m_store.get(entryKey(life.entry), [this, life, saidBy, completion = std::move(completion)](
+                                              Result<std::optional<platform::StoreItem>> found) {
+        if (!found) {
+            return completion(found.error());
+        }
+        if (!found.value()) {
+            return completion(
+                    failure(ErrorKind::NotFound,
+                            fmt::format("no entry {} was ever recorded", life.entry.value()),
+                            "correct the name; wave status names those it waits for"));
+        }
+        auto record = readEntryRecord(found.value()->value);
+        if (!record || record.value().presence != EntryPresence::Present) {
+            return completion(std::move(record));
+        }
+        if (record.value().incarnation > life.incarnation) {
+            return completion(failure(ErrorKind::Conflict,
+                                      fmt::format("{} was started again", life.entry.value()),
+                                      "stop its process, or repeat the command when it is silent"));
+        }
+        record.value().presence = EntryPresence::Gone;
+        record.value().saidBy = saidBy;
+        record.value().since = recordNow();
+        m_store.compareAndSwap(
+                {entryKey(life.entry), writeRecord(record.value()), found.value()->revision, ""},
+                [record = record.value(), completion](Result<platform::StoreRevision> written) {
+                    if (!written) {
+                        return completion(written.error());
+                    }
+                    logEvent(entrySaidGone, "{} by {}", record.entry.value(), record.saidBy);
+                    completion(record);
+                });
+    });
+}
+
 void WaveOperations::status(const WaveId &wave, StatusCompletion completion) const
 {
     m_store.list(recordPrefix, [this, wave, completion = std::move(completion)](
@@ -189,7 +228,13 @@
         if (document) {
             view.budgets = budgetsOf(*document, record.record.settings);
         }
-        statuses.push_back(statusOfView(view));
+        auto status = statusOfView(view);
+        for (const auto &[dataCentre, wait] : records.waits()) {
+            if (!wait.entries.empty() && record.record.state != WaveState::Done) {
+                status.waits.push_back(wait);
+            }
+        }
+        statuses.push_back(std::move(status));
     }
     return statuses;
 }
--- a/src/maintenance/leavingmarks.h
+++ b/src/maintenance/leavingmarks.h
@@ -18,6 +18,7 @@
     // All workers that must get nothing new.
     std::set<WorkerId> workers() const;
     const std::vector<LeavingMark> &marks(const std::string &scope) const;
+    std::vector<DrainPoll> polls() const;
 
 private:
     std::map<std::string, DrainPoll> m_newest;
--- a/src/maintenance/maintenancecontroller.h
+++ b/src/maintenance/maintenancecontroller.h
@@ -38,6 +38,8 @@
     {
         m_waveListener = std::move(listener);
     }
+    // Takes over what is leaving from the store and then tells; tries until the store answers.
+    void loadMarks(std::function<void()> loaded);
     void start();
     // Gives leadership back; what is under way goes on from the records.
     void stop();
@@ -48,8 +50,7 @@
     using Strand = asio::strand<asio::io_context::executor_type>;
     using WaveEntry = Versioned<WaveRecord>;
 
-    void loadMarks();
-    void retryMarks();
+    void retryMarks(std::function<void()> loaded);
 
     void onLeadership(bool held);
     void readRecords(unsigned reading);
@@ -62,6 +63,7 @@
 
     void askEntries();
     std::vector<LeavingMark> ownMarks() const;
+    void noteWaits();
     void removeOld();
     void listHosts();
     void probeHosts();
@@ -101,6 +103,9 @@
     std::unordered_map<WorkerId, TimePoint> m_probed;
     TimePoint m_hostsListed;
     TimePoint m_removed;
+    // Whom this leader waits for, and since when.
+    std::vector<EntryId> m_awaited;
+    TimePoint m_awaitedSince;
 };
 
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/maintenanceevents.h
+++ b/src/maintenance/maintenanceevents.h
@@ -29,6 +29,17 @@
         1408, Severity::Warning, "host-list-failed",
         "The platform did not list its hosts; a wave waits for reboots until it does."};
 
+inline constexpr Event entryNotRecorded{
+        1409, Severity::Warning, "entry-not-recorded",
+        "The store is out of reach, so that this entry serves without having recorded itself; what "
+        "is leaving it learns from its peers."};
+inline constexpr Event entriesAwaited{
+        1410, Severity::Warning, "entries-awaited",
+        "Hosts can't be rebooted until the named entries answer. Start them again, or, when a "
+        "process has ended for good, say so with \"entry gone\"."};
+inline constexpr Event entrySaidGone{
+        1411, Severity::Warning, "entry-said-gone",
+        "An operator gave their word that an entry's process has ended for good."};
 inline constexpr Event waveRemoved{1412, Severity::Info, "wave-removed",
                                    "A finished wave's records were removed after their time."};
 
--- a/src/maintenance/maintenancemessages.h
+++ b/src/maintenance/maintenancemessages.h
@@ -74,6 +74,26 @@
     }
 };
 
-using MaintenanceMessage = std::variant<DrainPoll, DrainAnswer>;
+// From an entry that has just started: asks for the marks that others know.
+struct MarksRequest
+{
+    template<class Archive>
+    void serialize(Archive &)
+    {}
+};
+
+// An answer to it; as a poll, but wants no answer.
+struct KnownMarks
+{
+    DrainPoll poll;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(poll);
+    }
+};
+
+using MaintenanceMessage = std::variant<DrainPoll, DrainAnswer, MarksRequest, KnownMarks>;
 
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/maintenancerecords.h
+++ b/src/maintenance/maintenancerecords.h
@@ -3,9 +3,11 @@
 // writes: the wave machine relies on a reading without gaps.
 #pragma once
 
+#include "maintenance/entryrecord.h"
 #include "maintenance/hostrecord.h"
 #include "maintenance/ledgerrecord.h"
 #include "maintenance/versioned.h"
+#include "maintenance/waitrecord.h"
 #include "maintenance/waverecord.h"
 
 #include <map>
@@ -31,17 +33,25 @@
         return m_ledgers;
     }
 
+    const EntryRecords &entries() const { return m_entries; }
+    // By data centre.
+    const std::map<DataCentreId, WaitRecord> &waits() const { return m_waits; }
+
 private:
     void takeItem(const platform::StoreItem &item);
     void takeWave(const platform::StoreItem &item);
     void takeHost(const platform::StoreItem &item);
     void takeLedger(const platform::StoreItem &item);
+    void takeEntry(const platform::StoreItem &item);
+    void takeWait(const platform::StoreItem &item);
 
     platform::StoreRevision m_revision = 0;
     std::unordered_map<std::string, platform::StoreRevision> m_revisions;
     std::map<WaveId, Versioned<WaveRecord>> m_waves;
     std::unordered_map<WaveId, std::unordered_map<WorkerId, Versioned<HostRecord>>> m_hosts;
     std::unordered_map<std::string, Versioned<LedgerRecord>> m_ledgers;
+    EntryRecords m_entries;
+    std::map<DataCentreId, WaitRecord> m_waits;
 };
 
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/maintenancesettings.h
+++ b/src/maintenance/maintenancesettings.h
@@ -18,6 +18,8 @@
     std::chrono::milliseconds probeInterval{400};
     std::chrono::milliseconds probeTimeout{1000};
     std::chrono::milliseconds rebootRetryInterval{1000};
+    // Operators are told whom a wave waits for after this.
+    std::chrono::milliseconds waitToTell{5000};
     // Records of a wave are removed this long after it has finished.
     std::chrono::hours retention{7 * 24};
     std::chrono::milliseconds removalInterval{60000};
--- a/src/maintenance/quietcollector.h
+++ b/src/maintenance/quietcollector.h
@@ -20,11 +20,13 @@
     void take(const EntryId &from, std::uint64_t incarnation, const DrainAnswer &answer,
               TimePoint now);
 
-    // The marks that every one of the entries has confirmed with nothing in flight and no
-    // connection open.
+    // The marks that every one of the entries, and every other that answers, has confirmed with
+    // nothing in flight and no connection open.
     std::unordered_map<WorkerId, platform::StoreRevision> quiet(
             const std::vector<LeavingMark> &marks, const std::vector<EntryId> &entries,
             TimePoint now) const;
+    // The entries that have answered lately.
+    std::vector<EntryId> heard(TimePoint now) const;
     // The entries that keep a mark from being quiet, for people.
     std::vector<EntryId> waitingFor(const LeavingMark &mark, const std::vector<EntryId> &entries,
                                     TimePoint now) const;
@@ -37,6 +39,7 @@
         std::unordered_map<WorkerId, DrainState> states;
     };
 
+    bool hears(const EntryId &entry, TimePoint now) const;
     bool confirms(const EntryId &entry, const LeavingMark &mark, TimePoint now) const;
 
     std::map<EntryId, Answer> m_answers;
--- a/src/maintenance/waveoperations.h
+++ b/src/maintenance/waveoperations.h
@@ -4,6 +4,7 @@
 
 #include "fleet/fleetdocument.h"
 #include "global/result.h"
+#include "maintenance/entrylife.h"
 #include "maintenance/maintenancerecords.h"
 #include "maintenance/wavestatus.h"
 #include "platform/storeclient.h"
@@ -20,6 +21,7 @@
 {
 public:
     using WaveCompletion = std::function<void(Result<WaveRecord>)>;
+    using EntryCompletion = std::function<void(Result<EntryRecord>)>;
     using StatusCompletion = std::function<void(Result<std::vector<WaveStatus>>)>;
 
     explicit WaveOperations(platform::StoreClient &store);
@@ -37,6 +39,11 @@
     void resume(const WaveId &wave, WaveCompletion completion);
     // All waves, or the one that is named.
     void status(const WaveId &wave, StatusCompletion completion) const;
+    // Takes an operator's word that the entry's process has ended for good, so that waves and moves
+    // no longer wait for it; it counts again when it answers or starts anew. Check first that it is
+    // not alive. Kind NotFound: no such entry was ever recorded; Conflict: it changed meanwhile, or
+    // a newer process of it is recorded than the word is about.
+    void entryGone(const EntryLife &life, const std::string &saidBy, EntryCompletion completion);
 
 private:
     using Change = std::function<Result<void>(WaveRecord &)>;
--- a/src/maintenance/wavestatus.h
+++ b/src/maintenance/wavestatus.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "maintenance/hostrecord.h"
+#include "maintenance/waitrecord.h"
 #include "maintenance/waveprogress.h"
 #include "maintenance/waverecord.h"
 
@@ -15,6 +16,8 @@
     WaveProgress progress;
     // Hosts that are neither pending nor done.
     std::vector<HostRecord> underWay;
+    // Whom the leaders of the data centres wait for.
+    std::vector<WaitRecord> waits;
 };
 
 } // namespace cyclamenlatch::maintenance
--- a/tests/capacity/lending_tests.cpp
+++ b/tests/capacity/lending_tests.cpp
@@ -1,137 +1,34 @@
 // Demand on one pool makes the spare pool of real processes lend a worker; judged by the leader's
 // log and by the minions' own ledgers.
-#include "net/sendandwait.h"
-#include "tests/jobs/childprocess.h"
-
-#include <fmt/format.h>
-#include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
-
-#include <atomic>
-#include <fstream>
-#include <memory>
-#include <thread>
+#include "tests/capacity/fleetprocesses.h"
 
 namespace cyclamenlatch {
 namespace {
 
-using testing::ChildProcess;
-
-constexpr unsigned entries = 2;
-constexpr unsigned minions = 3;
+using testing::FleetProcesses;
 
-unsigned peerPort(unsigned index)
+std::string lendingDocument(const std::vector<std::string> &minions)
 {
-    constexpr unsigned firstPort = 29000;
-    constexpr unsigned blocks = 400;
-    return firstPort + static_cast<unsigned>(getpid()) % blocks * entries + index;
+    std::string workers;
+    for (std::size_t index = 0; index < minions.size(); ++index) {
+        workers += fmt::format("  - {{name: w-{0}, dataCentre: dc-a, rack: r-{0}, pool: {1}, "
+                               "minion: \"{2}\", slots: 2}}\n",
+                               index, index == 0 ? "swaps" : "spare", minions[index]);
+    }
+    return "dataCentres: [{name: dc-a}]\n"
+           "pools:\n  - {name: swaps}\n  - {name: spare, spare: true, moveSeconds: 1}\n"
+           "services: [{name: swaps, pool: swaps}]\n"
+           "queues: [{name: q, service: swaps, open: true, timeoutMs: 20000}]\n"
+           "workers:\n"
+           + workers;
 }
 
-class LendingFleet
+// The leader of the moves, by the lease in the store.
+unsigned leaderOf(FleetProcesses &fleet)
 {
-public:
-    LendingFleet()
-        : m_platform({PLATFORM_PROGRAM, "--port", "0"})
-        , m_platformUrl("http://127.0.0.1:" + m_platform.waitFor("port "))
-    {
-        for (unsigned index = 0; index < minions; ++index) {
-            m_minions.push_back(std::make_unique<ChildProcess>(std::vector<std::string>{
-                    MINION_PROGRAM, "--port", "0", "--name", fmt::format("w-{}", index)}));
-            m_minionUrls.push_back("127.0.0.1:" + m_minions.back()->waitFor("port "));
-        }
-        putFleet();
-        for (unsigned index = 0; index < entries; ++index) {
-            startEntry(index);
-        }
-    }
-
-    // The leader of the moves, by the lease in the store.
-    unsigned leader()
-    {
-        for (;;) {
-            const auto item = get(m_platformUrl + "/v1/kv/pool-leaders/fleet");
-            if (item.is_object() && item.contains("value")) {
-                // The store's client writes a line of its own before the value.
-                return item.at("value").get<std::string>().ends_with("e-0") ? 0 : 1;
-            }
-            std::this_thread::sleep_for(std::chrono::milliseconds(100));
-        }
-    }
-
-    ChildProcess &entry(unsigned index) { return *m_entries[index]; }
-    const std::string &url(unsigned index) const { return m_urls[index]; }
-
-    nlohmann::json get(const std::string &url)
-    {
-        net::HttpCall call;
-        call.url = url;
-        const auto result = net::sendAndWait(m_http, std::move(call));
-        return nlohmann::json::parse(result.reply ? result.reply->body : "", nullptr, false);
-    }
-
-    int status(const std::string &url)
-    {
-        net::HttpCall call;
-        call.url = url;
-        const auto result = net::sendAndWait(m_http, std::move(call));
-        return result.reply ? result.reply->status : 0;
-    }
-
-    unsigned runsOn(unsigned minion)
-    {
-        const auto ledger = get(fmt::format("http://{}/ledger", m_minionUrls[minion]));
-        return ledger.at("runs").get<unsigned>();
-    }
-
-private:
-    void startEntry(unsigned index)
-    {
-        const auto path = fmt::format("{}/lend-{}-{}.yaml", ::testing::TempDir(), index, getpid());
-        std::ofstream settings(path);
-        settings << fmt::format("entry: e-{0}\ndataCentre: dc-a\n"
-                                "callers: {{address: 127.0.0.1, port: 0}}\n"
-                                "platform: {1}\nthreads: 2\n"
-                                "peers:\n  address: 127.0.0.1\n  port: {2}\n  secret: s\n"
-                                "  seeds:\n    - {{entry: e-{3}, dataCentre: dc-a, "
-                                "address: 127.0.0.1, port: {4}}}\n",
-                                index, m_platformUrl, peerPort(index), 1 - index,
-                                peerPort(1 - index));
-        settings.close();
-        m_entries.push_back(std::make_unique<ChildProcess>(
-                std::vector<std::string>{ENTRY_PROGRAM, "serve", "--config", path}));
-        m_urls.push_back("http://127.0.0.1:" + m_entries.back()->waitFor(" on 127.0.0.1:"));
-    }
-
-    void putFleet()
-    {
-        std::string workers;
-        for (unsigned index = 0; index < minions; ++index) {
-            workers += fmt::format("  - {{name: w-{0}, dataCentre: dc-a, rack: r-{0}, pool: {1}, "
-                                   "minion: \"{2}\", slots: 2}}\n",
-                                   index, index == 0 ? "swaps" : "spare", m_minionUrls[index]);
-        }
-        net::HttpCall call;
-        call.method = "PUT";
-        call.url = m_platformUrl + "/v1/kv/config/fleet?expected=0";
-        call.body = "dataCentres: [{name: dc-a}]\n"
-                    "pools:\n  - {name: swaps}\n  - {name: spare, spare: true, moveSeconds: 1}\n"
-                    "services: [{name: swaps, pool: swaps}]\n"
-                    "queues: [{name: q, service: swaps, open: true, timeoutMs: 20000}]\n"
-                    "workers:\n"
-                    + workers;
-        const auto result = net::sendAndWait(m_http, std::move(call));
-        ASSERT_TRUE(result.reply);
-        ASSERT_EQ(result.reply->status, 200);
-    }
-
-    net::HttpClient m_http;
-    ChildProcess m_platform;
-    std::string m_platformUrl;
-    std::vector<std::unique_ptr<ChildProcess>> m_minions;
-    std::vector<std::string> m_minionUrls;
-    std::vector<std::unique_ptr<ChildProcess>> m_entries;
-    std::vector<std::string> m_urls;
-};
+    FleetProcesses::await([&] { return !fleet.stored("pool-leaders/fleet").first.empty(); });
+    return fleet.stored("pool-leaders/fleet").first == "e-0" ? 0 : 1;
+}
 
 // Callers that each hand in one request after the other.
 class Callers
@@ -185,14 +82,12 @@
 
 TEST(Lending, demandOnOnePoolMakesTheSparePoolGiveAWorker)
 {
-    LendingFleet fleet;
-    const auto leader = fleet.leader();
-    for (unsigned index = 0; index < entries; ++index) {
-        while (fleet.status(fleet.url(index) + "/readyz") != 200) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(100));
-        }
-    }
-    EXPECT_EQ(fleet.runsOn(1) + fleet.runsOn(2), 0U);
+    FleetProcesses fleet(2, 3, lendingDocument);
+    fleet.startEntry(0);
+    fleet.startEntry(1);
+    const auto leader = leaderOf(fleet);
+    const auto lentRuns = [&] { return fleet.ledgerOf(1, "runs") + fleet.ledgerOf(2, "runs"); };
+    EXPECT_EQ(lentRuns(), 0U);
     // All through the entry that does not lead: the leader learns of the demand from its peer.
     Callers callers(fleet.url(1 - leader), 24);
     const auto decided = fleet.entry(leader).waitFor("E1504 move-decided: moved ");
@@ -201,9 +96,7 @@
     const auto moved = fleet.entry(leader).waitFor("E1503 worker-moved: ");
     EXPECT_NE(moved.find(" is serving in swaps, should be in swaps"), std::string::npos)
             << fleet.entry(leader).printed();
-    while (fleet.runsOn(1) + fleet.runsOn(2) == 0) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(100));
-    }
+    FleetProcesses::await([&] { return lentRuns() > 0; });
     EXPECT_EQ(callers.failed(), 0U);
 }
 
--- a/tests/integration/limitcommands_tests.cpp
+++ b/tests/integration/limitcommands_tests.cpp
@@ -34,6 +34,22 @@
     ASSERT_EQ(result.reply->status, 200);
 }
 
+// What the waves know of an entry, as the store holds it.
+std::string presenceOf(const std::string &platformUrl, const std::string &entry)
+{
+    net::HttpCall call;
+    call.method = "GET";
+    call.url = platformUrl + "/v1/kv/maintenance/entries/" + entry;
+    net::HttpClient http;
+    const auto result = net::sendAndWait(http, std::move(call));
+    for (const auto *presence : {"present", "left", "gone"}) {
+        if (result.reply && result.reply->body.find(presence) != std::string::npos) {
+            return presence;
+        }
+    }
+    return "";
+}
+
 TEST(LimitCommands, showLimitsAndTakeTheWordOnALostEntry)
 {
     ChildProcess platform({PLATFORM_PROGRAM, "--port", "0"});
@@ -49,11 +65,16 @@
     settings.seeds = first.seed("e-a");
     OperatedEntry second(settings);
     awaitLine(first, {"entry", "list"}, "e-b", "alive");
+    while (presenceOf(settings.platformUrl, "e-b").empty()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
     EXPECT_NE(first.ask({"entry", "gone", "e-b"}, "e-b is alive"), "");
     second.process().kill(SIGKILL);
     awaitLine(first, {"entry", "list"}, "e-b", "silent");
+    EXPECT_EQ(presenceOf(settings.platformUrl, "e-b"), "present") << "silence is no proof";
     EXPECT_NE(first.ask({"entry", "gone", "e-b"}, "recorded for 1 registered"), "");
     EXPECT_NE(first.ask({"entry", "list"}, "e-b").find("operators-word"), std::string::npos);
+    EXPECT_EQ(presenceOf(settings.platformUrl, "e-b"), "gone");
     EXPECT_NE(first.ask({"entry", "gone", "e-z"}, "no registered entry"), "");
 }
 
