Let drains of waves and moves reach the jobs

Workers that leave for maintenance or another pool got no new requests, but jobs were placed on them and were cut by the reboot. The marks now reach the entry that leads the jobs: it places nothing there, moves what is there as it does when the platform drains a worker, and counts those jobs as in flight until they are off. While no entry leads the jobs none answers for them: a reboot in those seconds ends a task, which goes on from its last checkpoint.

--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -119,6 +119,10 @@
     , m_hostWatch(m_threads.context(), m_hosts, m_quotas)
     , m_fleetKeeping(
               m_threads.context(), m_settings, m_store, m_peers, m_dispatcher,
+              {[this](const std::set<WorkerId> &leaving) {
+                   m_jobs.controller().setLeaving(leaving);
+               },
+               [this](const WorkerId &worker) { return m_jobs.controller().activeOn(worker); }},
               [this](const std::shared_ptr<const fleet::FleetDocument> &fleet) { useFleet(fleet); })
     , m_configuration(
               m_threads.context(), m_peers, m_store,
--- a/src/app/internal/fleetkeeping.cpp
+++ b/src/app/internal/fleetkeeping.cpp
@@ -17,13 +17,16 @@
 // Marks of workers that drain to change their pool.
 constexpr const char *poolScope = "pools";
 
-maintenance::DrainHooks hooksOf(dispatch::Dispatcher &dispatcher)
+maintenance::DrainHooks hooksOf(dispatch::Dispatcher &dispatcher, const JobDrains &jobs)
 {
     maintenance::DrainHooks hooks;
-    hooks.setLeaving = [&dispatcher](std::set<WorkerId> leaving) {
+    hooks.setLeaving = [&dispatcher, jobs](std::set<WorkerId> leaving) {
+        jobs.setLeaving(leaving);
         dispatcher.setLeaving(std::move(leaving));
     };
-    hooks.inFlight = [&dispatcher](const WorkerId &worker) { return dispatcher.inFlight(worker); };
+    hooks.inFlight = [&dispatcher, jobs](const WorkerId &worker) {
+        return dispatcher.inFlight(worker) + jobs.activeOn(worker);
+    };
     hooks.openConnections = [&dispatcher](const WorkerId &worker) {
         return dispatcher.connectionsOpen(worker);
     };
@@ -88,9 +91,9 @@
 
 FleetKeeping::FleetKeeping(asio::io_context &context, const EntrySettings &settings,
                            platform::StoreClient &store, membership::PeerBus &peers,
-                           dispatch::Dispatcher &dispatcher,
+                           dispatch::Dispatcher &dispatcher, const JobDrains &jobs,
                            capacity::PoolController::FleetListener listener)
-    : m_drains(peers, hooksOf(dispatcher))
+    : m_drains(peers, hooksOf(dispatcher, jobs))
     , m_waves(store)
     , m_hosts(m_http, settings.platformUrl, hostTimeout)
     , m_maintenance(context, maintenanceSettings(settings), store, m_hosts, m_drains, m_http)
--- a/src/app/internal/fleetkeeping.h
+++ b/src/app/internal/fleetkeeping.h
@@ -26,13 +26,20 @@
 
 namespace cyclamenlatch::app::detail {
 
+// Jobs on workers that are leaving; called only after start.
+struct JobDrains
+{
+    std::function<void(const std::set<WorkerId> &)> setLeaving;
+    std::function<unsigned(const WorkerId &)> activeOn;
+};
+
 class FleetKeeping
 {
 public:
     // The listener gets the fleet document with each worker in the pool that it is really in.
     FleetKeeping(asio::io_context &context, const EntrySettings &settings,
                  platform::StoreClient &store, membership::PeerBus &peers,
-                 dispatch::Dispatcher &dispatcher,
+                 dispatch::Dispatcher &dispatcher, const JobDrains &jobs,
                  capacity::PoolController::FleetListener listener);
 
     // Call before the operator server starts.
--- a/src/jobs/internal/jobbook.cpp
+++ b/src/jobs/internal/jobbook.cpp
@@ -100,6 +100,7 @@
     input.candidates = &candidates;
     input.policy = policy;
     input.unavailable = m_draining;
+    input.unavailable.insert(m_leaving.begin(), m_leaving.end());
     input.self = m_self;
     input.now = now;
     std::erase_if(m_noUnitUntil, [now](const auto &item) { return item.second <= now; });
@@ -288,6 +289,21 @@
     return found == m_jobs.end() ? nullptr : &found->second.record;
 }
 
+std::unordered_map<WorkerId, unsigned> JobBook::activeByWorker() const
+{
+    std::unordered_map<WorkerId, unsigned> active;
+    for (const auto &[id, entry] : m_jobs) {
+        const auto pending = m_pending.find(id);
+        if (isActive(entry.record.state)) {
+            ++active[entry.record.worker];
+        }
+        if (pending != m_pending.end() && isActive(pending->second.write.next.state)) {
+            ++active[pending->second.write.next.worker];
+        }
+    }
+    return active;
+}
+
 std::vector<WaitingCount> JobBook::mostWaiting(std::size_t most) const
 {
     std::unordered_map<WorkspaceId, std::uint32_t> waiting;
--- a/src/jobs/internal/jobcontroller.cpp
+++ b/src/jobs/internal/jobcontroller.cpp
@@ -48,6 +48,28 @@
     m_candidates = std::move(candidates);
 }
 
+void JobController::setLeaving(const std::set<WorkerId> &leaving)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_book.setLeaving({leaving.begin(), leaving.end()});
+    }
+    requestPlan();
+}
+
+unsigned JobController::activeOn(const WorkerId &worker) const
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_leading) {
+        return 0;
+    }
+    if (!m_active) {
+        return 1;
+    }
+    const auto found = m_active->find(worker);
+    return found == m_active->end() ? 0 : found->second;
+}
+
 void JobController::start()
 {
     tick();
@@ -106,6 +128,7 @@
         m_tasksKnown = false;
         m_taskRevision = 0;
         m_recordRevision = 0;
+        m_active.reset();
         m_book.clear();
         m_leadingSince = wallNow();
     }
@@ -319,6 +342,7 @@
         m_nextPlan = steadyNow()
                      + std::clamp<Duration>((steadyNow() - begin) * 9, m_settings.minPlanGap,
                                             m_settings.maxPlanGap);
+        m_active = m_book.activeByWorker();
         ended = m_book.endedTasks();
         auto strays = m_book.strayTasks();
         auto &stops = decided.commands[platform::TaskCommand::Stop];
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -28,6 +28,8 @@
     void noteTasks(const platform::TaskListing &listing);
     // The platform has dropped these tasks.
     void forgetTasks(const std::vector<std::string> &tasks);
+    // Workers that take no new work, besides those that the platform drains.
+    void setLeaving(std::unordered_set<WorkerId> leaving) { m_leaving = std::move(leaving); }
     // Drops what was learned, for when another entry leads; units and writes under way stay.
     void clear();
 
@@ -63,6 +65,8 @@
     // Final records that entered their state before the given time.
     std::vector<std::pair<JobId, platform::StoreRevision>> finalBefore(WallTime time) const;
 
+    // Jobs that have, or are about to have, a task on each worker.
+    std::unordered_map<WorkerId, unsigned> activeByWorker() const;
     // The workspaces with the most waiting jobs, at most so many.
     std::vector<WaitingCount> mostWaiting(std::size_t most) const;
     bool holdsUnits() const { return !m_units.empty(); }
@@ -97,6 +101,7 @@
     std::unordered_set<JobId> m_starting;
     std::unordered_map<std::string, platform::TaskStatus> m_tasks;
     std::unordered_set<WorkerId> m_draining;
+    std::unordered_set<WorkerId> m_leaving;
     // Workspace of each job that a unit is in use for.
     std::unordered_map<JobId, WorkspaceId> m_units;
     // When a workspace without a free unit is tried again.
--- a/src/jobs/jobcontroller.h
+++ b/src/jobs/jobcontroller.h
@@ -52,6 +52,12 @@
     void start();
     // Lets another entry lead; jobs go on.
     void stop();
+    // Workers that are leaving: they get no new job, and those that they have are moved away. Also
+    // in the name of maintenance and of moves between pools. Thread-safe, as the next.
+    void setLeaving(const std::set<WorkerId> &leaving);
+    // Jobs on a worker as far as this entry answers for them: all, when it leads, and none
+    // otherwise. At least one while a new leader does not know yet.
+    unsigned activeOn(const WorkerId &worker) const;
     // Hears, on the entry that leads, how many jobs wait, once a second. Set before start.
     void setWaitingListener(std::function<void(const WaitingMessage &)> listener)
     {
@@ -102,6 +108,8 @@
     std::shared_ptr<const CandidateIndex> m_candidates;
     std::set<WorkerId> m_blamed;
     bool m_leading = false;
+    // As of the last pass of this term; nothing before it.
+    std::optional<std::unordered_map<WorkerId, unsigned>> m_active;
     TimePoint m_nextWaiting;
     // Counts the times that this entry began to lead; answers of an earlier one are dropped.
     std::uint64_t m_term = 0;
