Hold a lifted drain mark until the worker's next record is read

Cause: an entry that hears its peers but not the store learned from the leader's poll that a worker no longer drains, before it had read the worker's new pool, and sent it requests of the pool that it had left.

Change: LeavingMarks keeps a lifted mark of the pools until the entry has published a reading of the store as new as the poll, or a record of the worker newer than the mark. The second is there since a reading's revision may stand still while the watch waits (10 s). Waves are as before: their workers stay in their pool. The pool controller tells of its readings after publishing them.

--- a/src/app/internal/fleetkeeping.cpp
+++ b/src/app/internal/fleetkeeping.cpp
@@ -14,8 +14,6 @@
 constexpr std::chrono::milliseconds hostTimeout{2000};
 // The store's time to record that this entry has left.
 constexpr std::chrono::milliseconds leaveTimeout{2000};
-// Marks of workers that drain to change their pool.
-constexpr const char *poolScope = "pools";
 
 maintenance::DrainHooks hooksOf(dispatch::Dispatcher &dispatcher, const JobDrains &jobs)
 {
@@ -38,7 +36,7 @@
 
 maintenance::DrainPoll pollOf(platform::StoreRevision revision, const capacity::DrainMarks &marks)
 {
-    maintenance::DrainPoll poll{poolScope, revision, {}};
+    maintenance::DrainPoll poll{maintenance::poolScope, revision, {}};
     for (const auto &[worker, recordRevision] : marks) {
         poll.marks.push_back({worker, recordRevision});
     }
@@ -55,7 +53,10 @@
         drains.take(pollOf(revision, marks));
     };
     draining.quiet = [&drains](const maintenance::EntryRecords &records) {
-        return drains.quiet(poolScope, records);
+        return drains.quiet(maintenance::poolScope, records);
+    };
+    draining.noteRead = [&drains](platform::StoreRevision revision, capacity::DrainMarks records) {
+        drains.noteRead(revision, std::move(records));
     };
     return draining;
 }
--- a/src/capacity/draining.h
+++ b/src/capacity/draining.h
@@ -10,7 +10,7 @@
 
 namespace cyclamenlatch::capacity {
 
-// Workers with the revision of the record that says they drain.
+// Workers with the revision of a record: of the one that says they drain, or the one read.
 using DrainMarks = std::unordered_map<WorkerId, platform::StoreRevision>;
 
 // All are thread-safe and don't block.
@@ -22,6 +22,8 @@
     std::function<void(platform::StoreRevision, const DrainMarks &)> take;
     // The marks that every entry has confirmed with nothing in flight and no connection open.
     std::function<DrainMarks(const maintenance::EntryRecords &)> quiet;
+    // Takes the revision of the store and of each worker's record that this entry routes by now.
+    std::function<void(platform::StoreRevision, DrainMarks)> noteRead = [](auto, const auto &) {};
 };
 
 } // namespace cyclamenlatch::capacity
--- a/src/capacity/internal/poolcontroller.cpp
+++ b/src/capacity/internal/poolcontroller.cpp
@@ -120,9 +120,20 @@
     if (placesChanged) {
         publish();
     }
+    noteRead();
     plan();
 }
 
+// After publishing: a worker whose mark is lifted by this must be in its new pool already.
+void PoolController::noteRead() const
+{
+    DrainMarks read;
+    for (const auto &[worker, found] : m_assignments) {
+        read[worker] = found.revision;
+    }
+    m_draining.noteRead(m_revision, std::move(read));
+}
+
 void PoolController::publish()
 {
     if (m_fleet) {
--- a/src/capacity/poolcontroller.h
+++ b/src/capacity/poolcontroller.h
@@ -65,6 +65,7 @@
     void onLeadership(bool held);
     void take(const platform::StoreListing &listing);
     void publish();
+    void noteRead() const;
     void armTick();
     void tick();
     // One step of every move, when this entry leads and has read all records.
--- a/src/maintenance/draincoordinator.h
+++ b/src/maintenance/draincoordinator.h
@@ -27,6 +27,9 @@
     void subscribe();
     // Takes marks that were read from the store.
     void take(const DrainPoll &poll);
+    // The assignments that this entry has read and routes by; see LeavingMarks.
+    void noteRead(platform::StoreRevision revision,
+                  std::unordered_map<WorkerId, platform::StoreRevision> records);
     // Tells every entry, this one included, of the marks and asks what is left; repeat it while
     // there are marks, and once after the last one is gone.
     void ask(const DrainPoll &poll);
--- a/src/maintenance/internal/draincoordinator.cpp
+++ b/src/maintenance/internal/draincoordinator.cpp
@@ -25,6 +25,14 @@
     answer(poll);
 }
 
+void DrainCoordinator::noteRead(platform::StoreRevision revision,
+                                std::unordered_map<WorkerId, platform::StoreRevision> records)
+{
+    const std::lock_guard lock(m_mutex);
+    m_marks.noteRead(revision, std::move(records));
+    m_hooks.setLeaving(m_marks.workers());
+}
+
 void DrainCoordinator::ask(const DrainPoll &poll)
 {
     m_peers.sendToAll(PeerTopic::Maintenance, membership::encode(MaintenanceMessage(poll)));
--- a/src/maintenance/internal/leavingmarks.cpp
+++ b/src/maintenance/internal/leavingmarks.cpp
@@ -1,6 +1,9 @@
-// Keeps the newest poll of each scope.
+// Keeps the newest poll of each scope, and the lifted marks whose outcome is not known.
 #include "maintenance/leavingmarks.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cyclamenlatch::maintenance {
 
 bool LeavingMarks::take(const DrainPoll &poll)
@@ -9,10 +12,47 @@
     if (poll.revision < newest.revision) {
         return false;
     }
+    if (poll.scope == poolScope) {
+        holdLifted(newest, poll);
+    }
     newest = poll;
     return true;
 }
 
+void LeavingMarks::noteRead(platform::StoreRevision revision,
+                            std::unordered_map<WorkerId, platform::StoreRevision> records)
+{
+    m_readRevision = revision;
+    m_readRecords = std::move(records);
+    dropKnown();
+}
+
+void LeavingMarks::holdLifted(const DrainPoll &older, const DrainPoll &newer)
+{
+    for (const auto &mark : older.marks) {
+        const bool stays = std::ranges::any_of(
+                newer.marks, [&](const LeavingMark &other) { return other.worker == mark.worker; });
+        if (!stays) {
+            m_lifted[mark.worker] = {mark, newer.revision};
+        }
+    }
+    dropKnown();
+}
+
+bool LeavingMarks::knowsWhatFollowed(const Lifted &lifted) const
+{
+    if (m_readRevision >= lifted.revision) {
+        return true;
+    }
+    const auto record = m_readRecords.find(lifted.mark.worker);
+    return record != m_readRecords.end() && record->second > lifted.mark.revision;
+}
+
+void LeavingMarks::dropKnown()
+{
+    std::erase_if(m_lifted, [this](const auto &item) { return knowsWhatFollowed(item.second); });
+}
+
 std::set<WorkerId> LeavingMarks::workers() const
 {
     std::set<WorkerId> workers;
@@ -21,6 +61,9 @@
             workers.insert(mark.worker);
         }
     }
+    for (const auto &[worker, lifted] : m_lifted) {
+        workers.insert(worker);
+    }
     return workers;
 }
 
--- a/src/maintenance/tests/observation_tests.cpp
+++ b/src/maintenance/tests/observation_tests.cpp
@@ -64,6 +64,25 @@
     EXPECT_TRUE(marks.workers().empty());
 }
 
+TEST(LeavingMarks, HoldsLiftedMarkOfPoolsUntilItsOutcomeIsRead)
+{
+    LeavingMarks marks;
+    marks.take({poolScope, 7, {{worker, 6}}});
+    marks.noteRead(7, {{worker, 6}});
+    marks.take({poolScope, 12, {}});
+    EXPECT_TRUE(marks.workers().contains(worker)) << "the new record is not read";
+    marks.noteRead(8, {{worker, 6}});
+    EXPECT_TRUE(marks.workers().contains(worker)) << "only others' records are newer";
+    marks.noteRead(9, {{worker, 9}});
+    EXPECT_TRUE(marks.workers().empty()) << "the worker's next record is read";
+
+    marks.take({poolScope, 14, {{worker, 13}}});
+    marks.take({poolScope, 16, {}});
+    EXPECT_TRUE(marks.workers().contains(worker));
+    marks.noteRead(16, {});
+    EXPECT_TRUE(marks.workers().empty()) << "the record is gone";
+}
+
 TEST(QuietCollector, WaitsForEveryEntryAndForFreshAnswers)
 {
     const std::vector<EntryId> entries{EntryId("e-a"), EntryId("e-b")};
--- a/tests/scenarios/worldfleet.cpp
+++ b/tests/scenarios/worldfleet.cpp
@@ -17,9 +17,9 @@
 using capacity::AssignmentStep;
 using maintenance::HostStep;
 using maintenance::MaintenanceMessage;
+using maintenance::poolScope;
 using maintenance::WaveState;
 
-constexpr const char *poolScope = "pools";
 constexpr std::size_t ticksPerPass = 4;
 constexpr std::size_t ticksPerHostList = 8;
 constexpr Duration leaseTime = std::chrono::seconds(6);
@@ -240,6 +240,11 @@
                 kept = {assignment, item.revision};
             }
         }
+        std::unordered_map<WorkerId, platform::StoreRevision> read;
+        for (const auto &[worker, found] : keeper.assignments) {
+            read[worker] = found.revision;
+        }
+        keeper.marks.noteRead(keeper.assignmentsRevision, std::move(read));
     });
 }
 
