Say the demand that takes turns once for burst and slots

Cause: bench/slots.cpp wrote bench/burst.cpp's constants and arrival loop again, and five benches the mean gap of a rate. Change: TurnTaking and gapOf.

--- a/bench/burst.cpp
+++ b/bench/burst.cpp
@@ -2,7 +2,7 @@
 // a twentieth in between. Figure: share of requests answered within their deadline.
 #include "bench/figure.h"
 #include "bench/schedulersimulation.h"
-#include "bench/simulatedfleet.h"
+#include "bench/turntaking.h"
 
 #include <gflags/gflags.h>
 
@@ -13,35 +13,15 @@
 using namespace cyclamenlatch;
 using namespace cyclamenlatch::bench;
 
-constexpr unsigned pools = 5;
-constexpr unsigned workersPerPool = 10;
-constexpr unsigned slots = 8;
-constexpr Duration meanWork = std::chrono::milliseconds(200);
-constexpr Duration timeout = std::chrono::seconds(2);
-constexpr Duration turn = std::chrono::seconds(5);
-constexpr Duration length = std::chrono::seconds(100);
-// A pool serves 400 requests a second; its queue asks 600 in its turn.
-constexpr double meanRate = 120;
-constexpr double burstFactor = 5;
-constexpr double troughFactor = 0.05;
-
 double answeredInDeadline(Policy policy, std::uint64_t seed)
 {
-    SchedulerSimulation simulation(makeFleet(pools, workersPerPool, slots, false, 2), policy, seed);
+    SchedulerSimulation simulation(TurnTaking::fleet(), policy, seed);
     Random random(seed);
-    for (unsigned pool = 0; pool < pools; ++pool) {
-        Duration at{0};
-        while (at < length) {
-            const bool bursts = (at / turn) % pools == pool;
-            const double rate = meanRate * (bursts ? burstFactor : troughFactor);
-            at += exponential(
-                    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate)),
-                    random);
-            simulation.submitAt(at, {QueueId("q-" + std::to_string(pool)), WorkspaceId("drivers"),
-                                     exponential(meanWork, random), timeout});
-        }
-    }
-    simulation.runUntil(length + 10 * timeout);
+    TurnTaking::arrive(random, [&](Duration at, const QueueId &queue) {
+        simulation.submitAt(at, {queue, WorkspaceId("drivers"),
+                                 exponential(TurnTaking::meanWork, random), TurnTaking::timeout});
+    });
+    simulation.runUntil(TurnTaking::end);
     return simulation.shareInDeadline();
 }
 
--- a/bench/faulty.cpp
+++ b/bench/faulty.cpp
@@ -28,7 +28,7 @@
     simulation.setFault(WorkerId("q-0-w-1"), MinionFault::Silent);
     simulation.setFault(WorkerId("q-0-w-2"), MinionFault::Slow);
     Random random(seed);
-    const auto gap = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+    const auto gap = gapOf(rate);
     for (Duration at = exponential(gap, random); at < length; at += exponential(gap, random)) {
         simulation.submitAt(at, {QueueId("q-0"), WorkspaceId("drivers"),
                                  exponential(meanWork, random), timeout});
--- a/bench/retry.cpp
+++ b/bench/retry.cpp
@@ -27,7 +27,7 @@
         simulation.setFault(WorkerId("q-0-w-" + std::to_string(index)), MinionFault::Refuses);
     }
     Random random(seed);
-    const auto gap = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+    const auto gap = gapOf(rate);
     for (Duration at = exponential(gap, random); at < length; at += exponential(gap, random)) {
         simulation.submitAt(at, {QueueId("q-0"), WorkspaceId("drivers"), work, timeout});
     }
--- a/bench/simulatedfleet.h
+++ b/bench/simulatedfleet.h
@@ -38,6 +38,12 @@
     return fleet;
 }
 
+// Mean time between arrivals at so many a second.
+inline Duration gapOf(double rate)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+}
+
 inline Duration exponential(Duration mean, Random &random)
 {
     const double factor = -std::log(1 - uniformReal(random));
--- a/bench/slots.cpp
+++ b/bench/slots.cpp
@@ -3,7 +3,7 @@
 // slots, and what was answered in its deadline.
 #include "bench/entriessimulation.h"
 #include "bench/figure.h"
-#include "bench/simulatedfleet.h"
+#include "bench/turntaking.h"
 
 #include <gflags/gflags.h>
 
@@ -15,16 +15,6 @@
 using namespace cyclamenlatch::bench;
 
 constexpr unsigned entries = 3;
-constexpr unsigned pools = 5;
-constexpr unsigned workersPerPool = 10;
-constexpr unsigned slots = 8;
-constexpr Duration meanWork = std::chrono::milliseconds(200);
-constexpr Duration timeout = std::chrono::seconds(2);
-constexpr Duration turn = std::chrono::seconds(5);
-constexpr Duration length = std::chrono::seconds(100);
-constexpr double meanRate = 120;
-constexpr double burstFactor = 5;
-constexpr double troughFactor = 0.05;
 
 struct Figures
 {
@@ -35,24 +25,15 @@
 
 Figures measure(Exchange exchange, bool oneEntry, std::uint64_t seed)
 {
-    EntriesSimulation simulation(makeFleet(pools, workersPerPool, slots, false, 2), entries,
-                                 exchange, seed);
+    EntriesSimulation simulation(TurnTaking::fleet(), entries, exchange, seed);
     Random random(seed);
-    for (unsigned pool = 0; pool < pools; ++pool) {
-        Duration at{0};
-        while (at < length) {
-            const bool bursts = (at / turn) % pools == pool;
-            const double rate = meanRate * (bursts ? burstFactor : troughFactor);
-            at += exponential(
-                    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate)),
-                    random);
-            const unsigned entry = oneEntry ? 0 : uniformBelow(random, entries);
-            simulation.submitAt(at, entry,
-                                {QueueId("q-" + std::to_string(pool)), WorkspaceId("drivers"),
-                                 exponential(meanWork, random), timeout});
-        }
-    }
-    simulation.runUntil(length + 10 * timeout);
+    TurnTaking::arrive(random, [&](Duration at, const QueueId &queue) {
+        const unsigned entry = oneEntry ? 0 : uniformBelow(random, entries);
+        simulation.submitAt(at, entry,
+                            {queue, WorkspaceId("drivers"),
+                             exponential(TurnTaking::meanWork, random), TurnTaking::timeout});
+    });
+    simulation.runUntil(TurnTaking::end);
     return {simulation.use(), simulation.shareInDeadline(), simulation.bytesPerSecond(0)};
 }
 
--- a/bench/urgent.cpp
+++ b/bench/urgent.cpp
@@ -38,7 +38,7 @@
     EntriesSimulation simulation(fleet, entries, Exchange::Digests, seed);
     Random random(seed);
     const double rate = pools * workersPerPool * slots * overload / toSeconds(meanWork);
-    const auto gap = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+    const auto gap = gapOf(rate);
     std::vector<std::size_t> urgent;
     for (Duration at{0}; at < length; at += exponential(gap, random)) {
         const auto pool = std::to_string(uniformBelow(random, pools));
