Show an operator's answer by one function instead of an out parameter

Change: showAnswer takes what writes the answer as text; showItems does so for a list or a single item. Output and exit status are as before.

--- a/src/app/internal/jobcommand.cpp
+++ b/src/app/internal/jobcommand.cpp
@@ -85,17 +85,13 @@
         body["queue"] = FLAGS_queue;
     }
     const auto answer = detail::askEntry("POST", "/v1/jobs/cancel", body.dump());
-    bool toShow = false;
-    const int status = detail::finishAnswer(answer, toShow);
-    if (answer && answer.value().isSuccess()) {
-        const auto &count = answer.value().body;
-        if (toShow) {
-            std::cout << fmt::format("{} cancelled, {} could not be reached\n",
-                                     count.value("cancelled", 0), count.value("failed", 0));
-        }
-        return count.value("failed", 0) == 0 ? status : exitFailure;
-    }
-    return status;
+    const int status = detail::showAnswer(answer, [](const nlohmann::json &count) {
+        std::cout << fmt::format("{} cancelled, {} could not be reached\n",
+                                 count.value("cancelled", 0), count.value("failed", 0));
+    });
+    const bool failed =
+            answer && answer.value().isSuccess() && answer.value().body.value("failed", 0) != 0;
+    return failed ? exitFailure : status;
 }
 
 } // namespace
--- a/src/app/internal/operatorclient.cpp
+++ b/src/app/internal/operatorclient.cpp
@@ -95,9 +95,8 @@
     return answer;
 }
 
-int finishAnswer(const Result<OperatorAnswer> &answer, bool &toShow)
+int showAnswer(const Result<OperatorAnswer> &answer, const AnswerWriter &write)
 {
-    toShow = false;
     if (!answer) {
         if (FLAGS_output == "json") {
             std::cout << json{{"error", errorKindNames.name(answer.error().kind)},
@@ -119,10 +118,23 @@
         printError(value.body);
         return exitFailure;
     }
-    toShow = true;
+    write(value.body);
     return exitSuccess;
 }
 
+int showItems(const Result<OperatorAnswer> &answer, const std::string &list,
+              const AnswerWriter &writeItem)
+{
+    return showAnswer(answer, [&](const json &body) {
+        if (!body.contains(list)) {
+            return writeItem(body);
+        }
+        for (const auto &item : body.at(list)) {
+            writeItem(item);
+        }
+    });
+}
+
 std::string spreadText(const json &spread)
 {
     auto text =
--- a/src/app/internal/operatorclient.h
+++ b/src/app/internal/operatorclient.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <functional>
 #include <string>
 
 namespace cyclamenlatch::app::detail {
@@ -31,9 +32,13 @@
 Result<OperatorAnswer> askEntry(const std::string &method, const std::string &path,
                                 const std::string &body = {});
 
-// Prints the answer as JSON when --output is json, otherwise an error with its remedy. Returns the
-// command's exit status; toShow tells whether the caller is to show the answer as text.
-int finishAnswer(const Result<OperatorAnswer> &answer, bool &toShow);
+using AnswerWriter = std::function<void(const nlohmann::json &)>;
+// Prints the answer as JSON when --output is json; otherwise an error with its remedy, or by write
+// what the entry said. Returns the command's exit status.
+int showAnswer(const Result<OperatorAnswer> &answer, const AnswerWriter &write);
+// The same for a list of items under that name, or for a single item.
+int showItems(const Result<OperatorAnswer> &answer, const std::string &list,
+              const AnswerWriter &writeItem);
 
 // "3 of 4 entries; pending: dc-c (e-7)".
 std::string spreadText(const nlohmann::json &spread);
--- a/src/app/internal/operatorcommands.cpp
+++ b/src/app/internal/operatorcommands.cpp
@@ -42,15 +42,11 @@
 
 int runGet(const Arguments &)
 {
-    bool toShow = false;
     const auto answer = detail::askEntry("GET", "/v1/fleet");
-    const int status = detail::finishAnswer(answer, toShow);
-    if (toShow) {
-        const auto &body = answer.value().body;
+    return detail::showAnswer(answer, [](const json &body) {
         std::cout << revisionLine << body.value("revision", 0) << "\n"
                   << body.value("document", "");
-    }
-    return status;
+    });
 }
 
 std::optional<std::int64_t> revisionOf(const std::string &document)
@@ -91,14 +87,9 @@
         return fail({ErrorKind::InvalidInput, "the document doesn't say which revision it changes",
                      "start from \"cyclamenlatch get\", or name it with --from (0: the first)"});
     }
-    bool toShow = false;
     const auto answer =
             detail::askEntry("PUT", fmt::format("/v1/fleet?from={}", *from), document.value());
-    const int status = detail::finishAnswer(answer, toShow);
-    if (toShow) {
-        showAccepted(answer.value().body);
-    }
-    return status;
+    return detail::showAnswer(answer, [](const json &body) { showAccepted(body); });
 }
 
 int runDiff(const Arguments &arguments)
@@ -107,61 +98,45 @@
     if (!document) {
         return fail(document.error());
     }
-    bool toShow = false;
     const auto answer = detail::askEntry("POST", "/v1/fleet/diff", document.value());
-    const int status = detail::finishAnswer(answer, toShow);
-    if (!toShow) {
-        return status;
-    }
-    for (const auto &change : answer.value().body["changes"]) {
-        std::cout << fmt::format("{} {} {}\n", change.value("kind", ""),
-                                 change.value("section", ""), change.value("name", ""));
-        if (!change.value("before", "").empty()) {
-            std::cout << "  - " << change.value("before", "") << "\n";
-        }
-        if (!change.value("after", "").empty()) {
-            std::cout << "  + " << change.value("after", "") << "\n";
+    return detail::showAnswer(answer, [](const json &body) {
+        for (const auto &change : body["changes"]) {
+            std::cout << fmt::format("{} {} {}\n", change.value("kind", ""),
+                                     change.value("section", ""), change.value("name", ""));
+            if (!change.value("before", "").empty()) {
+                std::cout << "  - " << change.value("before", "") << "\n";
+            }
+            if (!change.value("after", "").empty()) {
+                std::cout << "  + " << change.value("after", "") << "\n";
+            }
         }
-    }
-    showNotices(answer.value().body);
-    return status;
+        showNotices(body);
+    });
 }
 
 int runKeyGive(const Arguments &arguments)
 {
-    bool toShow = false;
-    const json body{{"workspace", arguments[0]}, {"name", arguments[1]}};
-    const auto answer = detail::askEntry("POST", "/v1/keys", body.dump());
-    const int status = detail::finishAnswer(answer, toShow);
-    if (toShow) {
-        std::cout << answer.value().body.value("key", "") << "\n";
-        showAccepted(answer.value().body);
-    }
-    return status;
+    const json request{{"workspace", arguments[0]}, {"name", arguments[1]}};
+    const auto answer = detail::askEntry("POST", "/v1/keys", request.dump());
+    return detail::showAnswer(answer, [](const json &body) {
+        std::cout << body.value("key", "") << "\n";
+        showAccepted(body);
+    });
 }
 
 int runKeyWithdraw(const Arguments &arguments)
 {
-    bool toShow = false;
     const auto answer = detail::askEntry("DELETE", "/v1/keys/" + arguments[0]);
-    const int status = detail::finishAnswer(answer, toShow);
-    if (toShow) {
-        const auto &body = answer.value().body;
+    return detail::showAnswer(answer, [](const json &body) {
         std::cout << fmt::format("withdrawn: {} ({})\n", body.value("message", ""),
                                  detail::spreadText(body["spread"]));
-    }
-    return status;
+    });
 }
 
 int changeWorker(const std::string &worker, const json &change)
 {
-    bool toShow = false;
     const auto answer = detail::askEntry("POST", "/v1/workers/" + worker, change.dump());
-    const int status = detail::finishAnswer(answer, toShow);
-    if (toShow) {
-        showAccepted(answer.value().body);
-    }
-    return status;
+    return detail::showAnswer(answer, [](const json &body) { showAccepted(body); });
 }
 
 int runWorkerLabel(const Arguments &arguments)
@@ -184,18 +159,14 @@
 
 int runWorkspaceList(const Arguments &)
 {
-    bool toShow = false;
     const auto answer = detail::askEntry("GET", "/v1/workspaces");
-    const int status = detail::finishAnswer(answer, toShow);
-    if (!toShow) {
-        return status;
-    }
-    for (const auto &workspace : answer.value().body["workspaces"]) {
-        std::cout << fmt::format("{:<20} weight {:<6} limit {:<6} keys {}\n",
-                                 workspace.value("name", ""), workspace.value("weight", 0.0),
-                                 workspace.value("limit", 0), workspace["keys"].dump());
-    }
-    return status;
+    return detail::showAnswer(answer, [](const json &body) {
+        for (const auto &workspace : body["workspaces"]) {
+            std::cout << fmt::format("{:<20} weight {:<6} limit {:<6} keys {}\n",
+                                     workspace.value("name", ""), workspace.value("weight", 0.0),
+                                     workspace.value("limit", 0), workspace["keys"].dump());
+        }
+    });
 }
 
 std::string inForceText(const json &limit)
@@ -208,44 +179,35 @@
 
 int runLimitList(const Arguments &)
 {
-    bool toShow = false;
     const auto answer = detail::askEntry("GET", "/v1/limits");
-    const int status = detail::finishAnswer(answer, toShow);
-    if (!toShow) {
-        return status;
-    }
-    const auto &body = answer.value().body;
-    for (const auto &limit : body.at("limits")) {
-        std::cout << fmt::format("{:<20} limit {:<6} {}, locked {}\n", limit.value("workspace", ""),
-                                 limit.value("limit", 0U), inForceText(limit),
-                                 limit.value("locked", 0U));
-        for (const auto &dataCentre : limit.at("dataCentres")) {
-            std::cout << fmt::format("  {:<18} held {:<7} used {}\n",
-                                     dataCentre.value("dataCentre", ""),
-                                     dataCentre.value("held", 0U), dataCentre.value("used", 0U));
+    return detail::showAnswer(answer, [](const json &body) {
+        for (const auto &limit : body.at("limits")) {
+            std::cout << fmt::format("{:<20} limit {:<6} {}, locked {}\n",
+                                     limit.value("workspace", ""), limit.value("limit", 0U),
+                                     inForceText(limit), limit.value("locked", 0U));
+            for (const auto &dataCentre : limit.at("dataCentres")) {
+                std::cout << fmt::format(
+                        "  {:<18} held {:<7} used {}\n", dataCentre.value("dataCentre", ""),
+                        dataCentre.value("held", 0U), dataCentre.value("used", 0U));
+            }
         }
-    }
-    const auto silent = body.value("silent", std::vector<std::string>());
-    if (!silent.empty()) {
-        std::cout << fmt::format("not counted, no answer: {}\n", fmt::join(silent, ", "));
-    }
-    return status;
+        const auto silent = body.value("silent", std::vector<std::string>());
+        if (!silent.empty()) {
+            std::cout << fmt::format("not counted, no answer: {}\n", fmt::join(silent, ", "));
+        }
+    });
 }
 
 int runEntryList(const Arguments &)
 {
-    bool toShow = false;
     const auto answer = detail::askEntry("GET", "/v1/entries");
-    const int status = detail::finishAnswer(answer, toShow);
-    if (!toShow) {
-        return status;
-    }
-    for (const auto &entry : answer.value().body.at("entries")) {
-        std::cout << fmt::format("{:<16} {:<10} {:<22} {}\n", entry.value("entry", ""),
-                                 entry.value("dataCentre", ""), entry.value("address", ""),
-                                 entry.value("state", ""));
-    }
-    return status;
+    return detail::showAnswer(answer, [](const json &body) {
+        for (const auto &entry : body.at("entries")) {
+            std::cout << fmt::format("{:<16} {:<10} {:<22} {}\n", entry.value("entry", ""),
+                                     entry.value("dataCentre", ""), entry.value("address", ""),
+                                     entry.value("state", ""));
+        }
+    });
 }
 
 // Says it again until the store holds it: the entry that was told may end before.
@@ -254,7 +216,6 @@
     constexpr unsigned attempts = 20;
     constexpr std::chrono::milliseconds pause{250};
     for (unsigned attempt = 1; attempt <= attempts; ++attempt) {
-        bool toShow = false;
         const auto answer = detail::askEntry("POST", "/v1/entries/gone", subject.dump());
         const bool recorded = answer && answer.value().body.value("recorded", false);
         const bool again = answer && answer.value().isSuccess() && !recorded;
@@ -262,18 +223,18 @@
             std::this_thread::sleep_for(pause);
             continue;
         }
-        const int status = detail::finishAnswer(answer, toShow);
-        if (!toShow) {
-            return status;
-        }
-        if (!recorded) {
-            std::cerr << "noted, but not in the store yet; repeat the command until it is\n";
-            return exitFailure;
-        }
-        std::cout << fmt::format("recorded for {} registered lives; their units are free after the "
-                                 "longest work\n",
-                                 answer.value().body.value("holders", 0U));
-        return status;
+        bool unrecorded = false;
+        const int status = detail::showAnswer(answer, [&](const json &body) {
+            unrecorded = !recorded;
+            if (unrecorded) {
+                std::cerr << "noted, but not in the store yet; repeat the command until it is\n";
+                return;
+            }
+            std::cout << fmt::format("recorded for {} registered lives; their units are free after "
+                                     "the longest work\n",
+                                     body.value("holders", 0U));
+        });
+        return unrecorded ? exitFailure : status;
     }
     return exitFailure;
 }
@@ -290,23 +251,19 @@
 
 int runStatus(const Arguments &)
 {
-    bool toShow = false;
     const auto answer = detail::askEntry("GET", "/v1/status");
-    const int status = detail::finishAnswer(answer, toShow);
-    if (!toShow) {
-        return status;
-    }
-    const auto &body = answer.value().body;
-    std::cout << fmt::format("revision {} in force at {}\n", body.value("revision", 0),
-                             detail::spreadText(body["spread"]));
-    std::cout << "withdrawn keys known at " << detail::spreadText(body["withdrawnKeys"]) << "\n";
-    if (!body.value("keyedWorkAdmitted", false)) {
-        std::cout << "keyed work is refused here: the data centre is cut off\n";
-    }
-    if (body.contains("unready")) {
-        std::cout << "not ready: " << body.value("unready", "") << "\n";
-    }
-    return status;
+    return detail::showAnswer(answer, [](const json &body) {
+        std::cout << fmt::format("revision {} in force at {}\n", body.value("revision", 0),
+                                 detail::spreadText(body["spread"]));
+        std::cout << "withdrawn keys known at " << detail::spreadText(body["withdrawnKeys"])
+                  << "\n";
+        if (!body.value("keyedWorkAdmitted", false)) {
+            std::cout << "keyed work is refused here: the data centre is cut off\n";
+        }
+        if (body.contains("unready")) {
+            std::cout << "not ready: " << body.value("unready", "") << "\n";
+        }
+    });
 }
 
 constexpr OperatorCommand commands[] = {
--- a/src/app/internal/wavecommand.cpp
+++ b/src/app/internal/wavecommand.cpp
@@ -71,20 +71,7 @@
 
 int printAnswer(const Result<detail::OperatorAnswer> &answer)
 {
-    bool toShow = false;
-    const int status = detail::finishAnswer(answer, toShow);
-    if (!toShow) {
-        return status;
-    }
-    const auto &body = answer.value().body;
-    if (!body.contains("waves")) {
-        printProgress(body);
-        return status;
-    }
-    for (const auto &wave : body.at("waves")) {
-        printProgress(wave);
-    }
-    return status;
+    return detail::showItems(answer, "waves", printProgress);
 }
 
 } // namespace
--- a/src/app/internal/workercommand.cpp
+++ b/src/app/internal/workercommand.cpp
@@ -30,20 +30,7 @@
 
 int printAnswer(const Result<detail::OperatorAnswer> &answer)
 {
-    bool toShow = false;
-    const int status = detail::finishAnswer(answer, toShow);
-    if (!toShow) {
-        return status;
-    }
-    const auto &body = answer.value().body;
-    if (!body.contains("workers")) {
-        printWorker(body);
-        return status;
-    }
-    for (const auto &worker : body.at("workers")) {
-        printWorker(worker);
-    }
-    return status;
+    return detail::showItems(answer, "workers", printWorker);
 }
 
 } // namespace
