--- a/bench/configcluster.h
+++ b/bench/configcluster.h
@@ -7,7 +7,7 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/workerthreads.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 #include "standins/platform/platformserver.h"
 
 #include <fmt/format.h>
@@ -31,7 +31,7 @@
                    })
     {
         static_cast<void>(m_server.start());
-        platform::StoreClientSettings settings;
+        store::StoreClientSettings settings;
         settings.url = fmt::format("http://127.0.0.1:{}", m_server.port());
         std::vector<membership::PeerAddress> addresses;
         for (unsigned index = 0; index < entries; ++index) {
@@ -42,7 +42,7 @@
             peers.secret = "bench";
             node->peers = std::make_unique<membership::PeerBus>(m_threads.context(), peers);
             node->store =
-                    std::make_unique<platform::StoreClient>(m_threads.context(), m_http, settings);
+                    std::make_unique<store::StoreClient>(m_threads.context(), m_http, settings);
             node->configuration = std::make_unique<configuration::Configuration>(
                     m_threads.context(), *node->peers, *node->store,
                     configuration::ConfigurationCallbacks{
@@ -83,18 +83,18 @@
     }
 
     // Returns the accepted revision, or 0.
-    platform::StoreRevision apply(const fleet::FleetDocument &document,
-                                  platform::StoreRevision from)
+    store::StoreRevision apply(const fleet::FleetDocument &document,
+                                  store::StoreRevision from)
     {
-        std::promise<platform::StoreRevision> promise;
-        at(0).apply(document, from, [&promise](const Result<platform::StoreRevision> &applied) {
+        std::promise<store::StoreRevision> promise;
+        at(0).apply(document, from, [&promise](const Result<store::StoreRevision> &applied) {
             promise.set_value(applied ? applied.value() : 0);
         });
         return promise.get_future().get();
     }
 
     // Waits until the revision is in force at every entry; false after the patience.
-    bool awaitInForce(platform::StoreRevision revision)
+    bool awaitInForce(store::StoreRevision revision)
     {
         std::promise<bool> promise;
         at(0).whenInForce(revision, patience,
@@ -121,7 +121,7 @@
     struct Node
     {
         std::unique_ptr<membership::PeerBus> peers;
-        std::unique_ptr<platform::StoreClient> store;
+        std::unique_ptr<store::StoreClient> store;
         std::unique_ptr<configuration::Configuration> configuration;
     };
 
--- a/bench/controlcost.cpp
+++ b/bench/controlcost.cpp
@@ -288,7 +288,7 @@
     struct Read
     {
         unsigned index = 0;
-        platform::StoreRevision after = 0;
+        store::StoreRevision after = 0;
         TimePoint sentAt;
         TimePoint due;
     };
@@ -331,8 +331,8 @@
     TimePoint m_now{};
     std::vector<configuration::SpreadState> m_states;
     std::map<EntryId, unsigned> m_indexes;
-    platform::StoreListing m_listing{1, {}};
-    const platform::StoreListing m_noChange{1, {}};
+    store::StoreListing m_listing{1, {}};
+    const store::StoreListing m_noChange{1, {}};
     std::deque<Read> m_reads;
     std::deque<Datagram> m_datagrams;
     std::uint64_t m_messages = 0;
@@ -484,7 +484,7 @@
         }
     }
 
-    void apply(unsigned index, const platform::StoreWrite &write)
+    void apply(unsigned index, const store::StoreWrite &write)
     {
         ++m_writes;
         auto &item = m_store[write.key];
@@ -507,8 +507,8 @@
     std::vector<quota::QuotaResource> m_resources;
     // By workspace: the entry that wants all its units.
     std::vector<unsigned> m_demandAt;
-    std::map<std::string, platform::StoreItem> m_store;
-    platform::StoreRevision m_revision = 0;
+    std::map<std::string, store::StoreItem> m_store;
+    store::StoreRevision m_revision = 0;
     std::vector<Datagram> m_datagrams;
     std::uint64_t m_messages = 0;
     std::uint64_t m_bytes = 0;
--- a/bench/jobs/main.cpp
+++ b/bench/jobs/main.cpp
@@ -122,7 +122,7 @@
         }
         pass(starts.empty() && plan.commands.empty() ? 0ms : taskCallTime);
         for (const auto &record : starts) {
-            platform::TaskStart start;
+            store::TaskStart start;
             start.id = taskOf(record);
             start.worker = record.worker;
             start.lease = taskLease;
@@ -135,7 +135,7 @@
         for (const auto &[command, tasks] : plan.commands) {
             m_tasks.command(command, tasks, TimePoint(m_now));
         }
-        m_tasks.command(platform::TaskCommand::Renew, m_book.renewals(), TimePoint(m_now));
+        m_tasks.command(store::TaskCommand::Renew, m_book.renewals(), TimePoint(m_now));
         const auto listing = m_tasks.changes(m_taskRevision);
         m_taskRevision = listing.revision;
         m_book.noteTasks(listing);
@@ -179,7 +179,7 @@
     Duration m_now{1s};
     standins::StoreModel m_store;
     standins::TaskModel m_tasks;
-    platform::TaskRevision m_taskRevision = 0;
+    store::TaskRevision m_taskRevision = 0;
     std::chrono::milliseconds m_passGap{10};
     std::size_t m_lastWrites = 0;
     unsigned m_nextJob = 0;
--- a/bench/revisions.cpp
+++ b/bench/revisions.cpp
@@ -86,7 +86,7 @@
     AssignmentView view;
     view.newRecords = workers;
     std::map<WorkerId, std::int64_t> drainEnds;
-    platform::StoreRevision revision = 0;
+    store::StoreRevision revision = 0;
     const auto lastAt =
             static_cast<std::int64_t>(revisions.documents.size() - 1) * revisions.interval;
     for (std::int64_t now = 0; now < longestRun; now += tick) {
--- a/bench/spread.cpp
+++ b/bench/spread.cpp
@@ -35,7 +35,7 @@
 {
     bench::ConfigCluster cluster(entries);
     auto document = makeFleet(FLAGS_workers);
-    platform::StoreRevision revision = 0;
+    store::StoreRevision revision = 0;
     std::vector<double> writes;
     std::vector<double> spreads;
     unsigned late = 0;
--- a/bench/wave.cpp
+++ b/bench/wave.cpp
@@ -183,7 +183,7 @@
         }
     }
 
-    void apply(const platform::StoreWrite &write)
+    void apply(const store::StoreWrite &write)
     {
         if (write.key.starts_with(hostPrefix)) {
             const auto record = readHostRecord(write.value).value();
@@ -228,7 +228,7 @@
     fleet::FleetDocument m_fleet;
     WaveView m_view;
     RecordTime m_now = 1000000;
-    platform::StoreRevision m_revision = 0;
+    store::StoreRevision m_revision = 0;
     std::map<WorkerId, HostTimes> m_times;
     std::map<WorkerId, RecordTime> m_rebootEnds;
     std::map<WorkerId, RecordTime> m_failedUntil;
--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -35,6 +35,9 @@
 
 # Declares a GoogleTest program whose every case has an overall time limit in seconds.
 function(cyclamenlatch_tests name)
+    if(NOT CYCLAMENLATCH_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(TESTS "" "TIMEOUT" "SOURCES;LINKS" ${ARGN})
     if(NOT TESTS_TIMEOUT)
         set(TESTS_TIMEOUT 60)
--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -19,8 +19,8 @@
 #include "net/workerthreads.h"
 #include "operatorapi/fleetcommands.h"
 #include "operatorapi/operatorapi.h"
-#include "platform/hostclient.h"
-#include "platform/storeclient.h"
+#include "store/hostclient.h"
+#include "store/storeclient.h"
 #include "quota/hostwatch.h"
 #include "quota/limitsurvey.h"
 #include "quota/quotatable.h"
@@ -62,10 +62,10 @@
     operatorapi::OperatorApi m_operatorApi;
     // Absent when the settings name no operator interface.
     std::unique_ptr<net::HttpServer> m_operatorServer;
-    platform::StoreClient m_store;
+    store::StoreClient m_store;
     quota::QuotaTrader m_quotaTrader;
     quota::LimitSurvey m_limitSurvey;
-    platform::HostClient m_hosts;
+    store::HostClient m_hosts;
     quota::HostWatch m_hostWatch;
     admission::KeyGate m_keyGate;
     detail::FleetKeeping m_fleetKeeping;
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -44,9 +44,9 @@
     return settings.operators ? settings.operators->keys : std::vector<operatorapi::OperatorKey>();
 }
 
-platform::StoreClientSettings storeSettings(const EntrySettings &settings)
+store::StoreClientSettings storeSettings(const EntrySettings &settings)
 {
-    platform::StoreClientSettings store;
+    store::StoreClientSettings store;
     store.url = settings.platformUrl;
     store.callTimeout = storeTimeout;
     store.budget.callsPerSecond = settings.platformCallsPerSecond;
--- a/src/app/internal/fleetkeeping.cpp
+++ b/src/app/internal/fleetkeeping.cpp
@@ -34,7 +34,7 @@
     return hooks;
 }
 
-maintenance::DrainPoll pollOf(platform::StoreRevision revision, const capacity::DrainMarks &marks)
+maintenance::DrainPoll pollOf(store::StoreRevision revision, const capacity::DrainMarks &marks)
 {
     maintenance::DrainPoll poll{maintenance::poolScope, revision, {}};
     for (const auto &[worker, recordRevision] : marks) {
@@ -46,16 +46,16 @@
 capacity::Draining drainingOf(maintenance::DrainCoordinator &drains)
 {
     capacity::Draining draining;
-    draining.ask = [&drains](platform::StoreRevision revision, const capacity::DrainMarks &marks) {
+    draining.ask = [&drains](store::StoreRevision revision, const capacity::DrainMarks &marks) {
         drains.ask(pollOf(revision, marks));
     };
-    draining.take = [&drains](platform::StoreRevision revision, const capacity::DrainMarks &marks) {
+    draining.take = [&drains](store::StoreRevision revision, const capacity::DrainMarks &marks) {
         drains.take(pollOf(revision, marks));
     };
     draining.quiet = [&drains](const maintenance::EntryRecords &records) {
         return drains.quiet(maintenance::poolScope, records);
     };
-    draining.noteRead = [&drains](platform::StoreRevision revision, capacity::DrainMarks records) {
+    draining.noteRead = [&drains](store::StoreRevision revision, capacity::DrainMarks records) {
         drains.noteRead(revision, std::move(records));
     };
     return draining;
@@ -91,7 +91,7 @@
 } // namespace
 
 FleetKeeping::FleetKeeping(asio::io_context &context, const EntrySettings &settings,
-                           platform::StoreClient &store, membership::PeerBus &peers,
+                           store::StoreClient &store, membership::PeerBus &peers,
                            dispatch::Dispatcher &dispatcher, const JobDrains &jobs,
                            capacity::PoolController::FleetListener listener)
     : m_drains(peers, hooksOf(dispatcher, jobs))
--- a/src/app/internal/fleetkeeping.h
+++ b/src/app/internal/fleetkeeping.h
@@ -13,8 +13,8 @@
 #include "membership/peerbus.h"
 #include "net/httpclient.h"
 #include "operatorapi/operatorapi.h"
-#include "platform/hostclient.h"
-#include "platform/storeclient.h"
+#include "store/hostclient.h"
+#include "store/storeclient.h"
 
 #include <asio/io_context.hpp>
 
@@ -38,7 +38,7 @@
 public:
     // The listener gets the fleet document with each worker in the pool that it is really in.
     FleetKeeping(asio::io_context &context, const EntrySettings &settings,
-                 platform::StoreClient &store, membership::PeerBus &peers,
+                 store::StoreClient &store, membership::PeerBus &peers,
                  dispatch::Dispatcher &dispatcher, const JobDrains &jobs,
                  capacity::PoolController::FleetListener listener);
 
@@ -82,7 +82,7 @@
 
     maintenance::DrainCoordinator m_drains;
     maintenance::WaveOperations m_waves;
-    platform::HostClient m_hosts;
+    store::HostClient m_hosts;
     maintenance::MaintenanceController m_maintenance;
     maintenance::EntryRegistrar m_registrar;
     capacity::PoolController m_pools;
--- a/src/app/internal/servecommand.cpp
+++ b/src/app/internal/servecommand.cpp
@@ -1,20 +1,47 @@
-// "serve": runs an entry until SIGTERM or SIGINT.
+// "serve": runs an entry until SIGTERM or SIGINT, on the users' platform where its settings file is
+// named by the environment and none by a flag.
 #include "app/commands.h"
 #include "app/entry.h"
 #include "app/internal/readfile.h"
+#include "control/platformentry.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <gflags/gflags.h>
 
+#include <cstdlib>
 #include <iostream>
+#include <string>
 
 DEFINE_string(config, "", "serve: file with the entry's settings");
 
 namespace cyclamenlatch::app {
 
+namespace {
+
+int serveOnPlatform(const std::string &settingsPath)
+{
+    auto settings = platform::readEntrySettings(settingsPath);
+    if (!settings) {
+        std::cerr << settings.error().toString() << "\n";
+        return exitUsage;
+    }
+    control::PlatformEntry entry(std::move(settings).value(), settingsPath);
+    if (const auto ended = entry.run(); !ended) {
+        std::cerr << ended.error().toString() << "\n";
+        return exitFailure;
+    }
+    return exitSuccess;
+}
+
+} // namespace
+
 int runServe()
 {
+    const char *platformSettings = std::getenv("CYCLAMENLATCH_SETTINGS");
+    if (FLAGS_config.empty() && platformSettings != nullptr) {
+        return serveOnPlatform(platformSettings);
+    }
     const auto text = detail::readFile(FLAGS_config);
     if (!text) {
         std::cerr << text.error().toString() << "\n";
--- a/src/app/internal/workerroutes.cpp
+++ b/src/app/internal/workerroutes.cpp
@@ -38,7 +38,7 @@
     try {
         const auto body = json::parse(request.http.body);
         pools.move(WorkerId(body.at("worker")), PoolId(body.at("pool")), request.operatorName,
-                   body.value("revision", platform::StoreRevision{0}),
+                   body.value("revision", store::StoreRevision{0}),
                    [respond](const Result<VersionedAssignment> &moved) {
                        respond(moved ? operatorapi::jsonReply(200, assignmentJson(moved.value()))
                                      : operatorapi::errorReply(moved.error()));
--- a/src/app/jobservice.h
+++ b/src/app/jobservice.h
@@ -5,7 +5,7 @@
 #include "jobs/jobcontroller.h"
 #include "jobs/jobdesk.h"
 #include "membership/peerbus.h"
-#include "platform/taskclient.h"
+#include "store/taskclient.h"
 
 #include <asio/io_context.hpp>
 
@@ -17,7 +17,7 @@
 class JobService
 {
 public:
-    JobService(asio::io_context &context, platform::StoreClient &store, net::HttpClient &http,
+    JobService(asio::io_context &context, store::StoreClient &store, net::HttpClient &http,
                const std::string &platformUrl, quota::QuotaTable &quota,
                jobs::JobControllerSettings settings, membership::PeerBus &peers)
         : m_desk(store)
@@ -60,7 +60,7 @@
 
     jobs::JobDesk m_desk;
     callerapi::JobRoutes m_routes;
-    platform::TaskClient m_tasks;
+    store::TaskClient m_tasks;
     jobs::JobController m_controller;
     membership::PeerBus &m_peers;
 };
--- a/src/callerapi/tests/jobroutes_tests.cpp
+++ b/src/callerapi/tests/jobroutes_tests.cpp
@@ -46,7 +46,7 @@
 
     asio::io_context m_context;
     net::HttpClient m_http;
-    platform::StoreClient m_store;
+    store::StoreClient m_store;
     jobs::JobDesk m_desk;
     JobRoutes m_routes;
     admission::KeyGate m_gate;
--- a/src/capacity/assignmentplanner.h
+++ b/src/capacity/assignmentplanner.h
@@ -6,7 +6,7 @@
 #include "capacity/moveclaims.h"
 #include "capacity/workerassignment.h"
 #include "fleet/fleetdocument.h"
-#include "platform/storewrite.h"
+#include "store/storewrite.h"
 
 #include <unordered_map>
 #include <vector>
@@ -18,7 +18,7 @@
     const fleet::FleetDocument *fleet = nullptr;
     std::unordered_map<WorkerId, VersionedAssignment> assignments;
     // Draining workers that nobody uses any more, with the record's revision that was confirmed.
-    std::unordered_map<WorkerId, platform::StoreRevision> quiet;
+    std::unordered_map<WorkerId, store::StoreRevision> quiet;
     MoveLedgers ledgers;
     // Workers of one pool that may drain at once.
     unsigned drainsPerPool = 1;
@@ -28,7 +28,7 @@
 
 // The writes that bring each worker one step nearer to where it should be, and those of the ledgers
 // that go with them.
-std::vector<platform::StoreWrite> planAssignments(const AssignmentView &view, std::int64_t now);
+std::vector<store::StoreWrite> planAssignments(const AssignmentView &view, std::int64_t now);
 
 // The worker's record, or the one that the fleet document stands for.
 VersionedAssignment assignmentOf(const AssignmentView &view, const fleet::Worker &worker);
--- a/src/capacity/automaticmoves.h
+++ b/src/capacity/automaticmoves.h
@@ -9,7 +9,7 @@
 #include "capacity/workerassignment.h"
 #include "fleet/fleetdocument.h"
 #include "global/time.h"
-#include "platform/storewrite.h"
+#include "store/storewrite.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,7 +35,7 @@
 struct DecidedMove
 {
     MoveDecision decision;
-    platform::StoreWrite write;
+    store::StoreWrite write;
 };
 
 class AutomaticMoves
--- a/src/capacity/internal/assignmentplanner.cpp
+++ b/src/capacity/internal/assignmentplanner.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-platform::StoreWrite writeOf(const VersionedAssignment &found, const WorkerAssignment &changed)
+store::StoreWrite writeOf(const VersionedAssignment &found, const WorkerAssignment &changed)
 {
     return {assignmentKey(changed.worker), writeAssignment(changed), found.revision, ""};
 }
@@ -56,7 +56,7 @@
         , m_newRecords(view.newRecords)
     {}
 
-    std::vector<platform::StoreWrite> run()
+    std::vector<store::StoreWrite> run()
     {
         m_claims.removeOver(m_view.assignments);
         for (const auto &worker : m_view.fleet->workers) {
@@ -138,7 +138,7 @@
     MoveClaims m_claims;
     std::unordered_map<PoolId, unsigned> m_draining;
     unsigned m_newRecords;
-    std::vector<platform::StoreWrite> m_writes;
+    std::vector<store::StoreWrite> m_writes;
 };
 
 } // namespace
@@ -158,7 +158,7 @@
     return implied;
 }
 
-std::vector<platform::StoreWrite> planAssignments(const AssignmentView &view, std::int64_t now)
+std::vector<store::StoreWrite> planAssignments(const AssignmentView &view, std::int64_t now)
 {
     return AssignmentPass(view, now).run();
 }
--- a/src/capacity/internal/moveclaims.cpp
+++ b/src/capacity/internal/moveclaims.cpp
@@ -125,9 +125,9 @@
     }
 }
 
-std::vector<platform::StoreWrite> MoveClaims::writes() const
+std::vector<store::StoreWrite> MoveClaims::writes() const
 {
-    std::vector<platform::StoreWrite> writes;
+    std::vector<store::StoreWrite> writes;
     for (const auto &[name, ledger] : m_changed) {
         if (ledger.changed) {
             writes.push_back({maintenance::ledgerKey(name), maintenance::writeRecord(ledger.record),
--- a/src/capacity/internal/poolcontroller.cpp
+++ b/src/capacity/internal/poolcontroller.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 PoolController::PoolController(asio::io_context &context, EntryId entry,
-                               platform::StoreClient &store, Draining draining,
+                               store::StoreClient &store, Draining draining,
                                FleetListener listener)
     : m_strand(asio::make_strand(context))
     , m_entry(std::move(entry))
@@ -38,9 +38,9 @@
               [this](bool held) { onLeadership(held); })
     , m_timer(m_strand)
     , m_follower(m_strand, store, assignmentPrefix,
-                 [this](const platform::StoreListing &listing, bool) { take(listing); })
+                 [this](const store::StoreListing &listing, bool) { take(listing); })
     , m_ledgerFollower(m_strand, store, maintenance::recordPrefix,
-                       [this](const platform::StoreListing &listing, bool isWhole) {
+                       [this](const store::StoreListing &listing, bool isWhole) {
                            if (isWhole) {
                                m_ledgers = maintenance::MaintenanceRecords();
                            }
@@ -88,7 +88,7 @@
     held ? m_ledgerFollower.start() : m_ledgerFollower.stop();
 }
 
-void PoolController::take(const platform::StoreListing &listing)
+void PoolController::take(const store::StoreListing &listing)
 {
     if (listing.revision < m_revision) {
         return;
@@ -201,7 +201,7 @@
     if (!m_writing.insert(move.write.key).second) {
         return;
     }
-    m_store.compareAndSwap(move.write, [this, move](const Result<platform::StoreRevision> &result) {
+    m_store.compareAndSwap(move.write, [this, move](const Result<store::StoreRevision> &result) {
         asio::post(m_strand, [this, move, written = result.has_value()] {
             m_writing.erase(move.write.key);
             if (written) {
@@ -226,7 +226,7 @@
 // before it is in that reading, and one that did so later has read the drain.
 void PoolController::rereadForNewDrains(const DrainMarks &marks)
 {
-    platform::StoreRevision newest = 0;
+    store::StoreRevision newest = 0;
     for (const auto &[worker, revision] : marks) {
         newest = std::max(newest, revision);
     }
@@ -297,13 +297,13 @@
     });
 }
 
-void PoolController::write(const platform::StoreWrite &write)
+void PoolController::write(const store::StoreWrite &write)
 {
     if (!m_writing.insert(write.key).second) {
         return;
     }
     const bool moves = changesPool(write);
-    m_store.compareAndSwap(write, [this, write, moves](Result<platform::StoreRevision> revision) {
+    m_store.compareAndSwap(write, [this, write, moves](Result<store::StoreRevision> revision) {
         asio::post(m_strand, [this, write, moves, written = revision.has_value()] {
             m_writing.erase(write.key);
             if (written) {
@@ -314,7 +314,7 @@
 }
 
 // Not so for a worker's first record, and for one that is taken back before it has left.
-bool PoolController::changesPool(const platform::StoreWrite &write) const
+bool PoolController::changesPool(const store::StoreWrite &write) const
 {
     if (!write.key.starts_with(assignmentPrefix)) {
         return false;
@@ -324,7 +324,7 @@
     return known != m_assignments.end() && known->second.assignment.pool != assignment.pool;
 }
 
-void PoolController::logStep(const platform::StoreWrite &write, bool moves) const
+void PoolController::logStep(const store::StoreWrite &write, bool moves) const
 {
     if (!write.key.starts_with(assignmentPrefix)) {
         return;
@@ -336,7 +336,7 @@
 }
 
 void PoolController::move(const WorkerId &worker, const PoolId &pool, const std::string &setBy,
-                          platform::StoreRevision revision, MoveCompletion completion)
+                          store::StoreRevision revision, MoveCompletion completion)
 {
     asio::post(m_strand, [this, worker, pool, setBy, revision, completion = std::move(completion)] {
         auto changed = checkedMove(worker, pool, setBy, revision);
@@ -346,7 +346,7 @@
         const auto &assignment = changed.value().assignment;
         m_store.compareAndSwap(
                 {assignmentKey(worker), writeAssignment(assignment), changed.value().revision, ""},
-                [assignment, completion](Result<platform::StoreRevision> written) {
+                [assignment, completion](Result<store::StoreRevision> written) {
                     if (!written) {
                         return completion(written.error());
                     }
@@ -359,7 +359,7 @@
 
 Result<VersionedAssignment> PoolController::checkedMove(const WorkerId &worker, const PoolId &pool,
                                                         const std::string &setBy,
-                                                        platform::StoreRevision revision) const
+                                                        store::StoreRevision revision) const
 {
     if (!m_fleet || m_revision == 0) {
         return failure(ErrorKind::Unavailable, "this entry does not know the workers yet",
--- a/src/capacity/moveclaims.h
+++ b/src/capacity/moveclaims.h
@@ -11,7 +11,7 @@
 #include "maintenance/budget.h"
 #include "maintenance/ledgerrecord.h"
 #include "maintenance/versioned.h"
-#include "platform/storewrite.h"
+#include "store/storewrite.h"
 
 #include <optional>
 #include <string>
@@ -49,13 +49,13 @@
     void add(const WorkerId &worker, std::uint64_t attempt);
     // Removes the claims of attempts that are over.
     void removeOver(const std::unordered_map<WorkerId, VersionedAssignment> &assignments);
-    std::vector<platform::StoreWrite> writes() const;
+    std::vector<store::StoreWrite> writes() const;
 
 private:
     struct Ledger
     {
         maintenance::LedgerRecord record;
-        platform::StoreRevision revision = 0;
+        store::StoreRevision revision = 0;
         bool changed = false;
     };
 
--- a/src/capacity/poolcontroller.h
+++ b/src/capacity/poolcontroller.h
@@ -9,9 +9,9 @@
 #include "fleet/fleetdocument.h"
 #include "global/ids.h"
 #include "maintenance/maintenancerecords.h"
-#include "platform/leaderlease.h"
-#include "platform/storeclient.h"
-#include "platform/storefollower.h"
+#include "store/leaderlease.h"
+#include "store/storeclient.h"
+#include "store/storefollower.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -39,7 +39,7 @@
 
     // The listener gets the document with each worker in the pool of its record, again whenever
     // either changes.
-    PoolController(asio::io_context &context, EntryId entry, platform::StoreClient &store,
+    PoolController(asio::io_context &context, EntryId entry, store::StoreClient &store,
                    Draining draining, FleetListener listener);
 
     // Without it no worker moves by itself. Set before start.
@@ -54,7 +54,7 @@
     // Sets the pool that a worker should be in. With a revision other than 0 the move is made
     // only if the worker's record still has it. Kind Conflict: somebody else changed it first.
     void move(const WorkerId &worker, const PoolId &pool, const std::string &setBy,
-              platform::StoreRevision revision, MoveCompletion completion);
+              store::StoreRevision revision, MoveCompletion completion);
     void list(ListCompletion completion);
     // What an entry answers to the asker.
     void takeDemand(const EntryId &entry, std::uint64_t incarnation, DemandAnswer answer);
@@ -63,7 +63,7 @@
     using Strand = asio::strand<asio::io_context::executor_type>;
 
     void onLeadership(bool held);
-    void take(const platform::StoreListing &listing);
+    void take(const store::StoreListing &listing);
     void publish();
     void noteRead() const;
     void armTick();
@@ -79,38 +79,38 @@
     AssignmentView view() const;
     std::unordered_set<WorkerId> workersOut() const;
     bool isWaveUnderWay() const;
-    void write(const platform::StoreWrite &write);
-    bool changesPool(const platform::StoreWrite &write) const;
-    void logStep(const platform::StoreWrite &write, bool moves) const;
+    void write(const store::StoreWrite &write);
+    bool changesPool(const store::StoreWrite &write) const;
+    void logStep(const store::StoreWrite &write, bool moves) const;
     Result<VersionedAssignment> checkedMove(const WorkerId &worker, const PoolId &pool,
                                             const std::string &setBy,
-                                            platform::StoreRevision revision) const;
+                                            store::StoreRevision revision) const;
 
     Strand m_strand;
     const EntryId m_entry;
-    platform::StoreClient &m_store;
+    store::StoreClient &m_store;
     const Draining m_draining;
     const FleetListener m_listener;
-    platform::LeaderLease m_lease;
+    store::LeaderLease m_lease;
     asio::steady_timer m_timer;
     bool m_stopped = false;
     std::shared_ptr<const fleet::FleetDocument> m_fleet;
     // Of the store when the assignments were read; 0 before the first reading.
-    platform::StoreRevision m_revision = 0;
+    store::StoreRevision m_revision = 0;
     Assignments m_assignments;
     // Keys with a write under way.
     std::set<std::string> m_writing;
     DemandAsker m_askDemand;
     std::function<void()> m_marksTaken;
-    platform::StoreFollower m_follower;
+    store::StoreFollower m_follower;
     // Used while leading: the ledgers that waves share.
-    platform::StoreFollower m_ledgerFollower;
+    store::StoreFollower m_ledgerFollower;
     maintenance::MaintenanceRecords m_ledgers;
     DemandBook m_demand;
     AutomaticMoves m_automatic;
     unsigned m_ticks = 0;
     // The newest drain for which the ledgers' prefix was read anew.
-    platform::StoreRevision m_rereadFor = 0;
+    store::StoreRevision m_rereadFor = 0;
     // Whether entries were told of draining workers and not yet that there are none.
     bool m_asked = false;
 };
--- a/src/capacity/tests/automaticmoves_tests.cpp
+++ b/src/capacity/tests/automaticmoves_tests.cpp
@@ -23,7 +23,7 @@
 class Store
 {
 public:
-    bool apply(const platform::StoreWrite &write)
+    bool apply(const store::StoreWrite &write)
     {
         auto &item = m_items[write.key];
         if (item.revision != write.expected) {
@@ -33,9 +33,9 @@
         return true;
     }
 
-    platform::StoreListing list(const std::string &prefix) const
+    store::StoreListing list(const std::string &prefix) const
     {
-        platform::StoreListing listing{m_revision, {}};
+        store::StoreListing listing{m_revision, {}};
         for (const auto &[key, item] : m_items) {
             if (item.revision > 0 && key.starts_with(prefix)) {
                 listing.items.push_back(item);
@@ -45,8 +45,8 @@
     }
 
 private:
-    std::map<std::string, platform::StoreItem> m_items;
-    platform::StoreRevision m_revision = 0;
+    std::map<std::string, store::StoreItem> m_items;
+    store::StoreRevision m_revision = 0;
 };
 
 // A reading of the records, which may be old.
@@ -132,7 +132,7 @@
         return moves.decide(view);
     }
 
-    std::vector<platform::StoreWrite> planMoves(const Reading &reading) const
+    std::vector<store::StoreWrite> planMoves(const Reading &reading) const
     {
         AssignmentView view;
         view.fleet = &fleet;
@@ -147,7 +147,7 @@
         return planAssignments(view, now);
     }
 
-    std::vector<platform::StoreWrite> planWave(const Reading &reading) const
+    std::vector<store::StoreWrite> planWave(const Reading &reading) const
     {
         const auto &found = reading.records.waves().at(wave);
         maintenance::WaveView view;
@@ -165,9 +165,9 @@
                 view.observed.finishedReboots.insert(host.record.rebootAttempt());
             }
         }
-        std::vector<platform::StoreWrite> writes;
+        std::vector<store::StoreWrite> writes;
         for (const auto &action : maintenance::planWave(view, now)) {
-            if (const auto *write = std::get_if<platform::StoreWrite>(&action)) {
+            if (const auto *write = std::get_if<store::StoreWrite>(&action)) {
                 writes.push_back(*write);
             }
         }
@@ -359,7 +359,7 @@
     Reading waveReading(world.store);
     // By worker and attempt, where the move went.
     std::map<std::pair<WorkerId, std::uint64_t>, PoolId> moves;
-    const auto apply = [&](const std::vector<platform::StoreWrite> &writes) {
+    const auto apply = [&](const std::vector<store::StoreWrite> &writes) {
         for (const auto &write : writes) {
             const bool isLost = *rc::gen::inRange(0, 8) == 0;
             if (isLost || !world.store.apply(write)) {
--- a/src/capacity/tests/pools_tests.cpp
+++ b/src/capacity/tests/pools_tests.cpp
@@ -51,7 +51,7 @@
         }
     }
 
-    bool apply(const platform::StoreWrite &write)
+    bool apply(const store::StoreWrite &write)
     {
         const auto changed = readAssignment(write.value).value();
         auto &kept = view.assignments[changed.worker];
@@ -70,7 +70,7 @@
     unsigned moves = 0;
 
 private:
-    platform::StoreRevision m_revision = 0;
+    store::StoreRevision m_revision = 0;
 };
 
 TEST(Assignments, AMoveDrainsBeforeItJoins)
--- a/src/capacity/workerassignment.h
+++ b/src/capacity/workerassignment.h
@@ -6,7 +6,7 @@
 #include "capacity/assignmentstep.h"
 #include "global/ids.h"
 #include "global/result.h"
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 #include <cstdint>
 #include <string>
@@ -36,7 +36,7 @@
 {
     WorkerAssignment assignment;
     // 0 when there is no record yet.
-    platform::StoreRevision revision = 0;
+    store::StoreRevision revision = 0;
 };
 
 // Stands in setBy for moves that the planner decided.
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -10,7 +10,7 @@
 #include "configuration/spreadstate.h"
 #include "global/result.h"
 #include "membership/peerbus.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -33,13 +33,13 @@
 class Configuration
 {
 public:
-    using ApplyCompletion = std::function<void(Result<platform::StoreRevision>)>;
+    using ApplyCompletion = std::function<void(Result<store::StoreRevision>)>;
     using DoneCompletion = std::function<void(Result<void>)>;
     using ReportCompletion = std::function<void(const SpreadReport &)>;
 
     // Subscribes to its topics: create it before the peer bus starts.
     Configuration(asio::io_context &context, membership::PeerBus &peers,
-                  platform::StoreClient &store, ConfigurationCallbacks callbacks);
+                  store::StoreClient &store, ConfigurationCallbacks callbacks);
 
     void start();
     void stop();
@@ -47,7 +47,7 @@
     FleetRevision current() const;
     // The fleet document of one of the latest revisions, or nothing when it is too old.
     std::shared_ptr<const fleet::FleetDocument> findRevision(
-            platform::StoreRevision revision) const;
+            store::StoreRevision revision) const;
     std::string unreadyReason() const;
     // Last time at which this entry knew of every withdrawal; the epoch: never.
     TimePoint evidenceAt() const { return TimePoint(Duration(m_evidence.load())); }
@@ -57,16 +57,16 @@
 
     // Writes the document as the successor of the revision from. Kind Conflict: another operator
     // was first.
-    void apply(const fleet::FleetDocument &document, platform::StoreRevision from,
+    void apply(const fleet::FleetDocument &document, store::StoreRevision from,
                ApplyCompletion completion);
     // Withdraws the key at this entry at once and spreads it; done tells when the store holds it.
     void withdraw(const KeyId &id, DoneCompletion done);
 
-    SpreadReport reportRevision(platform::StoreRevision revision) const;
+    SpreadReport reportRevision(store::StoreRevision revision) const;
     // Where all of this entry's withdrawn keys are refused.
     SpreadReport reportWithdrawn() const;
     // Calls back once, when the revision is in force everywhere or the time is up.
-    void whenInForce(platform::StoreRevision revision, std::chrono::milliseconds patience,
+    void whenInForce(store::StoreRevision revision, std::chrono::milliseconds patience,
                      ReportCompletion completion);
     void whenWithdrawnEverywhere(std::chrono::milliseconds patience, ReportCompletion completion);
 
@@ -102,7 +102,7 @@
 
     asio::io_context &m_context;
     membership::PeerBus &m_peers;
-    platform::StoreClient &m_store;
+    store::StoreClient &m_store;
     const ConfigurationCallbacks m_callbacks;
     asio::steady_timer m_timer;
     std::atomic<bool> m_stopping = false;
--- a/src/configuration/fleetrevision.h
+++ b/src/configuration/fleetrevision.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "fleet/fleetdocument.h"
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 #include <memory>
 
@@ -10,7 +10,7 @@
 
 struct FleetRevision
 {
-    platform::StoreRevision revision = 0;
+    store::StoreRevision revision = 0;
     // Empty only when the revision is 0.
     std::shared_ptr<const fleet::FleetDocument> fleet;
 };
--- a/src/configuration/internal/configuration.cpp
+++ b/src/configuration/internal/configuration.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 using membership::PeerTopic;
-using platform::StoreRevision;
+using store::StoreRevision;
 
 // Well below the freshness bound, so that a quiet store still gives evidence in time.
 constexpr std::chrono::milliseconds watchWait{1000};
@@ -104,7 +104,7 @@
 };
 
 Configuration::Configuration(asio::io_context &context, membership::PeerBus &peers,
-                             platform::StoreClient &store, ConfigurationCallbacks callbacks)
+                             store::StoreClient &store, ConfigurationCallbacks callbacks)
     : m_context(context)
     , m_peers(peers)
     , m_store(store)
@@ -228,7 +228,7 @@
 void Configuration::carryOut(const ReadStore &action)
 {
     const auto sentAt = steadyNow();
-    auto completion = [this, sentAt](const Result<platform::StoreListing> &listing) {
+    auto completion = [this, sentAt](const Result<store::StoreListing> &listing) {
         if (m_stopping) {
             return;
         }
@@ -250,7 +250,7 @@
 void Configuration::carryOut(const ReadPart &action)
 {
     m_store.get(partPrefix + action.hash,
-                [this](const Result<std::optional<platform::StoreItem>> &item) {
+                [this](const Result<std::optional<store::StoreItem>> &item) {
                     if (m_stopping || !item || !item.value()) {
                         return;
                     }
@@ -396,7 +396,7 @@
         storing->done(success());
     };
     m_store.get(storing->key, [this, storing, fail,
-                               finish](const Result<std::optional<platform::StoreItem>> &item) {
+                               finish](const Result<std::optional<store::StoreItem>> &item) {
         if (!item) {
             return fail(item.error());
         }
--- a/src/configuration/internal/spreadstate.cpp
+++ b/src/configuration/internal/spreadstate.cpp
@@ -3,7 +3,7 @@
 
 #include "configuration/confighead.h"
 #include "configuration/contenthash.h"
-#include "platform/retrydelay.h"
+#include "store/retrydelay.h"
 
 #include <xxhash.h>
 
@@ -15,7 +15,7 @@
 
 namespace {
 
-using platform::StoreRevision;
+using store::StoreRevision;
 
 constexpr std::size_t chunkBytes = std::size_t{16} * 1024;
 // Ids in one message, far below the size of a datagram.
@@ -228,12 +228,12 @@
 SpreadActions SpreadState::failRead(TimePoint now, Random &random)
 {
     m_isReading = false;
-    m_nextRead = now + platform::retryDelay(m_failedReads, random);
+    m_nextRead = now + store::retryDelay(m_failedReads, random);
     m_failedReads = std::min(m_failedReads + 1, maxCountedFailures);
     return {};
 }
 
-SpreadActions SpreadState::takeListing(const platform::StoreListing &listing, TimePoint sentAt,
+SpreadActions SpreadState::takeListing(const store::StoreListing &listing, TimePoint sentAt,
                                        TimePoint now)
 {
     SpreadActions actions;
--- a/src/configuration/spreadaction.h
+++ b/src/configuration/spreadaction.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "configuration/configmessage.h"
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 #include <string>
 #include <variant>
@@ -19,7 +19,7 @@
 // A newer revision is whole; put it in force and report back by SpreadState::putInForce.
 struct PublishFleet
 {
-    platform::StoreRevision revision = 0;
+    store::StoreRevision revision = 0;
     std::vector<std::string> parts;
 };
 
@@ -32,7 +32,7 @@
 // Read the store's configuration whole (after is 0) or wait for changes after a revision.
 struct ReadStore
 {
-    platform::StoreRevision after = 0;
+    store::StoreRevision after = 0;
 };
 
 struct ReadPart
--- a/src/configuration/spreadreport.h
+++ b/src/configuration/spreadreport.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "global/ids.h"
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 #include <vector>
 
--- a/src/configuration/spreadstate.h
+++ b/src/configuration/spreadstate.h
@@ -10,7 +10,7 @@
 #include "global/random.h"
 #include "global/time.h"
 #include "membership/peeraddress.h"
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 #include <map>
 #include <optional>
@@ -52,23 +52,23 @@
     SpreadActions receive(const EntryId &from, std::uint64_t incarnation,
                           const ConfigMessage &message, TimePoint now, Random &random);
     // sentAt is when the store was asked. A listing that answers ReadStore{0} is whole.
-    SpreadActions takeListing(const platform::StoreListing &listing, TimePoint sentAt,
+    SpreadActions takeListing(const store::StoreListing &listing, TimePoint sentAt,
                               TimePoint now);
     SpreadActions failRead(TimePoint now, Random &random);
     // Content read from the store or made here.
     SpreadActions takePart(const std::string &content, TimePoint now);
     // A head that this entry itself wrote to the store.
-    SpreadActions takeHead(platform::StoreRevision revision, const std::string &head,
+    SpreadActions takeHead(store::StoreRevision revision, const std::string &head,
                            TimePoint now);
     // The shell has put the revision in force, or refused it for good.
-    SpreadActions putInForce(platform::StoreRevision revision);
+    SpreadActions putInForce(store::StoreRevision revision);
     // Takes the withdrawal here and sends it to every peer at once.
     SpreadActions withdraw(const std::vector<KeyId> &ids);
     // The store holds these ids.
     void noteDurable(const std::vector<KeyId> &ids);
 
-    platform::StoreRevision knownRevision() const { return m_knownRevision; }
-    platform::StoreRevision revisionInForce() const { return m_revisionInForce; }
+    store::StoreRevision knownRevision() const { return m_knownRevision; }
+    store::StoreRevision revisionInForce() const { return m_revisionInForce; }
     const std::set<KeyId> &withdrawn() const { return m_withdrawn; }
     // Whether the peer's last digest says that it has the same withdrawn keys.
     bool hasAllWithdrawn(const PeerView &peer) const
@@ -97,7 +97,7 @@
     void answerPull(const EntryId &from, const Pull &pull, SpreadActions &actions) const;
     void takeChunk(const EntryId &from, const Chunk &chunk, TimePoint now, SpreadActions &actions);
     void addWithdrawn(const std::vector<KeyId> &ids, SpreadActions &actions);
-    void learnHead(platform::StoreRevision revision, const std::string &hash);
+    void learnHead(store::StoreRevision revision, const std::string &hash);
     void addContent(const std::string &content);
     std::vector<std::string> missingHashes() const;
     void continuePulls(TimePoint now, SpreadActions &actions, Random *random);
@@ -119,11 +119,11 @@
     membership::PeerAddress m_self;
     TimePoint m_startedAt;
     // The newest revision heard of; its parts may still be missing.
-    platform::StoreRevision m_knownRevision = 0;
+    store::StoreRevision m_knownRevision = 0;
     std::string m_knownHead;
-    platform::StoreRevision m_revisionInForce = 0;
+    store::StoreRevision m_revisionInForce = 0;
     // Published to the shell, which has not answered yet.
-    platform::StoreRevision m_publishedRevision = 0;
+    store::StoreRevision m_publishedRevision = 0;
     // Heads and parts by their hash.
     std::map<std::string, std::string> m_content;
     std::map<std::string, PullState> m_pulls;
@@ -135,7 +135,7 @@
     std::set<DataCentreId> m_dataCentres;
     std::optional<TimePoint> m_storeEvidence;
     // Revision up to which the store's changes were taken; 0: read it whole.
-    platform::StoreRevision m_readUpTo = 0;
+    store::StoreRevision m_readUpTo = 0;
     bool m_isReading = false;
     unsigned m_failedReads = 0;
     TimePoint m_nextRead{};
--- a/src/configuration/tests/configuration_tests.cpp
+++ b/src/configuration/tests/configuration_tests.cpp
@@ -14,10 +14,10 @@
     settings.secret = "s";
     settings.seeds = {{EntryId("e-2"), DataCentreId("dc-b"), "127.0.0.1", 1}};
     membership::PeerBus peers(context, settings);
-    platform::StoreClientSettings storeSettings;
+    store::StoreClientSettings storeSettings;
     storeSettings.url = "http://127.0.0.1:1";
     net::HttpClient http;
-    platform::StoreClient store(context, http, storeSettings);
+    store::StoreClient store(context, http, storeSettings);
     Configuration configuration(context, peers, store,
                                 {[](const FleetRevision &) {}, [](const std::vector<KeyId> &) {}});
     configuration.withdraw(KeyId("k-1"), [](const Result<void> &) {});
--- a/src/configuration/tests/spreadstate_tests.cpp
+++ b/src/configuration/tests/spreadstate_tests.cpp
@@ -15,8 +15,8 @@
 namespace {
 
 using membership::PeerAddress;
-using platform::StoreListing;
-using platform::StoreRevision;
+using store::StoreListing;
+using store::StoreRevision;
 
 constexpr TimePoint start{std::chrono::hours(1)};
 
--- /dev/null
+++ b/src/control/frontdoor.h
@@ -0,0 +1,93 @@
+// What callers ask of this entry: to take a job, to show it, to cancel it, to count a queue's jobs.
+// Every entry answers for every job, from the store. Runs on the context's one thread.
+#pragma once
+
+#include "control/storelink.h"
+#include "net/httpreply.h"
+#include "net/httprequest.h"
+#include "net/httpserver.h"
+#include "scheduling/fleetrules.h"
+#include "scheduling/jobphase.h"
+#include "scheduling/taskref.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace cyclamenlatch::control {
+
+class FrontDoor
+{
+public:
+    explicit FrontDoor(StoreLink &store);
+
+    // Takes a configuration that is newer than the one in force.
+    void setRules(scheduling::FleetRules rules);
+    bool hasRules() const { return m_rules.has_value(); }
+    const std::optional<scheduling::FleetRules> &rules() const { return m_rules; }
+    // Answers close their connections from now on, so that callers go elsewhere.
+    void leave() { m_isLeaving = true; }
+
+    void handle(net::HttpRequest request, net::HttpResponder respond);
+    std::size_t openRequests() const { return m_openRequests; }
+    // Answers given, by status.
+    const std::map<int, std::uint64_t> &answers() const { return m_answers; }
+
+private:
+    // One request on its way to its answer.
+    struct Visit
+    {
+        net::HttpResponder respond;
+        // As it was when the request came; a newer configuration may drop it meanwhile.
+        scheduling::QueueRule queue;
+        std::string method;
+        // Of the workspace whose key came with it; empty for a public queue.
+        std::string workspace;
+        scheduling::JobNumber id = 0;
+        std::string body;
+        TimePoint arrived{};
+        TimePoint deadline{};
+        // A try of it may have taken effect.
+        bool isUnclear = false;
+        unsigned tries = 0;
+    };
+    using VisitPointer = std::shared_ptr<Visit>;
+
+    const scheduling::QueueRule *findQueue(const net::HttpRequest &request) const;
+    bool admit(const net::HttpRequest &request, const scheduling::QueueRule &queue,
+               std::string &workspace) const;
+    void route(const VisitPointer &visit, std::string_view rest);
+    void submit(const VisitPointer &visit);
+    void sendSubmission(const VisitPointer &visit, const platform::StoreChange &change);
+    void judgeSubmission(const VisitPointer &visit, const platform::StoreChange &change,
+                         const platform::StoreReply &reply);
+    void show(const VisitPointer &visit);
+    void cancel(const VisitPointer &visit);
+    void writeCancel(const VisitPointer &visit, const platform::StoreItem &state);
+    void countPending(const VisitPointer &visit);
+    bool mayTryAgain(const VisitPointer &visit);
+    void answer(const VisitPointer &visit, int status, std::string body);
+    void refuse(const VisitPointer &visit, int status, const std::string &why,
+                const std::string &remedy);
+    // 503 when it certainly did not take effect, 504 otherwise.
+    void giveUp(const VisitPointer &visit, const std::string &why);
+    void remember(scheduling::JobNumber id, scheduling::JobPhase phase);
+
+    StoreLink &m_store;
+    std::optional<scheduling::FleetRules> m_rules;
+    // By key, the number of its workspace in the rules.
+    std::unordered_map<std::string, std::size_t> m_keys;
+    bool m_isLeaving = false;
+    std::size_t m_openRequests = 0;
+    std::map<int, std::uint64_t> m_answers;
+    // Phases last seen, for answers while the store is away; the oldest are forgotten first.
+    std::unordered_map<scheduling::JobNumber, scheduling::JobPhase> m_phases;
+    std::deque<scheduling::JobNumber> m_phaseOrder;
+};
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/internal/eventlog.cpp
@@ -0,0 +1,106 @@
+// Gathers lines and writes them.
+#include "control/eventlog.h"
+
+#include "control/clock.h"
+#include "control/controlevents.h"
+#include "global/time.h"
+
+#include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <utility>
+
+namespace cyclamenlatch::control {
+
+namespace {
+
+// About a second of lines at the heaviest load measured.
+constexpr std::size_t mostBuffered = std::size_t{128} * 1024;
+// One write call for what comes within this time.
+constexpr std::chrono::milliseconds flushInterval{200};
+
+std::string_view nameOf(Severity severity)
+{
+    switch (severity) {
+    case Severity::Info:
+        return "info";
+    case Severity::Warning:
+        return "warning";
+    case Severity::Error:
+        return "error";
+    }
+    return "info";
+}
+
+} // namespace
+
+EventLog::EventLog(asio::io_context &context, std::string entry)
+    : m_entry(std::move(entry))
+    , m_timer(context)
+{
+    setEventSink([this](const Event &event, const std::string &details) { take(event, details); });
+}
+
+EventLog::~EventLog()
+{
+    setEventSink({});
+    flush();
+}
+
+void EventLog::take(const Event &event, const std::string &details)
+{
+    if (m_buffer.size() + details.size() > mostBuffered) {
+        ++m_dropped;
+        ++m_droppedInAll;
+        return;
+    }
+    if (m_dropped > 0) {
+        const auto dropped = std::exchange(m_dropped, 0);
+        take(linesDropped, fmt::format("count={}", dropped));
+    }
+    fmt::format_to(std::back_inserter(m_buffer), "{} E{} {} {} entry={} {}\n",
+                   wallNow().time_since_epoch().count(), event.number, event.name,
+                   nameOf(event.severity), m_entry, details);
+    flushLater();
+}
+
+void EventLog::flushLater()
+{
+    if (std::exchange(m_isTimed, true)) {
+        return;
+    }
+    m_timer.expires_after(flushInterval);
+    m_timer.async_wait([this](const auto &error) {
+        if (!error) {
+            m_isTimed = false;
+            flush();
+        }
+    });
+}
+
+void EventLog::flush()
+{
+    if (m_buffer.empty()) {
+        return;
+    }
+    pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&ready, 1, 0) != 1) {
+        return flushLater();
+    }
+    // A pipe that is ready takes at least a page without blocking.
+    constexpr std::size_t page = 4096;
+    while (!m_buffer.empty() && ::poll(&ready, 1, 0) == 1) {
+        const auto size = std::min(m_buffer.size(), page);
+        const auto written = ::write(STDOUT_FILENO, m_buffer.data(), size);
+        if (written <= 0) {
+            break;
+        }
+        m_buffer.erase(0, static_cast<std::size_t>(written));
+    }
+    if (!m_buffer.empty()) {
+        flushLater();
+    }
+}
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/internal/ownerflush.cpp
@@ -0,0 +1,199 @@
+// Storing what has ended: one flush at a time, each in one or more conditional changes.
+#include "control/ownerservice.h"
+
+#include "control/clock.h"
+#include "control/controlevents.h"
+#include "control/records.h"
+#include "control/storekeys.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenlatch::control {
+
+namespace {
+
+using platform::StoreOutcome;
+
+// Flushes follow each other at least this far apart, which bounds the calls to the store.
+constexpr std::chrono::milliseconds flushInterval{20};
+
+std::size_t entriesOf(const scheduling::ProgressWrite &write)
+{
+    return 2U + (write.removesWaitingMark ? 1U : 0U) + (write.removesSubmission ? 1U : 0U);
+}
+
+} // namespace
+
+struct OwnerService::PendingFlush
+{
+    scheduling::Flush flush;
+    std::vector<std::string> values;
+    std::size_t changesLeft = 0;
+};
+
+void OwnerService::flushIfDue()
+{
+    const auto now = bootNow();
+    const auto due = m_core.flushDue(now);
+    if (m_isFlushing || !due || *due > now || now - m_lastFlush < flushInterval || !isHeld()) {
+        return;
+    }
+    m_isFlushing = true;
+    m_lastFlush = now;
+    auto pending = std::make_shared<PendingFlush>();
+    pending->flush = m_core.takeFlush();
+    std::vector<std::vector<std::size_t>> changes;
+    std::size_t entries = platform::mostChangeEntries;
+    for (std::size_t index = 0; index < pending->flush.writes.size(); ++index) {
+        const auto &write = pending->flush.writes[index];
+        pending->values.push_back(encodeProgress(write.progress));
+        if (entries + entriesOf(write) > platform::mostChangeEntries) {
+            changes.emplace_back();
+            // The condition on the owner's key.
+            entries = 1;
+        }
+        entries += entriesOf(write);
+        changes.back().push_back(index);
+    }
+    pending->changesLeft = changes.size();
+    if (changes.empty()) {
+        pending->changesLeft = 1;
+        return finishChange(pending);
+    }
+    for (auto &writes : changes) {
+        sendChange(pending, std::move(writes));
+    }
+}
+
+void OwnerService::sendChange(std::shared_ptr<PendingFlush> flush, std::vector<std::size_t> writes)
+{
+    if (!isHeld()) {
+        return;
+    }
+    platform::StoreChange change;
+    change.expected.push_back({std::string(ownerKey), m_tenure.revision});
+    for (const auto index : writes) {
+        const auto &write = flush->flush.writes[index];
+        change.expected.push_back({stateKey(write.id), write.expected});
+        change.writes.push_back({stateKey(write.id), flush->values[index], 0});
+        if (write.removesWaitingMark) {
+            change.removals.push_back(waitingKey(write.queue, write.id));
+        }
+        if (write.removesSubmission) {
+            change.removals.push_back(jobKey(write.id));
+        }
+    }
+    m_store.change(change, [this, flush, writes = std::move(writes),
+                            alive = std::weak_ptr(m_alive)](const auto &reply) {
+        if (!alive.expired()) {
+            judgeChange(flush, writes, reply);
+        }
+    });
+}
+
+void OwnerService::judgeChange(const std::shared_ptr<PendingFlush> &flush,
+                               std::vector<std::size_t> writes, const platform::StoreReply &reply)
+{
+    const auto now = bootNow();
+    switch (reply.outcome) {
+    case StoreOutcome::Done:
+        for (const auto index : writes) {
+            const auto &write = flush->flush.writes[index];
+            m_core.jobWritten(write.id, reply.revision, now);
+            if (write.removesSubmission) {
+                m_ended.emplace_back(now + 2 * m_settings.endedJobsShown, write.id);
+            }
+        }
+        return finishChange(flush);
+    case StoreOutcome::Conflict:
+        for (const auto &item : reply.items) {
+            if (item.key == ownerKey && item.revision != m_tenure.revision) {
+                return m_ownership.resign("another entry has taken over");
+            }
+        }
+        writes = settleConflicts(flush, writes, reply);
+        if (writes.empty()) {
+            return finishChange(flush);
+        }
+        return sendChange(flush, std::move(writes));
+    default:
+        // Nothing was done, or the same change is repeated: if it was done, the conflict tells.
+        return again([this, flush, writes] { sendChange(flush, writes); });
+    }
+}
+
+// Takes out what needs no writing any more, and returns what is to be written again.
+std::vector<std::size_t> OwnerService::settleConflicts(const std::shared_ptr<PendingFlush> &flush,
+                                                       const std::vector<std::size_t> &writes,
+                                                       const platform::StoreReply &reply)
+{
+    const auto now = bootNow();
+    std::vector<std::size_t> left;
+    for (const auto index : writes) {
+        auto &write = flush->flush.writes[index];
+        const auto found = std::find_if(
+                reply.items.begin(), reply.items.end(),
+                [key = stateKey(write.id)](const auto &item) { return item.key == key; });
+        const bool isGone = found == reply.items.end() || found->deleted || found->revision == 0;
+        if (!isGone && found->revision == write.expected) {
+            left.push_back(index);
+            continue;
+        }
+        if (!isGone && found->value == flush->values[index]) {
+            // An earlier try of this change was done after all.
+            m_core.jobWritten(write.id, found->revision, now);
+            if (write.removesSubmission) {
+                m_ended.emplace_back(now + 2 * m_settings.endedJobsShown, write.id);
+            }
+            continue;
+        }
+        const auto stored = isGone ? decodeProgress({}) : decodeProgress(found->value);
+        if (stored && stored.value().phase != scheduling::JobPhase::Cancelled) {
+            write.expected = found->revision;
+            left.push_back(index);
+            continue;
+        }
+        m_core.jobWritten(write.id, std::nullopt, now);
+        m_ended.emplace_back(now + 2 * m_settings.endedJobsShown, write.id);
+    }
+    return left;
+}
+
+void OwnerService::finishChange(const std::shared_ptr<PendingFlush> &flush)
+{
+    if (--flush->changesLeft > 0) {
+        return;
+    }
+    m_isFlushing = false;
+    m_core.flushDone(flush->flush, bootNow());
+    planSoon();
+}
+
+// States of jobs that ended long ago are removed, a few at a time.
+void OwnerService::forgetEndedJobs()
+{
+    constexpr std::size_t mostPerCall = 20;
+    const auto now = bootNow();
+    if (m_isForgetting || m_ended.empty() || m_ended.front().first > now || !isHeld()) {
+        return;
+    }
+    platform::StoreChange change;
+    change.expected.push_back({std::string(ownerKey), m_tenure.revision});
+    while (!m_ended.empty() && m_ended.front().first <= now
+           && change.removals.size() < mostPerCall) {
+        if (!m_core.knowsJob(m_ended.front().second)) {
+            change.removals.push_back(stateKey(m_ended.front().second));
+        }
+        m_ended.pop_front();
+    }
+    m_isForgetting = true;
+    m_store.change(change, [this, alive = std::weak_ptr(m_alive)](const auto &) {
+        // What was not removed is found again by the next owner.
+        if (!alive.expired()) {
+            m_isForgetting = false;
+        }
+    });
+}
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/internal/ownerservice.cpp
@@ -0,0 +1,506 @@
+// The owner's loading, planning and calls to targets.
+#include "control/ownerservice.h"
+
+#include "control/clock.h"
+#include "control/controlevents.h"
+#include "control/records.h"
+#include "control/storekeys.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace cyclamenlatch::control {
+
+namespace {
+
+using platform::StoreOutcome;
+using scheduling::JobNumber;
+
+// Jobs and targets are watched with calls this long, so that a silent connection is soon noticed.
+constexpr std::chrono::milliseconds jobWatch{1500};
+constexpr std::chrono::milliseconds targetWatch{2000};
+constexpr std::chrono::milliseconds retryPause{150};
+// Events that come together are decided together.
+constexpr std::chrono::milliseconds planDelay{3};
+// For decisions that only time brings about.
+constexpr std::chrono::milliseconds tickInterval{100};
+// Targets answer within some milliseconds.
+constexpr std::chrono::milliseconds orderTimeout{800};
+constexpr std::chrono::milliseconds connectTimeout{500};
+// Beyond the time that a target was asked to wait.
+constexpr std::chrono::milliseconds holdMargin{700};
+constexpr std::chrono::milliseconds holdRetry{150};
+constexpr std::chrono::milliseconds slowHoldRetry{1000};
+constexpr unsigned quickHoldTries = 5;
+// Between an answer with ends and the next call, so that more ends come together.
+constexpr std::chrono::milliseconds holdPause{25};
+
+scheduling::OwnerSettings makeSettings(const platform::EntrySettings &settings, const Tenure &tenure)
+{
+    scheduling::OwnerSettings owner;
+    owner.term = tenure.term;
+    owner.longestLease = settings.longestRunLease;
+    owner.runLease = std::min(owner.runLease, settings.longestRunLease);
+    owner.stopTime = settings.stopTime;
+    owner.gangTime = settings.gangTime;
+    owner.paceTime = settings.paceTime;
+    owner.harmTime = settings.harmTime;
+    owner.remoteFactor = settings.remoteFactor;
+    return owner;
+}
+
+std::optional<JobNumber> jobOf(const std::string &key, std::string_view prefix)
+{
+    return key.size() > prefix.size() ? platform::parseJobId(std::string_view(key).substr(
+                                                prefix.size()))
+                                      : std::nullopt;
+}
+
+} // namespace
+
+struct OwnerService::HoldLoop
+{
+    explicit HoldLoop(asio::io_context &context)
+        : timer(context)
+    {}
+    asio::steady_timer timer;
+    bool isCalling = false;
+    unsigned failures = 0;
+};
+
+OwnerService::OwnerService(asio::io_context &context, StoreLink &store, net::HttpClient &targets,
+                           Ownership &ownership, const platform::EntrySettings &settings)
+    : m_context(context)
+    , m_store(store)
+    , m_http(targets)
+    , m_ownership(ownership)
+    , m_settings(settings)
+    , m_tenure(ownership.tenure())
+    , m_core(makeSettings(settings, m_tenure), bootNow(),
+             [this](const auto &decision) { logDecision(decision); })
+    , m_jobs(context, store, std::string(jobPrefix), jobWatch,
+             [this](const auto &items, auto at, bool isWhole) { takeJobs(items, at, isWhole); })
+    , m_targets(context, store, std::string(platform::targetsPrefix), targetWatch,
+                [this](const auto &items, auto at, bool isWhole) {
+                    takeTargets(items, at, isWhole);
+                })
+    , m_tickTimer(context)
+    , m_planTimer(context)
+{}
+
+OwnerService::~OwnerService() = default;
+
+void OwnerService::start(const scheduling::FleetRules &rules)
+{
+    setRules(rules);
+    loadStates();
+}
+
+void OwnerService::setRules(const scheduling::FleetRules &rules)
+{
+    m_services.clear();
+    for (const auto &service : rules.services) {
+        m_services.insert(service.name);
+    }
+    m_core.setRules(rules, bootNow());
+    planSoon();
+}
+
+void OwnerService::again(std::function<void()> action)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_context, retryPause);
+    timer->async_wait([timer, action = std::move(action),
+                       alive = std::weak_ptr(m_alive)](const auto &error) {
+        if (!error && !alive.expired()) {
+            action();
+        }
+    });
+}
+
+// States before jobs: a job handed in between has its first state, and one that was cancelled in
+// between is not listed.
+void OwnerService::loadStates()
+{
+    m_store.list(std::string(statePrefix), [this, alive = std::weak_ptr(m_alive)](const auto &reply) {
+        if (alive.expired()) {
+            return;
+        }
+        if (reply.outcome != StoreOutcome::Done) {
+            return again([this] { loadStates(); });
+        }
+        for (const auto &item : reply.items) {
+            if (const auto id = jobOf(item.key, statePrefix)) {
+                m_states.emplace(*id, item);
+            }
+        }
+        loadOrderedTargets();
+    });
+}
+
+void OwnerService::loadOrderedTargets()
+{
+    m_store.get(std::string(orderedTargetsKey),
+                [this, alive = std::weak_ptr(m_alive)](const auto &reply) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                        m_orderedRevision = reply.items.front().revision;
+                        const auto ids = decodeIds(reply.items.front().value);
+                        if (!ids) {
+                            logEvent(recordUnreadable, "key={}", orderedTargetsKey);
+                        } else {
+                            for (const auto &id : ids.value()) {
+                                m_core.targetRemembered(id, bootNow());
+                            }
+                        }
+                    } else if (reply.outcome != StoreOutcome::Missing) {
+                        return again([this] { loadOrderedTargets(); });
+                    }
+                    m_jobs.start();
+                    tick();
+                });
+}
+
+void OwnerService::takeJobs(const std::vector<platform::StoreItem> &items,
+                            platform::StoreRevision at, bool isWhole)
+{
+    const auto now = bootNow();
+    if (isWhole) {
+        std::unordered_set<JobNumber> listed;
+        for (const auto &item : items) {
+            if (const auto id = jobOf(item.key, jobPrefix)) {
+                listed.insert(*id);
+            }
+        }
+        for (const auto id : m_core.jobs()) {
+            if (!listed.contains(id) && m_core.arrivedBefore(id, at)) {
+                m_core.jobCancelled(id, now);
+                m_ended.emplace_back(now + 2 * m_settings.endedJobsShown, id);
+            }
+        }
+    }
+    for (const auto &item : items) {
+        const auto id = jobOf(item.key, jobPrefix);
+        if (!id) {
+            continue;
+        }
+        if (!item.deleted) {
+            takeJob(item);
+        } else if (m_core.knowsJob(*id)) {
+            m_core.jobCancelled(*id, now);
+            m_ended.emplace_back(now + 2 * m_settings.endedJobsShown, *id);
+        }
+    }
+    if (isWhole && !std::exchange(m_hasTargets, true)) {
+        for (const auto &[id, item] : m_states) {
+            m_ended.emplace_back(now + 2 * m_settings.endedJobsShown, id);
+        }
+        m_states.clear();
+        logEvent(ownerLoaded, "term={} jobs={} at={}", m_tenure.term, m_core.jobs().size(), at);
+        m_targets.start();
+    }
+    planSoon();
+}
+
+void OwnerService::takeJob(const platform::StoreItem &item)
+{
+    auto submission = decodeSubmission(item.value);
+    if (!submission) {
+        logEvent(recordUnreadable, "key={} revision={}", item.key, item.revision);
+        return;
+    }
+    const auto id = submission.value().id;
+    scheduling::JobProgress progress;
+    auto revision = item.revision;
+    if (const auto state = m_states.find(id); state != m_states.end()) {
+        revision = state->second.revision;
+        if (auto stored = decodeProgress(state->second.value)) {
+            progress = std::move(stored).value();
+        } else {
+            logEvent(recordUnreadable, "key={} revision={}", state->second.key, revision);
+        }
+        m_states.erase(state);
+    }
+    m_core.jobArrived(std::move(submission).value(), std::move(progress), revision, item.revision,
+                      item.revision > m_tenure.revision, bootNow(), wallNow());
+}
+
+void OwnerService::takeTargets(const std::vector<platform::StoreItem> &items,
+                               platform::StoreRevision at, bool isWhole)
+{
+    static_cast<void>(at);
+    const auto now = bootNow();
+    const auto prefix = platform::targetsPrefix.size();
+    if (isWhole) {
+        std::unordered_set<std::string> listed;
+        for (const auto &item : items) {
+            listed.insert(item.key.substr(std::min(prefix, item.key.size())));
+        }
+        for (const auto &id : m_core.targetsToHold()) {
+            if (!listed.contains(id)) {
+                m_core.targetUnlisted(id, now);
+            }
+        }
+    }
+    for (const auto &item : items) {
+        if (item.key.size() <= prefix) {
+            continue;
+        }
+        const auto id = item.key.substr(prefix);
+        auto target = item.deleted ? std::nullopt : platform::decodeTarget(item.key, item.value);
+        if (target && m_services.contains(target->service)) {
+            m_core.targetListed(*target, now);
+        } else if (item.deleted || m_core.target(id) != nullptr) {
+            m_core.targetUnlisted(id, now);
+        }
+    }
+    recordTargets();
+    holdTargets();
+    planSoon();
+}
+
+// The ids are stored before the first order, so that an owner that comes later asks them all.
+void OwnerService::recordTargets()
+{
+    if (m_isRecording || !m_core.hasUnrecordedTargets() || !isHeld()) {
+        return;
+    }
+    m_isRecording = true;
+    const auto ids = m_core.targetsToRecord();
+    platform::StoreChange change;
+    change.expected = {{std::string(ownerKey), m_tenure.revision},
+                       {std::string(orderedTargetsKey), m_orderedRevision}};
+    change.writes = {{std::string(orderedTargetsKey), encodeIds(ids), 0}};
+    m_store.change(change, [this, ids, alive = std::weak_ptr(m_alive)](const auto &reply) {
+        if (alive.expired()) {
+            return;
+        }
+        m_isRecording = false;
+        if (reply.outcome == StoreOutcome::Done) {
+            m_orderedRevision = reply.revision;
+            for (const auto &id : ids) {
+                m_core.targetRecorded(id);
+            }
+            return planSoon();
+        }
+        if (reply.outcome == StoreOutcome::Conflict) {
+            for (const auto &item : reply.items) {
+                if (item.key == orderedTargetsKey) {
+                    m_orderedRevision = item.deleted ? 0 : item.revision;
+                }
+                if (item.key == ownerKey && item.revision != m_tenure.revision) {
+                    return m_ownership.resign("another entry has taken over");
+                }
+            }
+        }
+        again([this] { recordTargets(); });
+    });
+}
+
+void OwnerService::holdTargets()
+{
+    for (const auto &id : m_core.targetsToHold()) {
+        if (!m_holds.contains(id)) {
+            m_holds.emplace(id, std::make_unique<HoldLoop>(m_context));
+            hold(id);
+        }
+    }
+}
+
+void OwnerService::hold(const std::string &id)
+{
+    const auto found = m_holds.find(id);
+    if (found == m_holds.end() || found->second->isCalling) {
+        return;
+    }
+    const auto now = bootNow();
+    const auto *target = m_core.target(id);
+    const auto order = target == nullptr ? std::nullopt : m_core.holdOrder(id, now);
+    if (!order) {
+        m_holds.erase(found);
+        return;
+    }
+    if (!isHeld()) {
+        return holdAfter(id, holdRetry);
+    }
+    auto call = platform::holdCall(*target, m_tenure.term, *order);
+    call.timeout = order->wait + holdMargin;
+    call.connectTimeout = connectTimeout;
+    found->second->isCalling = true;
+    m_http.send(std::move(call),
+                [this, id, now, alive = std::weak_ptr(m_alive)](const auto &result) {
+                    if (!alive.expired()) {
+                        takeHold(id, result, now);
+                    }
+                });
+}
+
+void OwnerService::holdAfter(const std::string &id, Duration delay)
+{
+    auto &loop = *m_holds.at(id);
+    loop.timer.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(delay));
+    loop.timer.async_wait([this, id, alive = std::weak_ptr(m_alive)](const auto &error) {
+        if (!error && !alive.expired()) {
+            hold(id);
+        }
+    });
+}
+
+void OwnerService::takeHold(const std::string &id, const net::HttpCallResult &result,
+                            TimePoint sentAt)
+{
+    const auto found = m_holds.find(id);
+    if (found == m_holds.end()) {
+        return;
+    }
+    auto &loop = *found->second;
+    loop.isCalling = false;
+    const auto answer = platform::judgeHold(result);
+    if (answer.isFenced) {
+        return m_ownership.resign("a target has seen a later owner");
+    }
+    if (!answer.report) {
+        m_core.holdFailed(id, bootNow());
+        if (++loop.failures == 1) {
+            logEvent(targetLost, "target={} reason=\"{}\"", id, answer.failure);
+        }
+        planSoon();
+        const bool isQuick = !answer.isOther && loop.failures < quickHoldTries;
+        return holdAfter(id, isQuick ? holdRetry : slowHoldRetry);
+    }
+    if (std::exchange(loop.failures, 0) > 0) {
+        logEvent(targetRegained, "target={}", id);
+    }
+    m_core.holdAnswered(id, *answer.report, sentAt, bootNow());
+    planSoon();
+    if (answer.report->ends.empty()) {
+        return hold(id);
+    }
+    holdAfter(id, holdPause);
+}
+
+template<typename Kind>
+void OwnerService::sendOrder(net::HttpCall call, const Kind &order, Answered<Kind> answered)
+{
+    call.timeout = orderTimeout;
+    call.connectTimeout = connectTimeout;
+    m_http.send(std::move(call), [this, order, answered,
+                                  alive = std::weak_ptr(m_alive)](const auto &result) {
+        if (alive.expired()) {
+            return;
+        }
+        const auto answer = platform::judgeOrder(result);
+        (m_core.*answered)(order, answer, bootNow());
+        if (answer == scheduling::OrderAnswer::Fenced) {
+            return m_ownership.resign("a target has seen a later owner");
+        }
+        if (answer != scheduling::OrderAnswer::Accepted) {
+            planSoon();
+        }
+    });
+}
+
+void OwnerService::send(const scheduling::Order &order)
+{
+    struct Sender
+    {
+        OwnerService &service;
+
+        void operator()(const scheduling::StartOrder &start) const
+        {
+            const auto *target = service.m_core.target(start.targetId);
+            const auto *job = service.m_core.submission(start.task.job);
+            if (target != nullptr && job != nullptr) {
+                service.sendOrder(platform::startCall(*target, service.m_tenure.term, start,
+                                                      job->spec.text),
+                                  start, &scheduling::OwnerCore::startAnswered);
+            }
+        }
+        void operator()(const scheduling::StopOrder &stop) const
+        {
+            if (const auto *target = service.m_core.target(stop.targetId)) {
+                service.sendOrder(platform::stopCall(*target, service.m_tenure.term, stop), stop,
+                                  &scheduling::OwnerCore::stopAnswered);
+            }
+        }
+        void operator()(const scheduling::PaceOrder &pace) const
+        {
+            if (const auto *target = service.m_core.target(pace.targetId)) {
+                service.sendOrder(platform::paceCall(*target, service.m_tenure.term, pace), pace,
+                                  &scheduling::OwnerCore::paceAnswered);
+            }
+        }
+    };
+    std::visit(Sender{*this}, order);
+}
+
+void OwnerService::planSoon()
+{
+    if (std::exchange(m_isPlanDue, true)) {
+        return;
+    }
+    m_planTimer.expires_after(planDelay);
+    m_planTimer.async_wait([this, alive = std::weak_ptr(m_alive)](const auto &error) {
+        if (!error && !alive.expired()) {
+            plan();
+        }
+    });
+}
+
+void OwnerService::plan()
+{
+    m_isPlanDue = false;
+    if (!isHeld() || !m_hasTargets) {
+        return;
+    }
+    for (const auto &order : m_core.plan(bootNow(), wallNow())) {
+        send(order);
+    }
+    flushIfDue();
+}
+
+void OwnerService::tick()
+{
+    recordTargets();
+    holdTargets();
+    plan();
+    forgetEndedJobs();
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this, alive = std::weak_ptr(m_alive)](const auto &error) {
+        if (!error && !alive.expired()) {
+            tick();
+        }
+    });
+}
+
+void OwnerService::logDecision(const scheduling::Decision &decision)
+{
+    using Kind = scheduling::Decision::Kind;
+    static constexpr NamedValue<Kind> entries[] = {
+            {Kind::Started, "started"},
+            {Kind::Ended, "ended"},
+            {Kind::Lapsed, "lapsed"},
+            {Kind::Vanished, "vanished"},
+            {Kind::StartRefused, "start-refused"},
+            {Kind::JobEnded, "job-ended"},
+            {Kind::TargetAvoided, "target-avoided"},
+            {Kind::TargetReborn, "target-reborn"},
+            {Kind::Preempted, "preempted"},
+            {Kind::Stalled, "stalled"},
+            {Kind::Adopted, "adopted"},
+    };
+    static constexpr NameTable names{entries};
+    if (decision.kind == Kind::JobEnded) {
+        logEvent(jobEnded, "job={} how={} term={}", platform::jobIdText(decision.task.job),
+                 decision.detail, m_tenure.term);
+        return;
+    }
+    logEvent(taskDecision, "job={} task={}.{}.{} attempt={} target={} what={} detail=\"{}\" term={}",
+             platform::jobIdText(decision.task.job), decision.task.occurrence, decision.task.step,
+             decision.task.index, decision.attempt, decision.target, names.name(decision.kind),
+             decision.detail, m_tenure.term);
+}
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/internal/platformentry.cpp
@@ -0,0 +1,248 @@
+// Composes the parts of an entry and follows the process's life.
+#include "control/platformentry.h"
+
+#include "control/clock.h"
+#include "control/controlevents.h"
+#include "control/eventlog.h"
+#include "control/frontdoor.h"
+#include "control/keyfollower.h"
+#include "control/ownership.h"
+#include "control/ownerservice.h"
+#include "control/storelink.h"
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "platform/callerwire.h"
+#include "platform/configwire.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <csignal>
+#include <optional>
+#include <utility>
+
+namespace cyclamenlatch::control {
+
+namespace {
+
+// Long polls and calls of this process to the store.
+constexpr std::size_t storeConnections = 32;
+// One is taken by the call that keeps the runs alive.
+constexpr std::size_t connectionsPerTarget = 4;
+// The configuration is to be in force within two seconds of its acknowledgement, also when a
+// watching connection falls silent.
+constexpr std::chrono::milliseconds configurationWatch{800};
+// Without an answer of the store for this long the entry sends callers elsewhere.
+constexpr std::chrono::milliseconds silenceBeforeUnready{1000};
+constexpr std::chrono::milliseconds healthInterval{250};
+// The platform needs two missed checks, a second apart, to send no more connections.
+constexpr std::chrono::milliseconds leaveTime{2600};
+// Answers have this long before the platform kills the process.
+constexpr std::chrono::milliseconds lastMoments{700};
+constexpr std::chrono::milliseconds clientIdle{15000};
+
+} // namespace
+
+class PlatformEntry::Private
+{
+public:
+    Private(platform::EntrySettings settings, std::string settingsPath)
+        : m_settings(std::move(settings))
+        , m_settingsPath(std::move(settingsPath))
+        , m_log(m_context, m_settings.name)
+        , m_storeHttp(m_context, storeConnections)
+        , m_targetHttp(m_context, connectionsPerTarget)
+        , m_store(m_storeHttp, m_settings.storeAddress)
+        , m_frontDoor(m_store)
+        , m_ownership(
+                  m_context, m_store, m_settings.name, [this](const auto &tenure) { gain(tenure); },
+                  [this](const auto &reason) { lose(reason); })
+        , m_configuration(m_context, m_store, std::string(platform::operatorPrefix),
+                          configurationWatch,
+                          [this](const auto &items, auto, auto) { takeOperator(items); })
+        , m_callers(m_context, serverSettings(m_settings.callerPort),
+                    [this](auto request, auto respond) {
+                        m_frontDoor.handle(std::move(request), std::move(respond));
+                    })
+        , m_readiness(m_context, serverSettings(m_settings.readinessPort),
+                      [this](const auto &request, const auto &respond) {
+                          respond(checkReadiness(request));
+                      })
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+        , m_healthTimer(m_context)
+    {}
+
+    Result<void> run()
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        BOOST_OUTCOME_TRY(m_callers.start());
+        BOOST_OUTCOME_TRY(m_readiness.start());
+        logEvent(controlStarted, "callers={}:{} readiness={} store={}", m_settings.ownAddress,
+                 m_settings.callerPort, m_settings.readinessPort, m_settings.storeAddress);
+        m_configuration.start();
+        m_ownership.start();
+        waitForSignal();
+        watchHealth();
+        m_context.run();
+        m_owner.reset();
+        logEvent(controlStopped, "open_requests={}", m_frontDoor.openRequests());
+        return success();
+    }
+
+private:
+    net::HttpServerSettings serverSettings(std::uint16_t port) const
+    {
+        net::HttpServerSettings settings;
+        settings.address = m_settings.ownAddress;
+        settings.port = port;
+        settings.readTimeout = clientIdle;
+        settings.maxBodyBytes = std::size_t{1} << 20;
+        return settings;
+    }
+
+    net::HttpReply checkReadiness(const net::HttpRequest &request) const
+    {
+        net::HttpReply reply;
+        const bool isReady = !m_isLeaving && m_frontDoor.hasRules()
+                             && m_store.silence(bootNow()) < silenceBeforeUnready;
+        reply.status = request.path != platform::readinessPath ? 404 : isReady ? 200 : 503;
+        return reply;
+    }
+
+    void takeOperator(const std::vector<platform::StoreItem> &items)
+    {
+        for (const auto &item : items) {
+            if (item.deleted || item.key != platform::configurationKey) {
+                continue;
+            }
+            auto rules = platform::decodeRules(item.value);
+            if (!rules) {
+                logEvent(rulesRefused, "revision={} reason=\"{}\"", item.revision,
+                         rules.error().message);
+                continue;
+            }
+            m_frontDoor.setRules(std::move(rules).value());
+            if (m_owner) {
+                m_owner->setRules(*m_frontDoor.rules());
+            } else if (m_ownership.isHeld()) {
+                startOwner();
+            }
+        }
+    }
+
+    void gain(const Tenure &tenure)
+    {
+        logEvent(ownershipGained, "term={} revision={}", tenure.term, tenure.revision);
+        if (m_frontDoor.hasRules()) {
+            startOwner();
+        }
+    }
+
+    void startOwner()
+    {
+        m_owner = std::make_unique<OwnerService>(m_context, m_store, m_targetHttp, m_ownership,
+                                                 m_settings);
+        m_owner->start(*m_frontDoor.rules());
+    }
+
+    void lose(const std::string &reason)
+    {
+        logEvent(ownershipLost, "term={} reason=\"{}\"", m_ownership.tenure().term, reason);
+        m_owner.reset();
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](const auto &error, int signal) {
+            if (error) {
+                return;
+            }
+            waitForSignal();
+            if (signal == SIGHUP) {
+                readSettingsAgain();
+            } else if (!m_isLeaving) {
+                leave();
+            }
+        });
+    }
+
+    void readSettingsAgain()
+    {
+        auto settings = platform::readEntrySettings(m_settingsPath);
+        if (!settings) {
+            logEvent(settingsRead, "in_force=no reason=\"{}\"", settings.error().message);
+            return;
+        }
+        logEvent(settingsRead, "in_force={}",
+                 settings.value().storeAddress == m_settings.storeAddress ? "yes"
+                                                                          : "after a restart");
+    }
+
+    void leave()
+    {
+        m_isLeaving = true;
+        logEvent(controlStopping, "open_requests={}", m_frontDoor.openRequests());
+        m_frontDoor.leave();
+        m_ownership.stop();
+        m_leaveAt = bootNow() + leaveTime;
+        m_endAt = bootNow() + m_settings.grace - lastMoments;
+    }
+
+    void watchHealth()
+    {
+        const auto now = bootNow();
+        const bool isAway = m_store.silence(now) >= silenceBeforeUnready;
+        if (isAway != std::exchange(m_wasAway, isAway)) {
+            if (isAway) {
+                logEvent(storeLost, "silent_ms={}", toMilliseconds(m_store.silence(now)).count());
+            } else {
+                logEvent(storeRegained, "calls={}", m_store.calls());
+            }
+        }
+        if (m_isLeaving
+            && ((now >= m_leaveAt && m_callers.openRequests() == 0) || now >= m_endAt)) {
+            return m_context.stop();
+        }
+        m_healthTimer.expires_after(healthInterval);
+        m_healthTimer.async_wait([this](const auto &error) {
+            if (!error) {
+                watchHealth();
+            }
+        });
+    }
+
+    const platform::EntrySettings m_settings;
+    const std::string m_settingsPath;
+    asio::io_context m_context{1};
+    EventLog m_log;
+    net::HttpClient m_storeHttp;
+    net::HttpClient m_targetHttp;
+    StoreLink m_store;
+    FrontDoor m_frontDoor;
+    Ownership m_ownership;
+    KeyFollower m_configuration;
+    net::HttpServer m_callers;
+    net::HttpServer m_readiness;
+    asio::signal_set m_signals;
+    asio::steady_timer m_healthTimer;
+    // Present while this entry owns the work and has a configuration.
+    std::unique_ptr<OwnerService> m_owner;
+    bool m_wasAway = false;
+    bool m_isLeaving = false;
+    TimePoint m_leaveAt{};
+    TimePoint m_endAt{};
+};
+
+PlatformEntry::PlatformEntry(platform::EntrySettings settings, std::string settingsPath)
+    : m_private(std::make_unique<Private>(std::move(settings), std::move(settingsPath)))
+{}
+
+PlatformEntry::~PlatformEntry() = default;
+
+Result<void> PlatformEntry::run()
+{
+    return m_private->run();
+}
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/internal/records.cpp
@@ -0,0 +1,148 @@
+// Encodes and decodes records; a record that can't be read is an error, never an exception.
+#include "control/records.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <sstream>
+
+namespace cyclamenlatch::scheduling {
+
+// NOLINTBEGIN(readability-identifier-naming): cereal looks for these names.
+template<typename Archive>
+void serialize(Archive &archive, Room &room)
+{
+    archive(room.processors, room.memoryMib, room.accelerators);
+}
+
+template<typename Archive>
+void save(Archive &archive, const StepSpec &step)
+{
+    archive(step.count, step.need, std::int64_t{step.estimate.count()}, step.after,
+            step.savesCheckpoints, step.isGang, step.wantsOneRack, step.allowsCopies, step.lasts,
+            step.fills, step.requiredLabel, step.dataRack, step.image, step.mostPerTarget,
+            std::int64_t{step.tailTarget.count()}, step.mayBeAway);
+}
+
+template<typename Archive>
+void load(Archive &archive, StepSpec &step)
+{
+    std::int64_t estimate = 0;
+    std::int64_t tailTarget = 0;
+    archive(step.count, step.need, estimate, step.after, step.savesCheckpoints, step.isGang,
+            step.wantsOneRack, step.allowsCopies, step.lasts, step.fills, step.requiredLabel,
+            step.dataRack, step.image, step.mostPerTarget, tailTarget, step.mayBeAway);
+    step.estimate = std::chrono::milliseconds(estimate);
+    step.tailTarget = std::chrono::milliseconds(tailTarget);
+}
+
+template<typename Archive>
+void save(Archive &archive, const JobSubmission &job)
+{
+    archive(job.id, job.queue, job.service, job.workspace,
+            std::int64_t{job.submitted.time_since_epoch().count()}, job.spec.text, job.spec.steps,
+            job.spec.repeats, std::int64_t{job.spec.firstDue.time_since_epoch().count()},
+            std::int64_t{job.spec.interval.count()});
+}
+
+template<typename Archive>
+void load(Archive &archive, JobSubmission &job)
+{
+    std::int64_t submitted = 0;
+    std::int64_t firstDue = 0;
+    std::int64_t interval = 0;
+    archive(job.id, job.queue, job.service, job.workspace, submitted, job.spec.text,
+            job.spec.steps, job.spec.repeats, firstDue, interval);
+    job.submitted = WallTime(std::chrono::milliseconds(submitted));
+    job.spec.firstDue = WallTime(std::chrono::milliseconds(firstDue));
+    job.spec.interval = std::chrono::milliseconds(interval);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, StepProgress &progress)
+{
+    archive(progress.done, progress.failures, progress.checkpoints);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, JobProgress &progress)
+{
+    archive(progress.phase, progress.steps);
+}
+// NOLINTEND(readability-identifier-naming)
+
+} // namespace cyclamenlatch::scheduling
+
+namespace cyclamenlatch::control {
+
+namespace {
+
+constexpr std::uint8_t recordVersion = 1;
+
+template<typename Value>
+std::string encode(const Value &value)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(recordVersion, value);
+    }
+    return stream.str();
+}
+
+template<typename Value>
+Result<Value> decode(const std::string &record)
+{
+    try {
+        std::istringstream stream(record);
+        cereal::PortableBinaryInputArchive archive(stream);
+        std::uint8_t version = 0;
+        Value value;
+        archive(version);
+        if (version == recordVersion) {
+            archive(value);
+            return value;
+        }
+    } catch (const std::exception &) {
+        // Reported below: a record that is cut short is as unreadable as one of another version.
+    }
+    return failure(ErrorKind::InvalidInput, "a record in the store can't be read",
+                   "remove it, or run the version that wrote it");
+}
+
+} // namespace
+
+std::string encodeSubmission(const scheduling::JobSubmission &submission)
+{
+    return encode(submission);
+}
+
+Result<scheduling::JobSubmission> decodeSubmission(const std::string &record)
+{
+    return decode<scheduling::JobSubmission>(record);
+}
+
+std::string encodeProgress(const scheduling::JobProgress &progress)
+{
+    return encode(progress);
+}
+
+Result<scheduling::JobProgress> decodeProgress(const std::string &record)
+{
+    return decode<scheduling::JobProgress>(record);
+}
+
+std::string encodeIds(const std::vector<std::string> &ids)
+{
+    return encode(ids);
+}
+
+Result<std::vector<std::string>> decodeIds(const std::string &record)
+{
+    return decode<std::vector<std::string>>(record);
+}
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/internal/storelink.cpp
@@ -0,0 +1,108 @@
+// Sends calls to the store and notes how they end.
+#include "control/storelink.h"
+
+#include "control/clock.h"
+
+#include <memory>
+#include <utility>
+
+namespace cyclamenlatch::control {
+
+namespace {
+
+// The store answers within some milliseconds, and within 300 when it is slow.
+constexpr std::chrono::milliseconds callTimeout{600};
+constexpr std::chrono::milliseconds connectTimeout{300};
+// Beyond the time that a watch was asked to wait.
+constexpr std::chrono::milliseconds watchMargin{500};
+
+} // namespace
+
+StoreLink::StoreLink(net::HttpClient &http, const std::string &address)
+    : m_http(http)
+    , m_format(address)
+    , m_lastAnswer(bootNow())
+{}
+
+void StoreLink::send(net::HttpCall call, std::chrono::milliseconds timeout, Completion completion)
+{
+    ++m_calls;
+    call.timeout = timeout;
+    call.connectTimeout = connectTimeout;
+    m_http.send(std::move(call),
+                [this, completion = std::move(completion)](const net::HttpCallResult &result) {
+                    const auto reply = platform::StoreCalls::judge(result);
+                    ++m_outcomes[reply.outcome];
+                    const bool isAnswer = reply.outcome != platform::StoreOutcome::NotDone
+                                          && reply.outcome != platform::StoreOutcome::Unclear;
+                    if (isAnswer) {
+                        m_lastAnswer = bootNow();
+                    }
+                    m_isFailing = !isAnswer;
+                    completion(reply);
+                });
+}
+
+void StoreLink::get(const std::string &key, Completion completion)
+{
+    send(m_format.get(key), callTimeout, std::move(completion));
+}
+
+void StoreLink::list(const std::string &prefix, ListCompletion completion)
+{
+    listPage(prefix, {}, std::move(completion));
+}
+
+void StoreLink::listPage(const std::string &prefix, platform::StoreReply gathered,
+                         ListCompletion completion)
+{
+    const auto after = gathered.items.empty() ? std::string{} : gathered.items.back().key;
+    send(m_format.range(prefix, after), callTimeout * 2,
+         [this, prefix, gathered = std::move(gathered),
+          completion = std::move(completion)](const platform::StoreReply &page) mutable {
+             if (page.outcome != platform::StoreOutcome::Done) {
+                 return completion(page);
+             }
+             const bool isFirst = gathered.items.empty();
+             gathered.outcome = page.outcome;
+             gathered.revision = isFirst ? page.revision : gathered.revision;
+             gathered.items.insert(gathered.items.end(), page.items.begin(), page.items.end());
+             if (page.hasMore && !page.items.empty()) {
+                 return listPage(prefix, std::move(gathered), std::move(completion));
+             }
+             completion(gathered);
+         });
+}
+
+void StoreLink::watch(const std::string &prefix, platform::StoreRevision after,
+                      std::chrono::milliseconds wait, Completion completion)
+{
+    send(m_format.watch(prefix, after, wait), wait + watchMargin, std::move(completion));
+}
+
+void StoreLink::change(const platform::StoreChange &change, Completion completion)
+{
+    send(m_format.change(change), callTimeout, std::move(completion));
+}
+
+void StoreLink::grantLease(std::chrono::milliseconds timeToLive, Completion completion)
+{
+    send(m_format.grantLease(timeToLive), callTimeout, std::move(completion));
+}
+
+void StoreLink::renewLease(platform::LeaseId lease, Completion completion)
+{
+    send(m_format.renewLease(lease), callTimeout, std::move(completion));
+}
+
+void StoreLink::endLease(platform::LeaseId lease, Completion completion)
+{
+    send(m_format.endLease(lease), callTimeout, std::move(completion));
+}
+
+Duration StoreLink::silence(TimePoint now) const
+{
+    return m_isFailing ? now - m_lastAnswer : Duration{};
+}
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/keyfollower.h
@@ -0,0 +1,54 @@
+// Follows the keys under a prefix of the platform's store: the whole list first, then every change.
+// When the store has dropped the history in between, it lists anew. Runs on the context's thread.
+#pragma once
+
+#include "control/storelink.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cyclamenlatch::control {
+
+class KeyFollower
+{
+public:
+    // isWhole: keys that are not among the items are gone, if their last change is not after the
+    // revision.
+    using Listener = std::function<void(const std::vector<platform::StoreItem> &items,
+                                        platform::StoreRevision at, bool isWhole)>;
+
+    // Each call waits at most this long for a change, which also bounds the time until a silent
+    // connection is given up.
+    KeyFollower(asio::io_context &context, StoreLink &store, std::string prefix,
+                std::chrono::milliseconds wait, Listener listener);
+    ~KeyFollower();
+    KeyFollower(const KeyFollower &) = delete;
+    KeyFollower &operator=(const KeyFollower &) = delete;
+
+    void start();
+    // Time of the last list or answered watch.
+    TimePoint lastAnswer() const { return m_lastAnswer; }
+
+private:
+    void list();
+    void watch();
+    void retry(bool withList);
+
+    StoreLink &m_store;
+    const std::string m_prefix;
+    const std::chrono::milliseconds m_wait;
+    const Listener m_listener;
+    asio::steady_timer m_timer;
+    platform::StoreRevision m_revision = 0;
+    TimePoint m_lastAnswer{};
+    // Lives as long as this, for calls that end later.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/ownerservice.h
@@ -0,0 +1,114 @@
+// The work of the owning entry: reads what is stored and what runs, lets the core decide, sends its
+// orders to targets and stores what has ended. Exists only while this entry owns the work.
+#pragma once
+
+#include "control/keyfollower.h"
+#include "control/ownership.h"
+#include "control/storelink.h"
+#include "net/httpclient.h"
+#include "platform/entrysettings.h"
+#include "platform/targetcalls.h"
+#include "scheduling/ownercore.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace cyclamenlatch::control {
+
+class OwnerService
+{
+public:
+    OwnerService(asio::io_context &context, StoreLink &store, net::HttpClient &targets,
+                 Ownership &ownership, const platform::EntrySettings &settings);
+    ~OwnerService();
+    OwnerService(const OwnerService &) = delete;
+    OwnerService &operator=(const OwnerService &) = delete;
+
+    void start(const scheduling::FleetRules &rules);
+    void setRules(const scheduling::FleetRules &rules);
+    const scheduling::OwnerCore &core() const { return m_core; }
+
+private:
+    struct HoldLoop;
+    struct PendingFlush;
+
+    // Loading.
+    void loadStates();
+    void loadOrderedTargets();
+    void followJobs();
+    void followTargets();
+    void takeJobs(const std::vector<platform::StoreItem> &items, platform::StoreRevision at,
+                  bool isWhole);
+    void takeJob(const platform::StoreItem &item);
+    void takeTargets(const std::vector<platform::StoreItem> &items, platform::StoreRevision at,
+                     bool isWhole);
+    void again(std::function<void()> action);
+
+    // Targets.
+    void holdTargets();
+    void hold(const std::string &id);
+    void holdAfter(const std::string &id, Duration delay);
+    void takeHold(const std::string &id, const net::HttpCallResult &result, TimePoint sentAt);
+    void send(const scheduling::Order &order);
+    template<typename Kind>
+    using Answered = void (scheduling::OwnerCore::*)(const Kind &, scheduling::OrderAnswer,
+                                                     TimePoint);
+    template<typename Kind>
+    void sendOrder(net::HttpCall call, const Kind &order, Answered<Kind> answered);
+    void recordTargets();
+
+    // Planning and storing.
+    void planSoon();
+    void plan();
+    void tick();
+    void flushIfDue();
+    void sendChange(std::shared_ptr<PendingFlush> flush, std::vector<std::size_t> writes);
+    void judgeChange(const std::shared_ptr<PendingFlush> &flush, std::vector<std::size_t> writes,
+                     const platform::StoreReply &reply);
+    std::vector<std::size_t> settleConflicts(const std::shared_ptr<PendingFlush> &flush,
+                                             const std::vector<std::size_t> &writes,
+                                             const platform::StoreReply &reply);
+    void finishChange(const std::shared_ptr<PendingFlush> &flush);
+    void forgetEndedJobs();
+    bool isHeld() const { return m_ownership.isHeld(); }
+    void logDecision(const scheduling::Decision &decision);
+
+    asio::io_context &m_context;
+    StoreLink &m_store;
+    net::HttpClient &m_http;
+    Ownership &m_ownership;
+    const platform::EntrySettings &m_settings;
+    const Tenure m_tenure;
+    scheduling::OwnerCore m_core;
+    KeyFollower m_jobs;
+    KeyFollower m_targets;
+    asio::steady_timer m_tickTimer;
+    asio::steady_timer m_planTimer;
+    bool m_isPlanDue = false;
+    bool m_hasTargets = false;
+    // Read at the start; jobs are taken out as they are listed.
+    std::unordered_map<scheduling::JobNumber, platform::StoreItem> m_states;
+    std::unordered_map<std::string, std::unique_ptr<HoldLoop>> m_holds;
+    std::unordered_set<std::string> m_services;
+    // Of the record of targets with orders.
+    platform::StoreRevision m_orderedRevision = 0;
+    bool m_isRecording = false;
+    bool m_isFlushing = false;
+    TimePoint m_lastFlush{};
+    // Jobs that have ended, with the time when their state may be removed.
+    std::deque<std::pair<TimePoint, scheduling::JobNumber>> m_ended;
+    bool m_isForgetting = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/ownership.h
@@ -0,0 +1,92 @@
+// Whether this entry owns the fleet's work. The owner's key lives on a lease in the store; the
+// number of the ownership, which rises with each, is the fencing token of its orders. The holder
+// counts its lease from when it sent the renewal, on a clock that counts sleep, and stops before
+// the store can let another one in.
+#pragma once
+
+#include "control/keyfollower.h"
+#include "control/storelink.h"
+#include "store/heldlease.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cyclamenlatch::control {
+
+struct Tenure
+{
+    // Counts ownerships from 1.
+    std::uint64_t term = 0;
+    // Of the owner's key; every write of the owner is conditional on it.
+    platform::StoreRevision revision = 0;
+};
+
+class Ownership
+{
+public:
+    using Gained = std::function<void(const Tenure &)>;
+    using Lost = std::function<void(const std::string &reason)>;
+
+    Ownership(asio::io_context &context, StoreLink &store, std::string name, Gained gained,
+              Lost lost);
+    ~Ownership();
+    Ownership(const Ownership &) = delete;
+    Ownership &operator=(const Ownership &) = delete;
+
+    void start();
+    // Gives the ownership back and takes it no more.
+    void stop();
+    // Gives it up, because somebody else has it or this entry can't use it, and tries again later.
+    void resign(const std::string &reason);
+    // Ask right before each act that only the owner may do.
+    bool isHeld() const;
+    const Tenure &tenure() const { return m_tenure; }
+    // Of the owner as the store last told; empty: none, or not known.
+    const std::string &ownerName() const { return m_ownerName; }
+
+private:
+    enum class Stage { Watching, Claiming, Holding };
+
+    void takeOwner(const std::vector<platform::StoreItem> &items, bool isWhole);
+    void claim();
+    void claimWithLease(platform::LeaseId lease, Duration timeToLive, TimePoint sentAt);
+    void writeClaim(platform::LeaseId lease, const platform::StoreReply &term, Duration timeToLive,
+                    TimePoint sentAt);
+    void judgeClaim(platform::LeaseId lease, std::uint64_t term, Duration timeToLive,
+                    TimePoint sentAt, const platform::StoreReply &reply);
+    void hold(platform::LeaseId lease, const Tenure &tenure, Duration timeToLive, TimePoint sentAt);
+    void giveUpClaim(platform::LeaseId lease);
+    void renew();
+    void endLease(platform::LeaseId lease, unsigned tries);
+    void tick();
+    void tickAfter(std::chrono::milliseconds delay);
+
+    asio::io_context &m_context;
+    StoreLink &m_store;
+    const std::string m_name;
+    const Gained m_gained;
+    const Lost m_lost;
+    asio::steady_timer m_timer;
+    KeyFollower m_follower;
+    Stage m_stage = Stage::Watching;
+    bool m_isStopped = false;
+    bool m_isOwnerKnown = false;
+    std::string m_ownerName;
+    // Value of this entry's claim; differs from claim to claim.
+    std::string m_claim;
+    unsigned m_claims = 0;
+    Tenure m_tenure;
+    platform::LeaseId m_leaseId = 0;
+    store::HeldLease m_lease;
+    bool m_isRenewing = false;
+    // No claim before this time.
+    TimePoint m_notBefore{};
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/records.h
@@ -0,0 +1,19 @@
+// The form of the system's records in the store: cereal's portable binary form behind a version.
+#pragma once
+
+#include "global/result.h"
+#include "scheduling/jobrecord.h"
+
+#include <string>
+#include <vector>
+
+namespace cyclamenlatch::control {
+
+std::string encodeSubmission(const scheduling::JobSubmission &submission);
+Result<scheduling::JobSubmission> decodeSubmission(const std::string &record);
+std::string encodeProgress(const scheduling::JobProgress &progress);
+Result<scheduling::JobProgress> decodeProgress(const std::string &record);
+std::string encodeIds(const std::vector<std::string> &ids);
+Result<std::vector<std::string>> decodeIds(const std::string &record);
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/storekeys.h
@@ -0,0 +1,44 @@
+// Where the system's own records lie in the platform's store.
+#pragma once
+
+#include "platform/targetcalls.h"
+#include "scheduling/taskref.h"
+
+#include <string>
+#include <string_view>
+
+namespace cyclamenlatch::control {
+
+// The owner's name and nonce, on the owner's lease. Every write of an owner is conditional on it.
+inline constexpr std::string_view ownerKey = "owner";
+// How often the ownership has changed hands.
+inline constexpr std::string_view termKey = "term";
+// Ids of targets that may run something.
+inline constexpr std::string_view orderedTargetsKey = "ordered-targets";
+// Submissions of jobs that have not ended.
+inline constexpr std::string_view jobPrefix = "job/";
+// Phase and progress of every job, kept for a while after its end.
+inline constexpr std::string_view statePrefix = "state/";
+
+inline std::string jobKey(scheduling::JobNumber id)
+{
+    return std::string(jobPrefix) + platform::jobIdText(id);
+}
+
+inline std::string stateKey(scheduling::JobNumber id)
+{
+    return std::string(statePrefix) + platform::jobIdText(id);
+}
+
+// Marks of a queue's jobs that have not begun.
+inline std::string waitingPrefix(const std::string &queue)
+{
+    return "waiting/" + queue + "/";
+}
+
+inline std::string waitingKey(const std::string &queue, scheduling::JobNumber id)
+{
+    return waitingPrefix(queue) + platform::jobIdText(id);
+}
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/storelink.h
@@ -0,0 +1,57 @@
+// This process's calls to the platform's store: one try each, with a time limit, and what is known
+// of the store's health from how they end. Runs on the context's one thread.
+#pragma once
+
+#include "global/time.h"
+#include "net/httpclient.h"
+#include "platform/storecalls.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cyclamenlatch::control {
+
+class StoreLink
+{
+public:
+    using Completion = std::function<void(const platform::StoreReply &)>;
+    using ListCompletion = std::function<void(const platform::StoreReply &)>;
+
+    StoreLink(net::HttpClient &http, const std::string &address);
+
+    void get(const std::string &key, Completion completion);
+    // All pages; the revision is the store's at the first page, so that a watch from there misses
+    // nothing that a later page is too old for.
+    void list(const std::string &prefix, ListCompletion completion);
+    void watch(const std::string &prefix, platform::StoreRevision after,
+               std::chrono::milliseconds wait, Completion completion);
+    void change(const platform::StoreChange &change, Completion completion);
+    void grantLease(std::chrono::milliseconds timeToLive, Completion completion);
+    void renewLease(platform::LeaseId lease, Completion completion);
+    void endLease(platform::LeaseId lease, Completion completion);
+
+    // No call has been answered for this long, and one has failed since; zero: it answers.
+    Duration silence(TimePoint now) const;
+    std::uint64_t calls() const { return m_calls; }
+    // By the name of the outcome.
+    const std::map<platform::StoreOutcome, std::uint64_t> &outcomes() const { return m_outcomes; }
+
+private:
+    void send(net::HttpCall call, std::chrono::milliseconds timeout, Completion completion);
+    void listPage(const std::string &prefix, platform::StoreReply gathered,
+                  ListCompletion completion);
+
+    net::HttpClient &m_http;
+    const platform::StoreCalls m_format;
+    std::uint64_t m_calls = 0;
+    std::map<platform::StoreOutcome, std::uint64_t> m_outcomes;
+    TimePoint m_lastAnswer{};
+    // Set from the first failure after an answer.
+    bool m_isFailing = false;
+};
+
+} // namespace cyclamenlatch::control
--- a/src/global/event.h
+++ b/src/global/event.h
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -24,6 +25,11 @@
 
 void writeEvent(const Event &event, const std::string &details);
 
+// Takes every event from now on in place of the usual log; an empty one gives it back. Set it
+// before threads log.
+using EventSink = std::function<void(const Event &, const std::string &details)>;
+void setEventSink(EventSink sink);
+
 template<typename... Args>
 void logEvent(const Event &event, fmt::format_string<Args...> format, Args &&...args)
 {
--- a/src/jobs/internal/jobbook.cpp
+++ b/src/jobs/internal/jobbook.cpp
@@ -50,7 +50,7 @@
     , m_quota(quota)
 {}
 
-void JobBook::noteRecord(const JobRecord &record, platform::StoreRevision revision)
+void JobBook::noteRecord(const JobRecord &record, store::StoreRevision revision)
 {
     auto &entry = m_jobs[record.id];
     if (revision > entry.revision) {
@@ -67,7 +67,7 @@
     }
 }
 
-void JobBook::noteTasks(const platform::TaskListing &listing)
+void JobBook::noteTasks(const store::TaskListing &listing)
 {
     for (const auto &task : listing.tasks) {
         auto &known = m_tasks[task.id];
@@ -124,7 +124,7 @@
     return input;
 }
 
-const platform::TaskStatus *JobBook::findTask(const std::string &task) const
+const store::TaskStatus *JobBook::findTask(const std::string &task) const
 {
     const auto found = m_tasks.find(task);
     return found == m_tasks.end() ? nullptr : &found->second;
@@ -159,7 +159,7 @@
     return true;
 }
 
-void JobBook::endWrite(const JobId &id, platform::StoreRevision revision)
+void JobBook::endWrite(const JobId &id, store::StoreRevision revision)
 {
     const auto pending = m_pending.find(id);
     if (pending == m_pending.end()) {
@@ -171,7 +171,7 @@
 }
 
 void JobBook::resolveWrite(const JobId &id, const std::optional<JobRecord> &stored,
-                           platform::StoreRevision revision)
+                           store::StoreRevision revision)
 {
     m_pending.erase(id);
     if (stored) {
@@ -242,7 +242,7 @@
 {
     std::vector<std::string> tasks;
     for (const auto &[id, task] : m_tasks) {
-        if (task.state == platform::TaskState::Running && placeOf(id) != TaskPlace::Over) {
+        if (task.state == store::TaskState::Running && placeOf(id) != TaskPlace::Over) {
             tasks.push_back(id);
         }
     }
@@ -271,9 +271,9 @@
     return tasks;
 }
 
-std::vector<std::pair<JobId, platform::StoreRevision>> JobBook::finalBefore(WallTime time) const
+std::vector<std::pair<JobId, store::StoreRevision>> JobBook::finalBefore(WallTime time) const
 {
-    std::vector<std::pair<JobId, platform::StoreRevision>> jobs;
+    std::vector<std::pair<JobId, store::StoreRevision>> jobs;
     for (const auto &[id, entry] : m_jobs) {
         if (isFinal(entry.record.state) && entry.record.enteredAt < time
             && !m_pending.contains(id)) {
--- a/src/jobs/internal/jobcontroller.cpp
+++ b/src/jobs/internal/jobcontroller.cpp
@@ -28,8 +28,8 @@
 
 } // namespace
 
-JobController::JobController(asio::io_context &context, platform::StoreClient &store,
-                             platform::TaskClient &tasks, quota::QuotaTable &quota,
+JobController::JobController(asio::io_context &context, store::StoreClient &store,
+                             store::TaskClient &tasks, quota::QuotaTable &quota,
                              JobControllerSettings settings)
     : m_store(store)
     , m_taskClient(tasks)
@@ -137,7 +137,7 @@
         return;
     }
     logEvent(leadingStarted, "{}", m_settings.entry.value());
-    m_store.list(std::string(jobKeyPrefix), [this, term](Result<platform::StoreListing> listing) {
+    m_store.list(std::string(jobKeyPrefix), [this, term](Result<store::StoreListing> listing) {
         {
             const std::lock_guard lock(m_mutex);
             if (term != m_term) {
@@ -169,7 +169,7 @@
 
 void JobController::followRecords()
 {
-    platform::StoreRevision after = 0;
+    store::StoreRevision after = 0;
     std::uint64_t term = 0;
     {
         const std::lock_guard lock(m_mutex);
@@ -180,7 +180,7 @@
         after = m_recordRevision;
     }
     m_store.watch(std::string(jobKeyPrefix), after, recordWait,
-                  [this, term](Result<platform::StoreListing> listing) {
+                  [this, term](Result<store::StoreListing> listing) {
                       {
                           const std::lock_guard lock(m_mutex);
                           if (term != m_term) {
@@ -198,7 +198,7 @@
                   });
 }
 
-void JobController::takeRecords(const platform::StoreListing &listing)
+void JobController::takeRecords(const store::StoreListing &listing)
 {
     m_recordRevision = std::max(m_recordRevision, listing.revision);
     for (const auto &item : listing.items) {
@@ -218,7 +218,7 @@
 
 void JobController::followTasks()
 {
-    platform::TaskRevision after = 0;
+    store::TaskRevision after = 0;
     const bool storeDown = isStoreDown(steadyNow());
     {
         const std::lock_guard lock(m_mutex);
@@ -231,7 +231,7 @@
     }
     // The first listing is asked for without a wait.
     const auto wait = after == 0 ? std::chrono::milliseconds(0) : taskWait;
-    m_taskClient.changes(after, wait, [this, after](Result<platform::TaskListing> listing) {
+    m_taskClient.changes(after, wait, [this, after](Result<store::TaskListing> listing) {
         {
             const std::lock_guard lock(m_mutex);
             m_followingTasks = false;
@@ -258,7 +258,7 @@
         m_nextRenewal = now + m_settings.taskLease / renewalsPerLease;
         tasks = m_book.renewals();
     }
-    sendCommands(platform::TaskCommand::Renew, tasks);
+    sendCommands(store::TaskCommand::Renew, tasks);
 }
 
 // Units of jobs that another entry has taken over meanwhile are found by looking at the records.
@@ -271,7 +271,7 @@
         }
         m_nextUnitLook = now + unitLookInterval;
     }
-    m_store.list(std::string(jobKeyPrefix), [this](Result<platform::StoreListing> listing) {
+    m_store.list(std::string(jobKeyPrefix), [this](Result<store::StoreListing> listing) {
         const std::lock_guard lock(m_mutex);
         if (!listing || m_leading) {
             return;
@@ -345,7 +345,7 @@
         m_active = m_book.activeByWorker();
         ended = m_book.endedTasks();
         auto strays = m_book.strayTasks();
-        auto &stops = decided.commands[platform::TaskCommand::Stop];
+        auto &stops = decided.commands[store::TaskCommand::Stop];
         stops.insert(stops.end(), strays.begin(), strays.end());
         for (const auto &worker : decided.blamedWorkers) {
             if (m_blamed.insert(worker).second) {
@@ -379,7 +379,7 @@
 {
     const auto &id = write.next.id;
     m_store.compareAndSwap({jobKey(id), writeJobRecord(write.next), write.expected, ""},
-                           [this, id](Result<platform::StoreRevision> written) {
+                           [this, id](Result<store::StoreRevision> written) {
                                if (written) {
                                    {
                                        const std::lock_guard lock(m_mutex);
@@ -428,7 +428,7 @@
 
 void JobController::resolveConflict(const JobId &id)
 {
-    m_store.get(jobKey(id), [this, id](Result<std::optional<platform::StoreItem>> item) {
+    m_store.get(jobKey(id), [this, id](Result<std::optional<store::StoreItem>> item) {
         const std::lock_guard lock(m_mutex);
         if (!item) {
             return m_book.markUnclear(id);
@@ -441,7 +441,7 @@
 
 void JobController::sendStart(const JobRecord &record)
 {
-    platform::TaskStart start;
+    store::TaskStart start;
     start.id = taskOf(record);
     start.worker = record.worker;
     start.lease = m_settings.taskLease;
@@ -457,7 +457,7 @@
     });
 }
 
-void JobController::sendCommands(platform::TaskCommand command,
+void JobController::sendCommands(store::TaskCommand command,
                                  const std::vector<std::string> &tasks)
 {
     if (!tasks.empty()) {
@@ -470,7 +470,7 @@
     if (tasks.empty()) {
         return;
     }
-    m_taskClient.command(platform::TaskCommand::Forget, tasks,
+    m_taskClient.command(store::TaskCommand::Forget, tasks,
                          [this, tasks](const Result<void> &forgotten) {
                              if (forgotten) {
                                  const std::lock_guard lock(m_mutex);
@@ -481,7 +481,7 @@
 
 void JobController::removeOld(WallTime now)
 {
-    std::vector<std::pair<JobId, platform::StoreRevision>> old;
+    std::vector<std::pair<JobId, store::StoreRevision>> old;
     {
         const std::lock_guard lock(m_mutex);
         const auto steady = steadyNow();
@@ -495,7 +495,7 @@
         old.resize(maxRemovals);
     }
     for (const auto &[id, revision] : old) {
-        m_store.remove(jobKey(id), revision, [](const Result<platform::StoreRevision> &) {});
+        m_store.remove(jobKey(id), revision, [](const Result<store::StoreRevision> &) {});
     }
 }
 
--- a/src/jobs/internal/jobdesk.cpp
+++ b/src/jobs/internal/jobdesk.cpp
@@ -58,7 +58,7 @@
 {
     const auto wanted = makeRecord(submission, wallNow());
     m_store.get(jobKey(wanted.id), [wanted, refusal, completion = std::move(completion)](
-                                           const Result<std::optional<platform::StoreItem>> &item) {
+                                           const Result<std::optional<store::StoreItem>> &item) {
         if (!item) {
             return completion(boost::outcome_v2::failure(item.error()));
         }
@@ -75,7 +75,7 @@
     const auto record = makeRecord(submission, wallNow());
     m_store.compareAndSwap({jobKey(record.id), writeJobRecord(record), 0, ""},
                            [this, record, completion = std::move(completion)](
-                                   Result<platform::StoreRevision> written) mutable {
+                                   Result<store::StoreRevision> written) mutable {
                                if (written) {
                                    return completion(record);
                                }
@@ -91,7 +91,7 @@
 void JobDesk::confirmSubmission(const JobRecord &record, Completion completion)
 {
     m_store.get(jobKey(record.id), [record, completion = std::move(completion)](
-                                           Result<std::optional<platform::StoreItem>> item) {
+                                           Result<std::optional<store::StoreItem>> item) {
         const auto stored =
                 item && item.value() ? readJobRecord(item.value()->value) : std::nullopt;
         if (!stored) {
@@ -111,7 +111,7 @@
 void JobDesk::find(const JobId &id, const WorkspaceId &workspace, Completion failed, Found found)
 {
     m_store.get(jobKey(id), [workspace, failed = std::move(failed), found = std::move(found)](
-                                    Result<std::optional<platform::StoreItem>> item) {
+                                    Result<std::optional<store::StoreItem>> item) {
         if (!item) {
             return failed(boost::outcome_v2::failure(item.error()));
         }
@@ -126,7 +126,7 @@
 void JobDesk::show(const JobId &id, const WorkspaceId &workspace, Completion completion)
 {
     find(id, workspace, completion,
-         [completion](const JobRecord &record, platform::StoreRevision) { completion(record); });
+         [completion](const JobRecord &record, store::StoreRevision) { completion(record); });
 }
 
 void JobDesk::cancel(const JobId &id, const WorkspaceId &workspace, Completion completion)
@@ -139,14 +139,14 @@
 {
     find(id, workspace, completion,
          [this, id, workspace, tries, completion](const JobRecord &record,
-                                                  platform::StoreRevision revision) {
+                                                  store::StoreRevision revision) {
              if (isFinal(record.state) || record.cancelRequested) {
                  return completion(record);
              }
              const auto next = cancelled(record, wallNow());
              m_store.compareAndSwap({jobKey(id), writeJobRecord(next), revision, ""},
                                     [this, id, workspace, tries, next,
-                                     completion](Result<platform::StoreRevision> written) {
+                                     completion](Result<store::StoreRevision> written) {
                                         if (written) {
                                             return completion(next);
                                         }
@@ -176,7 +176,7 @@
 void JobDesk::cancelAll(const BulkCancelFilter &filter, BulkCompletion completion)
 {
     m_store.list(std::string(jobKeyPrefix), [this, filter, completion = std::move(completion)](
-                                                    const Result<platform::StoreListing> &found) {
+                                                    const Result<store::StoreListing> &found) {
         if (!found) {
             return completion(boost::outcome_v2::failure(found.error()));
         }
--- a/src/jobs/internal/jobmachine.cpp
+++ b/src/jobs/internal/jobmachine.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-using platform::TaskCommand;
-using platform::TaskState;
-using platform::TaskStatus;
+using store::TaskCommand;
+using store::TaskState;
+using store::TaskStatus;
 
 std::chrono::milliseconds retryDelay(std::size_t failures, const JobPolicy &policy, Random &random)
 {
@@ -63,7 +63,7 @@
         return entered(next, JobState::Cancelled, "cancelled by its caller", now);
     }
     return entered(next, JobState::Submitted,
-                   fmt::format("{} on {}", platform::taskStateNames.name(task.state),
+                   fmt::format("{} on {}", store::taskStateNames.name(task.state),
                                record.worker.value()),
                    now);
 }
--- a/src/jobs/internal/jobrecord.cpp
+++ b/src/jobs/internal/jobrecord.cpp
@@ -1,7 +1,7 @@
 // The JSON form of a job's record.
 #include "jobs/jobrecord.h"
 
-#include "platform/base64.h"
+#include "store/base64.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -24,7 +24,7 @@
 
 std::string readBytes(const json &value)
 {
-    return platform::fromBase64(value.get<std::string>()).value_or("");
+    return store::fromBase64(value.get<std::string>()).value_or("");
 }
 
 json failuresJson(const std::vector<JobFailure> &failures)
@@ -62,12 +62,12 @@
                      {"processors", record.resources.processors},
                      {"memoryMib", record.resources.memoryMib},
                      {"accelerators", record.resources.accelerators},
-                     {"body", platform::toBase64(record.body)},
+                     {"body", store::toBase64(record.body)},
                      {"submissionHash", record.submissionHash},
                      {"attempt", record.attempt},
                      {"worker", record.worker.value()},
                      {"holder", record.holder},
-                     {"checkpoint", platform::toBase64(record.checkpoint)},
+                     {"checkpoint", store::toBase64(record.checkpoint)},
                      {"failures", failuresJson(record.failures)},
                      {"cancelRequested", record.cancelRequested},
                      {"reason", record.reason},
--- a/src/jobs/internal/leadership.cpp
+++ b/src/jobs/internal/leadership.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-Leadership::Leadership(platform::StoreClient &store, std::string key, std::string self,
+Leadership::Leadership(store::StoreClient &store, std::string key, std::string self,
                        std::chrono::milliseconds timeToLive)
     : m_store(store)
     , m_key(std::move(key))
@@ -58,7 +58,7 @@
 
 void Leadership::look()
 {
-    m_store.get(m_key, [this](Result<std::optional<platform::StoreItem>> item) {
+    m_store.get(m_key, [this](Result<std::optional<store::StoreItem>> item) {
         if (!item) {
             return setIdle();
         }
@@ -70,10 +70,10 @@
 }
 
 // Returns to the next tick as soon as the leader's key changes.
-void Leadership::wait(platform::StoreRevision after)
+void Leadership::wait(store::StoreRevision after)
 {
     m_store.watch(m_key, after, waitForChange,
-                  [this](const Result<platform::StoreListing> &) { setIdle(); });
+                  [this](const Result<store::StoreListing> &) { setIdle(); });
 }
 
 void Leadership::contend()
@@ -90,10 +90,10 @@
 void Leadership::claim(const std::string &lease, TimePoint sentAt)
 {
     m_store.compareAndSwap({m_key, m_self, 0, lease},
-                           [this, lease, sentAt](Result<platform::StoreRevision> written) {
+                           [this, lease, sentAt](Result<store::StoreRevision> written) {
                                if (written) {
                                    const std::lock_guard lock(m_mutex);
-                                   m_lease = platform::HeldLease(lease, m_timeToLive, sentAt);
+                                   m_lease = store::HeldLease(lease, m_timeToLive, sentAt);
                                    m_busy = false;
                                    return;
                                }
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -5,7 +5,7 @@
 
 #include "jobs/jobplan.h"
 #include "jobs/waitingmessage.h"
-#include "platform/taskstatus.h"
+#include "store/taskstatus.h"
 #include "quota/quotatable.h"
 
 #include <optional>
@@ -23,9 +23,9 @@
     JobBook(std::string self, quota::QuotaTable &quota);
 
     // Older revisions than the known one are ignored.
-    void noteRecord(const JobRecord &record, platform::StoreRevision revision);
+    void noteRecord(const JobRecord &record, store::StoreRevision revision);
     void noteGone(const JobId &id);
-    void noteTasks(const platform::TaskListing &listing);
+    void noteTasks(const store::TaskListing &listing);
     // The platform has dropped these tasks.
     void forgetTasks(const std::vector<std::string> &tasks);
     // Workers that take no new work, besides those that the platform drains.
@@ -40,10 +40,10 @@
     // Takes the unit that the write needs and marks it as under way. Returns false when there is
     // no unit; the write must not be made then.
     bool beginWrite(const JobWrite &write, WallTime now);
-    void endWrite(const JobId &id, platform::StoreRevision revision);
+    void endWrite(const JobId &id, store::StoreRevision revision);
     // Another value is stored; it may be this very write's if an earlier answer was lost.
     void resolveWrite(const JobId &id, const std::optional<JobRecord> &stored,
-                      platform::StoreRevision revision);
+                      store::StoreRevision revision);
     // The write may have had its effect or may still have it: repeat it until that is known.
     void markUnclear(const JobId &id);
     // The unclear writes to be repeated now; each counts as under way again.
@@ -63,7 +63,7 @@
     std::vector<std::string> endedTasks() const;
     std::vector<std::string> strayTasks() const;
     // Final records that entered their state before the given time.
-    std::vector<std::pair<JobId, platform::StoreRevision>> finalBefore(WallTime time) const;
+    std::vector<std::pair<JobId, store::StoreRevision>> finalBefore(WallTime time) const;
 
     // Jobs that have, or are about to have, a task on each worker.
     std::unordered_map<WorkerId, unsigned> activeByWorker() const;
@@ -77,7 +77,7 @@
     struct Entry
     {
         JobRecord record;
-        platform::StoreRevision revision = 0;
+        store::StoreRevision revision = 0;
         // Of the record's attempt; kept, because each pass looks every task up.
         std::string task;
     };
@@ -89,7 +89,7 @@
     };
     enum class TaskPlace { Current, Over, Unknown };
 
-    const platform::TaskStatus *findTask(const std::string &task) const;
+    const store::TaskStatus *findTask(const std::string &task) const;
     TaskPlace placeOf(const std::string &task) const;
     void settleUnit(const JobId &id);
     void releaseUnit(const JobId &id);
@@ -99,7 +99,7 @@
     std::unordered_map<JobId, Entry> m_jobs;
     std::unordered_map<JobId, Pending> m_pending;
     std::unordered_set<JobId> m_starting;
-    std::unordered_map<std::string, platform::TaskStatus> m_tasks;
+    std::unordered_map<std::string, store::TaskStatus> m_tasks;
     std::unordered_set<WorkerId> m_draining;
     std::unordered_set<WorkerId> m_leaving;
     // Workspace of each job that a unit is in use for.
--- a/src/jobs/jobcontroller.h
+++ b/src/jobs/jobcontroller.h
@@ -6,7 +6,7 @@
 
 #include "jobs/jobbook.h"
 #include "jobs/leadership.h"
-#include "platform/taskclient.h"
+#include "store/taskclient.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -44,8 +44,8 @@
 class JobController
 {
 public:
-    JobController(asio::io_context &context, platform::StoreClient &store,
-                  platform::TaskClient &tasks, quota::QuotaTable &quota,
+    JobController(asio::io_context &context, store::StoreClient &store,
+                  store::TaskClient &tasks, quota::QuotaTable &quota,
                   JobControllerSettings settings);
 
     void setFleet(const std::shared_ptr<const fleet::FleetDocument> &fleet);
@@ -70,7 +70,7 @@
     void noteLeading(bool leads);
     void dropWhenIdle(bool storeDown);
     void followRecords();
-    void takeRecords(const platform::StoreListing &listing);
+    void takeRecords(const store::StoreListing &listing);
     void followTasks();
     void renewTasks(TimePoint now);
     void returnUnits(TimePoint now);
@@ -83,14 +83,14 @@
     void actAfterWrite(const JobId &id);
     void resolveConflict(const JobId &id);
     void sendStart(const JobRecord &record);
-    void sendCommands(platform::TaskCommand command, const std::vector<std::string> &tasks);
+    void sendCommands(store::TaskCommand command, const std::vector<std::string> &tasks);
     void forgetEnded(const std::vector<std::string> &tasks);
     void removeOld(WallTime now);
     void tellWaiting(TimePoint now);
     bool isStoreDown(TimePoint now) const;
 
-    platform::StoreClient &m_store;
-    platform::TaskClient &m_taskClient;
+    store::StoreClient &m_store;
+    store::TaskClient &m_taskClient;
     const JobControllerSettings m_settings;
     Leadership m_leadership;
     asio::steady_timer m_timer;
@@ -117,12 +117,12 @@
     bool m_planRequested = false;
     TimePoint m_nextPlan;
     bool m_recordsKnown = false;
-    platform::StoreRevision m_recordRevision = 0;
+    store::StoreRevision m_recordRevision = 0;
     // Term for which a watch on the records is waiting.
     std::uint64_t m_followedTerm = 0;
     bool m_tasksKnown = false;
     bool m_followingTasks = false;
-    platform::TaskRevision m_taskRevision = 0;
+    store::TaskRevision m_taskRevision = 0;
     TimePoint m_nextRenewal;
     TimePoint m_nextUnitLook;
     TimePoint m_nextRemoval;
--- a/src/jobs/jobdesk.h
+++ b/src/jobs/jobdesk.h
@@ -7,7 +7,7 @@
 #include "jobs/jobrecord.h"
 #include "jobs/jobsubmission.h"
 #include "jobs/waitingbound.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include <functional>
 #include <memory>
@@ -20,7 +20,7 @@
     using Completion = std::function<void(Result<JobRecord>)>;
     using BulkCompletion = std::function<void(Result<BulkCancelCount>)>;
 
-    explicit JobDesk(platform::StoreClient &store)
+    explicit JobDesk(store::StoreClient &store)
         : m_store(store)
     {}
 
@@ -40,7 +40,7 @@
 
 private:
     struct BulkCancel;
-    using Found = std::function<void(const JobRecord &, platform::StoreRevision)>;
+    using Found = std::function<void(const JobRecord &, store::StoreRevision)>;
 
     void find(const JobId &id, const WorkspaceId &workspace, Completion failed, Found found);
     void record(const JobSubmission &submission, Completion completion);
@@ -50,7 +50,7 @@
     void cancelWithin(const JobId &id, const WorkspaceId &workspace, unsigned tries,
                       Completion completion);
 
-    platform::StoreClient &m_store;
+    store::StoreClient &m_store;
     WaitingBound m_bound;
 };
 
--- a/src/jobs/jobmachine.h
+++ b/src/jobs/jobmachine.h
@@ -6,8 +6,8 @@
 #include "jobs/jobpolicy.h"
 #include "jobs/jobrecord.h"
 #include "jobs/workerblame.h"
-#include "platform/taskcommand.h"
-#include "platform/taskstatus.h"
+#include "store/taskcommand.h"
+#include "store/taskstatus.h"
 
 #include <optional>
 #include <string>
@@ -22,7 +22,7 @@
 
 struct CommandTask
 {
-    platform::TaskCommand command;
+    store::TaskCommand command;
     bool operator==(const CommandTask &) const = default;
 };
 
@@ -31,7 +31,7 @@
 // task is the platform's word on the record's current attempt, null when it knows none.
 struct JobMoment
 {
-    const platform::TaskStatus *task = nullptr;
+    const store::TaskStatus *task = nullptr;
     const WorkerBlame *blame = nullptr;
     const JobPolicy *policy = nullptr;
     WallTime now;
--- a/src/jobs/jobplan.h
+++ b/src/jobs/jobplan.h
@@ -3,7 +3,7 @@
 
 #include "jobs/candidateindex.h"
 #include "jobs/jobmachine.h"
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 #include <map>
 #include <set>
@@ -16,9 +16,9 @@
 struct JobView
 {
     const JobRecord *record = nullptr;
-    platform::StoreRevision revision = 0;
+    store::StoreRevision revision = 0;
     // Null when the platform knows no task of the current attempt.
-    const platform::TaskStatus *task = nullptr;
+    const store::TaskStatus *task = nullptr;
     // A write or a start of this job is under way; decide nothing for it.
     bool busy = false;
 };
@@ -42,7 +42,7 @@
 struct JobWrite
 {
     JobRecord next;
-    platform::StoreRevision expected = 0;
+    store::StoreRevision expected = 0;
     // Needs a unit of the workspace's limit before it is written.
     bool needsUnit = false;
 };
@@ -52,7 +52,7 @@
     std::vector<JobWrite> writes;
     std::vector<const JobRecord *> starts;
     // Ids of tasks by command.
-    std::map<platform::TaskCommand, std::vector<std::string>> commands;
+    std::map<store::TaskCommand, std::vector<std::string>> commands;
     std::vector<WorkerId> blamedWorkers;
 };
 
--- a/src/jobs/leadership.h
+++ b/src/jobs/leadership.h
@@ -3,8 +3,8 @@
 // Lock order: m_mutex is the only lock and is never held over a call to the store.
 #pragma once
 
-#include "platform/heldlease.h"
-#include "platform/storeclient.h"
+#include "store/heldlease.h"
+#include "store/storeclient.h"
 
 #include <mutex>
 #include <string>
@@ -14,7 +14,7 @@
 class Leadership
 {
 public:
-    Leadership(platform::StoreClient &store, std::string key, std::string self,
+    Leadership(store::StoreClient &store, std::string key, std::string self,
                std::chrono::milliseconds timeToLive);
 
     // Renews the lease or contends for the key; call it several times per time to live.
@@ -25,13 +25,13 @@
 
 private:
     void look();
-    void wait(platform::StoreRevision after);
+    void wait(store::StoreRevision after);
     void contend();
     void claim(const std::string &lease, TimePoint sentAt);
     void renew(const std::string &lease, TimePoint sentAt);
     void setIdle();
 
-    platform::StoreClient &m_store;
+    store::StoreClient &m_store;
     const std::string m_key;
     const std::string m_self;
     const std::chrono::milliseconds m_timeToLive;
@@ -41,7 +41,7 @@
     bool m_busy = false;
     bool m_resigned = false;
     // Held only while the key is this entry's.
-    platform::HeldLease m_lease;
+    store::HeldLease m_lease;
 };
 
 } // namespace cyclamenlatch::jobs
--- a/src/jobs/tests/jobmachine_tests.cpp
+++ b/src/jobs/tests/jobmachine_tests.cpp
@@ -6,9 +6,9 @@
 namespace cyclamenlatch::jobs {
 namespace {
 
-using platform::TaskCommand;
-using platform::TaskState;
-using platform::TaskStatus;
+using store::TaskCommand;
+using store::TaskState;
+using store::TaskStatus;
 
 const WallTime start{std::chrono::hours(1)};
 
--- a/src/jobs/tests/jobplan_tests.cpp
+++ b/src/jobs/tests/jobplan_tests.cpp
@@ -9,7 +9,7 @@
 namespace cyclamenlatch::jobs {
 namespace {
 
-using platform::TaskStatus;
+using store::TaskStatus;
 
 const WallTime start{std::chrono::hours(1)};
 
--- a/src/maintenance/draincoordinator.h
+++ b/src/maintenance/draincoordinator.h
@@ -28,8 +28,8 @@
     // Takes marks that were read from the store.
     void take(const DrainPoll &poll);
     // The assignments that this entry has read and routes by; see LeavingMarks.
-    void noteRead(platform::StoreRevision revision,
-                  std::unordered_map<WorkerId, platform::StoreRevision> records);
+    void noteRead(store::StoreRevision revision,
+                  std::unordered_map<WorkerId, store::StoreRevision> records);
     // Tells every entry, this one included, of the marks and asks what is left; repeat it while
     // there are marks, and once after the last one is gone.
     void ask(const DrainPoll &poll);
@@ -37,7 +37,7 @@
     void askForMarks();
     // The marks of a scope that every entry has lately confirmed, with nothing in flight and no
     // connection open. The records must be at least as new as the scope's marks.
-    std::unordered_map<WorkerId, platform::StoreRevision> quiet(const std::string &scope,
+    std::unordered_map<WorkerId, store::StoreRevision> quiet(const std::string &scope,
                                                                 const EntryRecords &records) const;
     // The entries that some mark of the scope waits for.
     std::vector<EntryId> waitingFor(const std::string &scope, const EntryRecords &records) const;
--- a/src/maintenance/entryregistrar.h
+++ b/src/maintenance/entryregistrar.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "maintenance/entryrecord.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -23,7 +23,7 @@
     using Listener = std::function<void(bool isRecorded)>;
 
     // onFailedTry runs at each try that the store did not take.
-    EntryRegistrar(asio::io_context &context, EntryRecord self, platform::StoreClient &store,
+    EntryRegistrar(asio::io_context &context, EntryRecord self, store::StoreClient &store,
                    Listener listener, std::function<void()> onFailedTry);
 
     void start();
@@ -45,7 +45,7 @@
 
     Strand m_strand;
     EntryRecord m_self;
-    platform::StoreClient &m_store;
+    store::StoreClient &m_store;
     const Listener m_listener;
     const std::function<void()> m_onFailedTry;
     asio::steady_timer m_retryTimer;
--- a/src/maintenance/hosthealth.h
+++ b/src/maintenance/hosthealth.h
@@ -5,7 +5,7 @@
 
 #include "global/time.h"
 #include "maintenance/waveview.h"
-#include "platform/hoststatus.h"
+#include "store/hoststatus.h"
 
 #include <unordered_map>
 #include <vector>
@@ -18,7 +18,7 @@
     // So many failed probes in a row make a host unhealthy.
     static constexpr unsigned failuresToSuspect = 2;
 
-    void takeList(const std::vector<platform::HostStatus> &hosts, TimePoint now);
+    void takeList(const std::vector<store::HostStatus> &hosts, TimePoint now);
     // The host is probed from now on; hosts that are not are judged by the list alone.
     void noteProbed(const WorkerId &worker) { m_hosts[worker].probed = true; }
     void takeProbe(const WorkerId &worker, bool answered, TimePoint asked);
--- a/src/maintenance/internal/draincoordinator.cpp
+++ b/src/maintenance/internal/draincoordinator.cpp
@@ -25,8 +25,8 @@
     answer(poll);
 }
 
-void DrainCoordinator::noteRead(platform::StoreRevision revision,
-                                std::unordered_map<WorkerId, platform::StoreRevision> records)
+void DrainCoordinator::noteRead(store::StoreRevision revision,
+                                std::unordered_map<WorkerId, store::StoreRevision> records)
 {
     const std::lock_guard lock(m_mutex);
     m_marks.noteRead(revision, std::move(records));
@@ -47,7 +47,7 @@
                       membership::encode(MaintenanceMessage(MarksRequest())));
 }
 
-std::unordered_map<WorkerId, platform::StoreRevision> DrainCoordinator::quiet(
+std::unordered_map<WorkerId, store::StoreRevision> DrainCoordinator::quiet(
         const std::string &scope, const EntryRecords &records) const
 {
     const auto entries = allEntries(records);
--- a/src/maintenance/internal/entryregistrar.cpp
+++ b/src/maintenance/internal/entryregistrar.cpp
@@ -11,7 +11,7 @@
 namespace cyclamenlatch::maintenance {
 
 EntryRegistrar::EntryRegistrar(asio::io_context &context, EntryRecord self,
-                               platform::StoreClient &store, Listener listener,
+                               store::StoreClient &store, Listener listener,
                                std::function<void()> onFailedTry)
     : m_strand(asio::make_strand(context))
     , m_self(std::move(self))
@@ -80,7 +80,7 @@
     };
     const auto key = entryKey(m_self.entry);
     m_store.get(key, [this, key, presence,
-                      done](const Result<std::optional<platform::StoreItem>> &found) {
+                      done](const Result<std::optional<store::StoreItem>> &found) {
         if (!found) {
             return done(false);
         }
@@ -96,7 +96,7 @@
             }
         }
         m_store.compareAndSwap({key, writeRecord(record), item ? item->revision : 0, ""},
-                               [done](const Result<platform::StoreRevision> &result) {
+                               [done](const Result<store::StoreRevision> &result) {
                                    done(result.has_value());
                                });
     });
--- a/src/maintenance/internal/hosthealth.cpp
+++ b/src/maintenance/internal/hosthealth.cpp
@@ -5,7 +5,7 @@
 
 namespace cyclamenlatch::maintenance {
 
-void HostHealth::takeList(const std::vector<platform::HostStatus> &hosts, TimePoint now)
+void HostHealth::takeList(const std::vector<store::HostStatus> &hosts, TimePoint now)
 {
     for (const auto &status : hosts) {
         auto &host = m_hosts[status.worker];
--- a/src/maintenance/internal/leavingmarks.cpp
+++ b/src/maintenance/internal/leavingmarks.cpp
@@ -19,8 +19,8 @@
     return true;
 }
 
-void LeavingMarks::noteRead(platform::StoreRevision revision,
-                            std::unordered_map<WorkerId, platform::StoreRevision> records)
+void LeavingMarks::noteRead(store::StoreRevision revision,
+                            std::unordered_map<WorkerId, store::StoreRevision> records)
 {
     m_readRevision = revision;
     m_readRecords = std::move(records);
--- a/src/maintenance/internal/maintenancecontroller.cpp
+++ b/src/maintenance/internal/maintenancecontroller.cpp
@@ -35,8 +35,8 @@
 
 MaintenanceController::MaintenanceController(asio::io_context &context,
                                              MaintenanceSettings settings,
-                                             platform::StoreClient &store,
-                                             platform::HostClient &hosts, DrainCoordinator &drains,
+                                             store::StoreClient &store,
+                                             store::HostClient &hosts, DrainCoordinator &drains,
                                              net::HttpClient &probes)
     : m_strand(asio::make_strand(context))
     , m_settings(std::move(settings))
@@ -77,7 +77,7 @@
 void MaintenanceController::loadMarks(std::function<void()> loaded)
 {
     m_store.list(hostPrefix,
-                 [this, loaded = std::move(loaded)](const Result<platform::StoreListing> &listing) {
+                 [this, loaded = std::move(loaded)](const Result<store::StoreListing> &listing) {
                      if (!listing) {
                          asio::post(m_strand, [this, loaded] { retryMarks(loaded); });
                          return;
@@ -129,7 +129,7 @@
 
 void MaintenanceController::readRecords(unsigned reading)
 {
-    m_store.list(recordPrefix, [this, reading](Result<platform::StoreListing> listing) {
+    m_store.list(recordPrefix, [this, reading](Result<store::StoreListing> listing) {
         asio::post(m_strand, [this, reading, listing = std::move(listing)] {
             if (reading != m_reading || m_stopped) {
                 return;
@@ -146,7 +146,7 @@
 void MaintenanceController::watchRecords(unsigned reading)
 {
     m_store.watch(recordPrefix, m_records.revision(), m_settings.watchWait,
-                  [this, reading](Result<platform::StoreListing> listing) {
+                  [this, reading](Result<store::StoreListing> listing) {
                       asio::post(m_strand, [this, reading, listing = std::move(listing)] {
                           if (reading != m_reading || m_stopped) {
                               return;
@@ -217,7 +217,7 @@
     for (const auto &removal :
          recordsToRemove(m_records, recordNow(), m_settings.retention, maxRemovals)) {
         m_store.remove(removal.key, removal.expected,
-                       [key = removal.key](const Result<platform::StoreRevision> &removed) {
+                       [key = removal.key](const Result<store::StoreRevision> &removed) {
                            if (removed && key.starts_with(wavePrefix)) {
                                logEvent(waveRemoved, "{}", key);
                            }
@@ -242,7 +242,7 @@
     }
     const auto key = waitKey(m_settings.dataCentre);
     const WaitRecord record{m_settings.dataCentre, m_awaited, recordNow()};
-    perform(platform::StoreWrite{key, writeRecord(record), m_records.revisionOf(key), ""});
+    perform(store::StoreWrite{key, writeRecord(record), m_records.revisionOf(key), ""});
 }
 
 void MaintenanceController::tellWave(bool underWay)
@@ -301,7 +301,7 @@
         return;
     }
     m_hostsListed = now;
-    m_hosts.list([this](Result<std::vector<platform::HostStatus>> hosts) {
+    m_hosts.list([this](Result<std::vector<store::HostStatus>> hosts) {
         if (!hosts) {
             logEvent(hostListFailed, "{}", hosts.error().message);
             return;
@@ -388,7 +388,7 @@
 
 // Skips a key whose last write is not resolved or not yet part of the reading: the same plan
 // would be written again and lose against itself.
-void MaintenanceController::perform(const platform::StoreWrite &write)
+void MaintenanceController::perform(const store::StoreWrite &write)
 {
     const auto written = m_written.find(write.key);
     if (written != m_written.end() && written->second > m_records.revisionOf(write.key)) {
@@ -397,7 +397,7 @@
     if (!m_writing.insert(write.key).second) {
         return;
     }
-    m_store.compareAndSwap(write, [this, write](Result<platform::StoreRevision> revision) {
+    m_store.compareAndSwap(write, [this, write](Result<store::StoreRevision> revision) {
         asio::post(m_strand, [this, write, revision = std::move(revision)] {
             m_writing.erase(write.key);
             if (revision) {
@@ -423,7 +423,7 @@
     });
 }
 
-void MaintenanceController::logStep(const platform::StoreWrite &write) const
+void MaintenanceController::logStep(const store::StoreWrite &write) const
 {
     if (write.key.starts_with(hostPrefix)) {
         const auto host = readHostRecord(write.value);
--- a/src/maintenance/internal/maintenancerecords.cpp
+++ b/src/maintenance/internal/maintenancerecords.cpp
@@ -8,7 +8,7 @@
 
 namespace cyclamenlatch::maintenance {
 
-bool MaintenanceRecords::take(const platform::StoreListing &listing)
+bool MaintenanceRecords::take(const store::StoreListing &listing)
 {
     if (listing.revision < m_revision) {
         return false;
@@ -20,7 +20,7 @@
     return true;
 }
 
-platform::StoreRevision MaintenanceRecords::revisionOf(const std::string &key) const
+store::StoreRevision MaintenanceRecords::revisionOf(const std::string &key) const
 {
     const auto found = m_revisions.find(key);
     return found == m_revisions.end() ? 0 : found->second;
@@ -34,7 +34,7 @@
     return found == m_hosts.end() ? none : found->second;
 }
 
-void MaintenanceRecords::takeItem(const platform::StoreItem &item)
+void MaintenanceRecords::takeItem(const store::StoreItem &item)
 {
     auto &revision = m_revisions[item.key];
     if (item.revision <= revision) {
@@ -54,7 +54,7 @@
     }
 }
 
-void MaintenanceRecords::takeWave(const platform::StoreItem &item)
+void MaintenanceRecords::takeWave(const store::StoreItem &item)
 {
     const WaveId wave(item.key.substr(std::string_view(wavePrefix).size()));
     if (item.deleted) {
@@ -69,7 +69,7 @@
     m_waves[wave] = {std::move(record.value()), item.revision};
 }
 
-void MaintenanceRecords::takeHost(const platform::StoreItem &item)
+void MaintenanceRecords::takeHost(const store::StoreItem &item)
 {
     const auto rest = item.key.substr(std::string_view(hostPrefix).size());
     const auto slash = rest.find('/');
@@ -87,7 +87,7 @@
     m_hosts[wave][worker] = {std::move(record.value()), item.revision};
 }
 
-void MaintenanceRecords::takeLedger(const platform::StoreItem &item)
+void MaintenanceRecords::takeLedger(const store::StoreItem &item)
 {
     const auto budget = item.key.substr(std::string_view(ledgerPrefix).size());
     if (item.deleted) {
@@ -102,7 +102,7 @@
     m_ledgers[budget] = {std::move(record.value()), item.revision};
 }
 
-void MaintenanceRecords::takeEntry(const platform::StoreItem &item)
+void MaintenanceRecords::takeEntry(const store::StoreItem &item)
 {
     const EntryId entry(item.key.substr(std::string_view(entryPrefix).size()));
     if (item.deleted) {
@@ -117,7 +117,7 @@
     m_entries[entry] = {std::move(record.value()), item.revision};
 }
 
-void MaintenanceRecords::takeWait(const platform::StoreItem &item)
+void MaintenanceRecords::takeWait(const store::StoreItem &item)
 {
     const DataCentreId dataCentre(item.key.substr(std::string_view(waitPrefix).size()));
     const auto record = readWaitRecord(item.value);
--- a/src/maintenance/internal/quietcollector.cpp
+++ b/src/maintenance/internal/quietcollector.cpp
@@ -48,11 +48,11 @@
     return heard;
 }
 
-std::unordered_map<WorkerId, platform::StoreRevision> QuietCollector::quiet(
+std::unordered_map<WorkerId, store::StoreRevision> QuietCollector::quiet(
         const std::vector<LeavingMark> &marks, const std::vector<EntryId> &entries,
         TimePoint now) const
 {
-    std::unordered_map<WorkerId, platform::StoreRevision> found;
+    std::unordered_map<WorkerId, store::StoreRevision> found;
     auto awaited = entries;
     const auto answering = heard(now);
     awaited.insert(awaited.end(), answering.begin(), answering.end());
--- a/src/maintenance/internal/waveoperations.cpp
+++ b/src/maintenance/internal/waveoperations.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-WaveOperations::WaveOperations(platform::StoreClient &store)
+WaveOperations::WaveOperations(store::StoreClient &store)
     : m_store(store)
 {}
 
@@ -83,10 +83,10 @@
         return completion(planned.error());
     }
     auto record = std::move(planned.value().wave);
-    platform::StoreWrite write{waveKey(wave), writeRecord(record), 0, ""};
+    store::StoreWrite write{waveKey(wave), writeRecord(record), 0, ""};
     m_store.compareAndSwap(std::move(write), [record = std::move(record),
                                               completion = std::move(completion)](
-                                                     Result<platform::StoreRevision> written) {
+                                                     Result<store::StoreRevision> written) {
         if (written) {
             return completion(record);
         }
@@ -134,7 +134,7 @@
 void WaveOperations::change(const WaveId &wave, const Change &change, WaveCompletion completion)
 {
     m_store.get(waveKey(wave), [this, wave, change, completion = std::move(completion)](
-                                       Result<std::optional<platform::StoreItem>> found) {
+                                       Result<std::optional<store::StoreItem>> found) {
         if (!found) {
             return completion(found.error());
         }
@@ -153,7 +153,7 @@
         }
         m_store.compareAndSwap(
                 {waveKey(wave), writeRecord(record.value()), found.value()->revision, ""},
-                [record = record.value(), completion](Result<platform::StoreRevision> written) {
+                [record = record.value(), completion](Result<store::StoreRevision> written) {
                     if (!written) {
                         return completion(written.error());
                     }
@@ -166,7 +166,7 @@
                                EntryCompletion completion)
 {
     m_store.get(entryKey(life.entry), [this, life, saidBy, completion = std::move(completion)](
-                                              Result<std::optional<platform::StoreItem>> found) {
+                                              Result<std::optional<store::StoreItem>> found) {
         if (!found) {
             return completion(found.error());
         }
@@ -190,7 +190,7 @@
         record.value().since = recordNow();
         m_store.compareAndSwap(
                 {entryKey(life.entry), writeRecord(record.value()), found.value()->revision, ""},
-                [record = record.value(), completion](Result<platform::StoreRevision> written) {
+                [record = record.value(), completion](Result<store::StoreRevision> written) {
                     if (!written) {
                         return completion(written.error());
                     }
@@ -203,7 +203,7 @@
 void WaveOperations::status(const WaveId &wave, StatusCompletion completion) const
 {
     m_store.list(recordPrefix, [this, wave, completion = std::move(completion)](
-                                       const Result<platform::StoreListing> &listing) {
+                                       const Result<store::StoreListing> &listing) {
         if (!listing) {
             return completion(listing.error());
         }
--- a/src/maintenance/internal/waveplanner.cpp
+++ b/src/maintenance/internal/waveplanner.cpp
@@ -46,7 +46,7 @@
     struct Ledger
     {
         LedgerRecord record;
-        platform::StoreRevision revision = 0;
+        store::StoreRevision revision = 0;
         // Workers that are out by claim, outage or observation, those taken in this pass too.
         std::set<WorkerId> out;
         // Of those, the workers that this pass takes back. They still count against steps
@@ -339,9 +339,9 @@
         write(hostKey(record.wave, record.worker), writeRecord(record), host.revision);
     }
 
-    void write(std::string key, std::string value, platform::StoreRevision expected)
+    void write(std::string key, std::string value, store::StoreRevision expected)
     {
-        m_actions.push_back(platform::StoreWrite{std::move(key), std::move(value), expected, ""});
+        m_actions.push_back(store::StoreWrite{std::move(key), std::move(value), expected, ""});
     }
 
     void addClaims(const WorkerId &worker)
--- a/src/maintenance/leavingmarks.h
+++ b/src/maintenance/leavingmarks.h
@@ -23,8 +23,8 @@
     bool take(const DrainPoll &poll);
     // The assignments of workers that this entry has read and routes by: the revision of the store
     // and that of each worker's record.
-    void noteRead(platform::StoreRevision revision,
-                  std::unordered_map<WorkerId, platform::StoreRevision> records);
+    void noteRead(store::StoreRevision revision,
+                  std::unordered_map<WorkerId, store::StoreRevision> records);
     // All workers that must get nothing new.
     std::set<WorkerId> workers() const;
     const std::vector<LeavingMark> &marks(const std::string &scope) const;
@@ -35,7 +35,7 @@
     {
         LeavingMark mark;
         // Of the poll that no longer had the mark.
-        platform::StoreRevision revision = 0;
+        store::StoreRevision revision = 0;
     };
 
     void holdLifted(const DrainPoll &older, const DrainPoll &newer);
@@ -44,8 +44,8 @@
 
     std::map<std::string, DrainPoll> m_newest;
     std::unordered_map<WorkerId, Lifted> m_lifted;
-    platform::StoreRevision m_readRevision = 0;
-    std::unordered_map<WorkerId, platform::StoreRevision> m_readRecords;
+    store::StoreRevision m_readRevision = 0;
+    std::unordered_map<WorkerId, store::StoreRevision> m_readRecords;
 };
 
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/maintenancecontroller.h
+++ b/src/maintenance/maintenancecontroller.h
@@ -9,9 +9,9 @@
 #include "maintenance/maintenancesettings.h"
 #include "maintenance/waveaction.h"
 #include "net/httpclient.h"
-#include "platform/hostclient.h"
-#include "platform/leaderlease.h"
-#include "platform/storeclient.h"
+#include "store/hostclient.h"
+#include "store/leaderlease.h"
+#include "store/storeclient.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -29,7 +29,7 @@
 {
 public:
     MaintenanceController(asio::io_context &context, MaintenanceSettings settings,
-                          platform::StoreClient &store, platform::HostClient &hosts,
+                          store::StoreClient &store, store::HostClient &hosts,
                           DrainCoordinator &drains, net::HttpClient &probes);
 
     // Hears whether a wave is under way in the data centre that this entry leads. Set before start;
@@ -71,17 +71,17 @@
 
     void planWaves();
     WaveView viewOf(const WaveEntry &wave) const;
-    void perform(const platform::StoreWrite &write);
+    void perform(const store::StoreWrite &write);
     void perform(const RebootRequest &request);
-    void logStep(const platform::StoreWrite &write) const;
+    void logStep(const store::StoreWrite &write) const;
 
     Strand m_strand;
     const MaintenanceSettings m_settings;
-    platform::StoreClient &m_store;
-    platform::HostClient &m_hosts;
+    store::StoreClient &m_store;
+    store::HostClient &m_hosts;
     DrainCoordinator &m_drains;
     net::HttpClient &m_probes;
-    platform::LeaderLease m_lease;
+    store::LeaderLease m_lease;
     asio::steady_timer m_timer;
     asio::steady_timer m_recordsTimer;
     asio::steady_timer m_marksTimer;
@@ -98,7 +98,7 @@
     // Keys with a write under way.
     std::set<std::string> m_writing;
     // Revisions written that the reading doesn't show yet.
-    std::unordered_map<std::string, platform::StoreRevision> m_written;
+    std::unordered_map<std::string, store::StoreRevision> m_written;
     std::unordered_map<std::string, TimePoint> m_rebootAsked;
     std::unordered_map<WorkerId, TimePoint> m_probed;
     TimePoint m_hostsListed;
--- a/src/maintenance/maintenancemessages.h
+++ b/src/maintenance/maintenancemessages.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "global/ids.h"
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
@@ -20,7 +20,7 @@
 {
     WorkerId worker;
     // Of the record that says so.
-    platform::StoreRevision revision = 0;
+    store::StoreRevision revision = 0;
 
     bool operator==(const LeavingMark &) const = default;
 
@@ -37,7 +37,7 @@
     // A data centre's waves or the moves between pools; each scope has one leader.
     std::string scope;
     // Of the store when the marks were read; a poll with a lower one is out of date.
-    platform::StoreRevision revision = 0;
+    store::StoreRevision revision = 0;
     std::vector<LeavingMark> marks;
 
     template<class Archive>
--- a/src/maintenance/maintenancerecords.h
+++ b/src/maintenance/maintenancerecords.h
@@ -20,12 +20,12 @@
 {
 public:
     // A listing older than what was taken is left alone; returns false then.
-    bool take(const platform::StoreListing &listing);
+    bool take(const store::StoreListing &listing);
 
     // Of the store when the reading was made.
-    platform::StoreRevision revision() const { return m_revision; }
+    store::StoreRevision revision() const { return m_revision; }
     // Of one key; 0 when the reading holds no such key.
-    platform::StoreRevision revisionOf(const std::string &key) const;
+    store::StoreRevision revisionOf(const std::string &key) const;
     const std::map<WaveId, Versioned<WaveRecord>> &waves() const { return m_waves; }
     const std::unordered_map<WorkerId, Versioned<HostRecord>> &hosts(const WaveId &wave) const;
     const std::unordered_map<std::string, Versioned<LedgerRecord>> &ledgers() const
@@ -38,15 +38,15 @@
     const std::map<DataCentreId, WaitRecord> &waits() const { return m_waits; }
 
 private:
-    void takeItem(const platform::StoreItem &item);
-    void takeWave(const platform::StoreItem &item);
-    void takeHost(const platform::StoreItem &item);
-    void takeLedger(const platform::StoreItem &item);
-    void takeEntry(const platform::StoreItem &item);
-    void takeWait(const platform::StoreItem &item);
-
-    platform::StoreRevision m_revision = 0;
-    std::unordered_map<std::string, platform::StoreRevision> m_revisions;
+    void takeItem(const store::StoreItem &item);
+    void takeWave(const store::StoreItem &item);
+    void takeHost(const store::StoreItem &item);
+    void takeLedger(const store::StoreItem &item);
+    void takeEntry(const store::StoreItem &item);
+    void takeWait(const store::StoreItem &item);
+
+    store::StoreRevision m_revision = 0;
+    std::unordered_map<std::string, store::StoreRevision> m_revisions;
     std::map<WaveId, Versioned<WaveRecord>> m_waves;
     std::unordered_map<WaveId, std::unordered_map<WorkerId, Versioned<HostRecord>>> m_hosts;
     std::unordered_map<std::string, Versioned<LedgerRecord>> m_ledgers;
--- a/src/maintenance/tests/waveretention_tests.cpp
+++ b/src/maintenance/tests/waveretention_tests.cpp
@@ -51,7 +51,7 @@
             }
             for (const auto &removal : removals) {
                 keys.push_back(removal.key);
-                std::erase_if(m_listing.items, [&](const platform::StoreItem &item) {
+                std::erase_if(m_listing.items, [&](const store::StoreItem &item) {
                     return item.key == removal.key && item.revision == removal.expected;
                 });
             }
@@ -60,7 +60,7 @@
 
 private:
     WaveRecord m_wave;
-    platform::StoreListing m_listing;
+    store::StoreListing m_listing;
 };
 
 TEST(WaveRetention, RemovesHostsAndThenTheWave)
--- a/src/maintenance/tests/wavesimulation.h
+++ b/src/maintenance/tests/wavesimulation.h
@@ -146,7 +146,7 @@
 
     // Writes to the store and reads the record back from what it holds; all other looks at records
     // are at what was read here, so that each text is parsed once.
-    bool commit(const platform::StoreWrite &write)
+    bool commit(const store::StoreWrite &write)
     {
         const auto revision = m_store.write(write);
         if (!revision) {
@@ -283,7 +283,7 @@
                 leader.reading.reset();
                 return;
             }
-            if (const auto *write = std::get_if<platform::StoreWrite>(&action)) {
+            if (const auto *write = std::get_if<store::StoreWrite>(&action)) {
                 apply(*write, !stale && !m_outage);
             } else {
                 reboot(std::get<RebootRequest>(action));
@@ -291,7 +291,7 @@
         }
     }
 
-    void apply(const platform::StoreWrite &write, bool fresh)
+    void apply(const store::StoreWrite &write, bool fresh)
     {
         if (m_outage || (m_chaos && chance(m_settings.lostWriteChance))) {
             return;
@@ -353,7 +353,7 @@
     struct Mark
     {
         bool leaving = false;
-        platform::StoreRevision revision = 0;
+        store::StoreRevision revision = 0;
     };
 
     const SimulationSettings m_settings;
--- a/src/maintenance/versioned.h
+++ b/src/maintenance/versioned.h
@@ -1,7 +1,7 @@
 // A record with the store revision it was read at; a conditional write names that revision.
 #pragma once
 
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 namespace cyclamenlatch::maintenance {
 
@@ -10,7 +10,7 @@
 {
     Record record;
     // 0 when the record does not exist yet.
-    platform::StoreRevision revision = 0;
+    store::StoreRevision revision = 0;
 };
 
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/waveaction.h
+++ b/src/maintenance/waveaction.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "global/ids.h"
-#include "platform/storewrite.h"
+#include "store/storewrite.h"
 
 #include <string>
 #include <variant>
@@ -17,6 +17,6 @@
     std::string attempt;
 };
 
-using WaveAction = std::variant<platform::StoreWrite, RebootRequest>;
+using WaveAction = std::variant<store::StoreWrite, RebootRequest>;
 
 } // namespace cyclamenlatch::maintenance
--- a/src/maintenance/waveoperations.h
+++ b/src/maintenance/waveoperations.h
@@ -7,7 +7,7 @@
 #include "maintenance/entrylife.h"
 #include "maintenance/maintenancerecords.h"
 #include "maintenance/wavestatus.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include <functional>
 #include <memory>
@@ -24,7 +24,7 @@
     using EntryCompletion = std::function<void(Result<EntryRecord>)>;
     using StatusCompletion = std::function<void(Result<std::vector<WaveStatus>>)>;
 
-    explicit WaveOperations(platform::StoreClient &store);
+    explicit WaveOperations(store::StoreClient &store);
 
     void setFleet(std::shared_ptr<const fleet::FleetDocument> fleet);
 
@@ -52,7 +52,7 @@
     std::vector<WaveStatus> statusOf(const MaintenanceRecords &records, const WaveId &wave) const;
     std::shared_ptr<const fleet::FleetDocument> fleet() const;
 
-    platform::StoreClient &m_store;
+    store::StoreClient &m_store;
     mutable std::mutex m_mutex;
     // Guarded by m_mutex.
     std::shared_ptr<const fleet::FleetDocument> m_fleet;
--- a/src/maintenance/waveretention.h
+++ b/src/maintenance/waveretention.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "maintenance/maintenancerecords.h"
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 #include <chrono>
 #include <cstddef>
@@ -15,7 +15,7 @@
 {
     std::string key;
     // Removed only while it still has this revision.
-    platform::StoreRevision expected = 0;
+    store::StoreRevision expected = 0;
 };
 
 // At most so many at a time. A wave's own record goes last, once no host's record and no claim of
--- a/src/maintenance/waveview.h
+++ b/src/maintenance/waveview.h
@@ -21,7 +21,7 @@
     std::unordered_set<WorkerId> unhealthy;
     // Workers for which every entry that might send has just confirmed the leaving mark of the
     // record's revision, with nothing in flight and no connection open.
-    std::unordered_map<WorkerId, platform::StoreRevision> quiet;
+    std::unordered_map<WorkerId, store::StoreRevision> quiet;
     // Reboot attempts that the platform reports as finished.
     std::unordered_set<std::string> finishedReboots;
 };
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -173,23 +173,28 @@
 {
 public:
     explicit Private(std::size_t maxConnectionsPerHost)
-        : m_work(asio::make_work_guard(m_context))
+        : m_ownContext(std::make_unique<asio::io_context>(1))
+        , m_context(*m_ownContext)
         , m_timer(m_context)
     {
-        initializeCurl();
-        m_multi = curl_multi_init();
-        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Private::onSocket);
-        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
-        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Private::onTimer);
-        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                          static_cast<long>(maxConnectionsPerHost));
-        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, 1024L);
+        initialize(maxConnectionsPerHost);
+        m_work.emplace(asio::make_work_guard(m_context));
         m_thread = std::thread([this] { m_context.run(); });
     }
 
+    Private(asio::io_context &context, std::size_t maxConnectionsPerHost)
+        : m_context(context)
+        , m_timer(m_context)
+    {
+        initialize(maxConnectionsPerHost);
+    }
+
     ~Private()
     {
+        if (!m_ownContext) {
+            abortAll();
+            return;
+        }
         asio::post(m_context, [this] { abortAll(); });
         m_work.reset();
         m_thread.join();
@@ -200,6 +205,9 @@
 
     void send(HttpCall call, Completion completion)
     {
+        if (!m_ownContext) {
+            return start(std::move(call), std::move(completion));
+        }
         asio::post(m_context,
                    [this, call = std::move(call), completion = std::move(completion)]() mutable {
                        start(std::move(call), std::move(completion));
@@ -246,6 +254,19 @@
     }
 
 private:
+    void initialize(std::size_t maxConnectionsPerHost)
+    {
+        initializeCurl();
+        m_multi = curl_multi_init();
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Private::onSocket);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Private::onTimer);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                          static_cast<long>(maxConnectionsPerHost));
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, 1024L);
+    }
+
     struct Socket
     {
         explicit Socket(asio::io_context &context, curl_socket_t handle)
@@ -555,8 +576,10 @@
         m_sockets.clear();
     }
 
-    asio::io_context m_context{1};
-    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    // Null when the calls run on somebody else's context.
+    std::unique_ptr<asio::io_context> m_ownContext;
+    asio::io_context &m_context;
+    std::optional<asio::executor_work_guard<asio::io_context::executor_type>> m_work;
     asio::steady_timer m_timer;
     // When libcurl wants to be called.
     std::optional<TimePoint> m_timerDue;
@@ -580,6 +603,11 @@
     }
 }
 
+HttpClient::HttpClient(asio::io_context &context, std::size_t maxConnectionsPerHost)
+{
+    m_privates.push_back(std::make_unique<Private>(context, maxConnectionsPerHost));
+}
+
 HttpClient::~HttpClient() = default;
 
 HttpClient::Private &HttpClient::privateOf(const std::string &url) const
--- a/src/operatorapi/fleetcommands.h
+++ b/src/operatorapi/fleetcommands.h
@@ -34,9 +34,9 @@
 
     // Applies the edited present document; extra fields are added to the answer.
     void edit(const Edit &change, const nlohmann::json &extra, const net::HttpResponder &respond);
-    void apply(const fleet::FleetDocument &document, platform::StoreRevision from,
+    void apply(const fleet::FleetDocument &document, store::StoreRevision from,
                const nlohmann::json &extra, const net::HttpResponder &respond);
-    nlohmann::json conflictBody(platform::StoreRevision from, const Error &error) const;
+    nlohmann::json conflictBody(store::StoreRevision from, const Error &error) const;
 
     configuration::Configuration &m_configuration;
 };
--- a/src/operatorapi/internal/fleetcommands.cpp
+++ b/src/operatorapi/internal/fleetcommands.cpp
@@ -4,7 +4,7 @@
 #include "admission/keysecret.h"
 #include "fleet/fleetdiff.h"
 #include "fleet/fleetyaml.h"
-#include "platform/attempt.h"
+#include "store/attempt.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -18,7 +18,7 @@
 namespace {
 
 using nlohmann::json;
-using platform::StoreRevision;
+using store::StoreRevision;
 
 // Time that an answer waits for the entries' acknowledgements.
 constexpr std::chrono::milliseconds inForcePatience{5000};
@@ -247,7 +247,7 @@
     }
     const WorkspaceId workspace(body["workspace"].get<std::string>());
     const KeyId id(body["name"].get<std::string>());
-    const auto secret = platform::makeAttemptId();
+    const auto secret = store::makeAttemptId();
     const Edit add = [&](fleet::FleetDocument &document) -> Result<void> {
         if (document.findWorkspace(workspace) == nullptr) {
             return notFound("workspace", workspace.value());
--- /dev/null
+++ b/src/platform/configwire.h
@@ -0,0 +1,40 @@
+// The operators' documents in the store: the configuration and the waves.
+#pragma once
+
+#include "global/result.h"
+#include "scheduling/fleetrules.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenlatch::platform {
+
+// Where operators write, the key of the configuration, and the prefix of waves.
+inline constexpr std::string_view operatorPrefix = "op/";
+inline constexpr std::string_view configurationKey = "op/config";
+inline constexpr std::string_view wavePrefix = "op/wave/";
+
+Result<scheduling::FleetRules> decodeRules(const std::string &value);
+
+// Machines that are each to be taken down for upkeep once.
+struct WaveRequest
+{
+    std::uint64_t number = 0;
+    std::vector<std::string> hosts;
+    std::chrono::milliseconds duration{};
+    // Hosts that may be down for it at once.
+    std::uint32_t mostAtOnce = 1;
+};
+
+// Nothing when it can't be read.
+std::optional<WaveRequest> decodeWave(const std::string &value);
+std::string waveStatusKey(std::uint64_t number);
+std::string waveStatusText(bool isCompleted);
+// Whether a stored status says that the wave is completed.
+bool isWaveCompleted(const std::string &value);
+
+} // namespace cyclamenlatch::platform
--- /dev/null
+++ b/src/platform/entrysettings.h
@@ -0,0 +1,52 @@
+// The settings file of a process on the users' platform, decoded.
+#pragma once
+
+#include "global/result.h"
+#include "net/httpserversettings.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace cyclamenlatch::platform {
+
+struct EntrySettings
+{
+    std::string name;
+    std::string dataCentre;
+    std::string ownAddress;
+    // Ports on ownAddress where callers and the platform's readiness checks connect.
+    std::uint16_t callerPort = 0;
+    std::uint16_t readinessPort = 0;
+    // "address:port" of the platform's services; empty where there is none.
+    std::string storeAddress;
+    std::string machinesAddress;
+    std::string adviceAddress;
+    // Calls to machinesAddress that all entries together may make in a second.
+    double machineReadsPerSecond = 10;
+    double machineOrdersPerSecond = 10;
+
+    // After a SIGTERM the process is killed when this has passed.
+    std::chrono::milliseconds grace{6000};
+    std::chrono::milliseconds longestRunLease{10000};
+    std::chrono::milliseconds stopTime{200};
+    std::chrono::milliseconds gangTime{3000};
+    std::chrono::milliseconds paceTime{100};
+    std::chrono::milliseconds harmTime{4000};
+    // Holders of orders for one machine may not take turns within this time.
+    std::chrono::milliseconds holderPause{3000};
+    // From a move or an upkeep to the new target.
+    std::chrono::milliseconds moveTime{1500};
+    std::chrono::milliseconds upkeepTime{2000};
+    // A lasting task that is away longer counts as away for any cause.
+    std::chrono::milliseconds awayNotice{4500};
+    // Ended jobs are shown at least this long.
+    std::chrono::seconds endedJobsShown{120};
+    double remoteFactor = 1.5;
+};
+
+// Fails with what is missing or malformed. Fields that are not known are passed over.
+Result<EntrySettings> readEntrySettings(const std::string &path);
+Result<EntrySettings> parseEntrySettings(const std::string &text);
+
+} // namespace cyclamenlatch::platform
--- /dev/null
+++ b/src/platform/internal/entrysettings.cpp
@@ -0,0 +1,144 @@
+// Decodes the settings file.
+#include "platform/entrysettings.h"
+
+#include <fmt/format.h>
+#include <yaml-cpp/yaml.h>
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace cyclamenlatch::platform {
+
+namespace {
+
+constexpr const char *settingsRemedy = "correct the settings file; DEPLOY names its fields";
+
+// Reads a number below a table, or leaves the default where there is none.
+template<typename Number>
+void take(const YAML::Node &table, const char *name, Number &value)
+{
+    if (table && table[name] && table[name].IsScalar()) {
+        value = table[name].as<Number>(value);
+    }
+}
+
+void takeMilliseconds(const YAML::Node &table, const char *name, std::chrono::milliseconds &value,
+                      double unit = 1)
+{
+    double number = static_cast<double>(value.count()) / unit;
+    take(table, name, number);
+    value = std::chrono::milliseconds(static_cast<std::int64_t>(number * unit));
+}
+
+Result<std::uint16_t> portOf(const std::string &address, const char *field)
+{
+    const auto colon = address.rfind(':');
+    std::uint16_t port = 0;
+    if (colon != std::string::npos) {
+        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    }
+    if (port == 0) {
+        return failure(ErrorKind::InvalidInput,
+                       fmt::format("settings: {} is \"{}\", not address:port", field, address),
+                       settingsRemedy);
+    }
+    return port;
+}
+
+std::string addressBelow(const YAML::Node &root, const char *table)
+{
+    return root[table] && root[table].IsMap() ? root[table]["address"].as<std::string>("")
+                                              : std::string{};
+}
+
+void takeBounds(const YAML::Node &bounds, EntrySettings &settings)
+{
+    constexpr double second = 1000;
+    takeMilliseconds(bounds, "grace_s", settings.grace, second);
+    takeMilliseconds(bounds, "hold_max_ms", settings.longestRunLease);
+    takeMilliseconds(bounds, "stop_timeout_ms", settings.stopTime);
+    takeMilliseconds(bounds, "gang_timeout_ms", settings.gangTime);
+    takeMilliseconds(bounds, "pace_ms", settings.paceTime);
+    takeMilliseconds(bounds, "impact_ms", settings.harmTime);
+    takeMilliseconds(bounds, "lease_ms", settings.holderPause);
+    takeMilliseconds(bounds, "migrate_s", settings.moveTime, second);
+    takeMilliseconds(bounds, "maintenance_s", settings.upkeepTime, second);
+    takeMilliseconds(bounds, "notice_ms", settings.awayNotice);
+    auto shown = std::chrono::duration_cast<std::chrono::milliseconds>(settings.endedJobsShown);
+    takeMilliseconds(bounds, "status_s", shown, second);
+    settings.endedJobsShown = std::chrono::duration_cast<std::chrono::seconds>(shown);
+    take(bounds, "remote_factor", settings.remoteFactor);
+}
+
+Result<EntrySettings> decode(const YAML::Node &root)
+{
+    EntrySettings settings;
+    settings.name = root["node_name"].as<std::string>("");
+    settings.dataCentre = root["zone"].as<std::string>("");
+    settings.ownAddress = root["ip"].as<std::string>("");
+    settings.storeAddress = addressBelow(root, "platform");
+    settings.machinesAddress = addressBelow(root, "cloud");
+    settings.adviceAddress = root["recommendation"] && root["recommendation"].IsScalar()
+                                     ? root["recommendation"].as<std::string>("")
+                                     : std::string{};
+    if (settings.name.empty() || settings.ownAddress.empty() || settings.storeAddress.empty()) {
+        return failure(ErrorKind::InvalidInput,
+                       "settings: node_name, ip or platform.address is missing", settingsRemedy);
+    }
+    const auto commands = root["commands"].as<std::string>("invocation");
+    if (commands != "invocation") {
+        return failure(ErrorKind::InvalidInput,
+                       fmt::format("settings: commands \"{}\" is not supported", commands),
+                       "set commands to \"invocation\"");
+    }
+    const auto addresses = root["listen_addrs"];
+    if (!addresses || !addresses.IsMap()) {
+        return failure(ErrorKind::InvalidInput, "settings: listen_addrs is missing",
+                       settingsRemedy);
+    }
+    BOOST_OUTCOME_TRY(callerPort, portOf(addresses["frontend"].as<std::string>(""),
+                                         "listen_addrs.frontend"));
+    BOOST_OUTCOME_TRY(readinessPort, portOf(addresses["readiness"].as<std::string>(""),
+                                            "listen_addrs.readiness"));
+    settings.callerPort = callerPort;
+    settings.readinessPort = readinessPort;
+    if (root["cloud"] && root["cloud"].IsMap()) {
+        take(root["cloud"], "rate_per_s", settings.machineReadsPerSecond);
+        take(root["cloud"], "duty_per_s", settings.machineOrdersPerSecond);
+    }
+    if (root["bounds"] && root["bounds"].IsMap()) {
+        takeBounds(root["bounds"], settings);
+    }
+    return settings;
+}
+
+} // namespace
+
+Result<EntrySettings> parseEntrySettings(const std::string &text)
+{
+    try {
+        const auto root = YAML::Load(text);
+        if (!root.IsMap()) {
+            return failure(ErrorKind::InvalidInput, "settings: not a table", settingsRemedy);
+        }
+        return decode(root);
+    } catch (const YAML::Exception &error) {
+        return failure(ErrorKind::InvalidInput, fmt::format("settings: {}", error.what()),
+                       settingsRemedy);
+    }
+}
+
+Result<EntrySettings> readEntrySettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return failure(ErrorKind::NotFound, fmt::format("settings: cannot read {}", path),
+                       "set CYCLAMENLATCH_SETTINGS to a readable file");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseEntrySettings(text.str());
+}
+
+} // namespace cyclamenlatch::platform
--- /dev/null
+++ b/src/platform/internal/jsonfields.h
@@ -0,0 +1,55 @@
+// Reading fields of JSON that others wrote: a missing field or one of another type is no error
+// here, the caller decides what it means.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cyclamenlatch::platform::detail {
+
+inline nlohmann::json parseJson(const std::string &text)
+{
+    return nlohmann::json::parse(text, nullptr, false);
+}
+
+inline const nlohmann::json *fieldOf(const nlohmann::json &object, const char *name)
+{
+    if (!object.is_object()) {
+        return nullptr;
+    }
+    const auto found = object.find(name);
+    return found == object.end() ? nullptr : &*found;
+}
+
+inline std::string textOf(const nlohmann::json &object, const char *name)
+{
+    const auto *field = fieldOf(object, name);
+    return field != nullptr && field->is_string() ? field->get<std::string>() : std::string{};
+}
+
+inline std::optional<std::int64_t> numberOf(const nlohmann::json &object, const char *name)
+{
+    const auto *field = fieldOf(object, name);
+    if (field == nullptr || !field->is_number()) {
+        return std::nullopt;
+    }
+    return field->is_number_float() ? static_cast<std::int64_t>(field->get<double>())
+                                    : field->get<std::int64_t>();
+}
+
+inline double realOf(const nlohmann::json &object, const char *name, double otherwise)
+{
+    const auto *field = fieldOf(object, name);
+    return field != nullptr && field->is_number() ? field->get<double>() : otherwise;
+}
+
+inline bool flagOf(const nlohmann::json &object, const char *name)
+{
+    const auto *field = fieldOf(object, name);
+    return field != nullptr && field->is_boolean() && field->get<bool>();
+}
+
+} // namespace cyclamenlatch::platform::detail
--- /dev/null
+++ b/src/platform/internal/storecalls.cpp
@@ -0,0 +1,185 @@
+// Paths and formats of the platform's store.
+#include "platform/storecalls.h"
+
+#include "platform/internal/jsonfields.h"
+#include "store/base64.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace cyclamenlatch::platform {
+
+namespace {
+
+std::string escapeQuery(const std::string &text)
+{
+    std::string escaped;
+    for (const unsigned char letter : text) {
+        const bool isPlain = (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z')
+                             || (letter >= '0' && letter <= '9') || letter == '-' || letter == '_'
+                             || letter == '.' || letter == '/';
+        if (isPlain) {
+            escaped.push_back(static_cast<char>(letter));
+        } else {
+            escaped += fmt::format("%{:02X}", letter);
+        }
+    }
+    return escaped;
+}
+
+net::HttpCall makeCall(std::string method, std::string url, std::string body = {})
+{
+    net::HttpCall call;
+    call.method = std::move(method);
+    call.url = std::move(url);
+    if (!body.empty()) {
+        call.headers.add("Content-Type", "application/json");
+    }
+    call.body = std::move(body);
+    return call;
+}
+
+StoreItem itemOf(const nlohmann::json &json)
+{
+    StoreItem item;
+    item.key = detail::textOf(json, "key");
+    item.revision = static_cast<StoreRevision>(detail::numberOf(json, "revision").value_or(0));
+    item.deleted = detail::flagOf(json, "deleted");
+    const auto value = detail::textOf(json, "value");
+    item.value = store::fromBase64(value).value_or("");
+    return item;
+}
+
+void takeItems(const nlohmann::json &json, const char *name, StoreReply &reply)
+{
+    const auto *items = detail::fieldOf(json, name);
+    if (items == nullptr || !items->is_array()) {
+        return;
+    }
+    reply.items.reserve(items->size());
+    for (const auto &item : *items) {
+        reply.items.push_back(itemOf(item));
+    }
+}
+
+void takeBody(const std::string &body, StoreReply &reply)
+{
+    if (body.empty()) {
+        return;
+    }
+    const auto json = detail::parseJson(body);
+    if (json.is_discarded()) {
+        reply.outcome = StoreOutcome::Unclear;
+        reply.failure = "the store's answer is not JSON";
+        return;
+    }
+    const auto at = detail::numberOf(json, "at");
+    const auto revision = detail::numberOf(json, "revision");
+    reply.revision = static_cast<StoreRevision>(at ? *at : revision.value_or(0));
+    reply.hasMore = detail::flagOf(json, "has_more");
+    reply.lease = static_cast<LeaseId>(detail::numberOf(json, "lease").value_or(0));
+    takeItems(json, "items", reply);
+    takeItems(json, "events", reply);
+    if (detail::fieldOf(json, "key") != nullptr) {
+        reply.items.push_back(itemOf(json));
+    }
+}
+
+} // namespace
+
+net::HttpCall StoreCalls::get(const std::string &key) const
+{
+    return makeCall("GET", fmt::format("{}/v1/kv-key?key={}", m_base, escapeQuery(key)));
+}
+
+net::HttpCall StoreCalls::range(const std::string &prefix, const std::string &after) const
+{
+    auto url = fmt::format("{}/v1/kv-range?prefix={}", m_base, escapeQuery(prefix));
+    if (!after.empty()) {
+        url += "&after=" + escapeQuery(after);
+    }
+    return makeCall("GET", std::move(url));
+}
+
+net::HttpCall StoreCalls::watch(const std::string &prefix, StoreRevision after,
+                                std::chrono::milliseconds wait) const
+{
+    return makeCall("GET", fmt::format("{}/v1/kv-watch?prefix={}&after={}&wait_ms={}", m_base,
+                                       escapeQuery(prefix), after, wait.count()));
+}
+
+net::HttpCall StoreCalls::change(const StoreChange &change) const
+{
+    nlohmann::json body{{"expected", nlohmann::json::array()},
+                        {"write", nlohmann::json::array()},
+                        {"remove", change.removals}};
+    for (const auto &condition : change.expected) {
+        body["expected"].push_back({{"key", condition.key}, {"revision", condition.revision}});
+    }
+    for (const auto &write : change.writes) {
+        nlohmann::json item{{"key", write.key}, {"value", store::toBase64(write.value)}};
+        if (write.lease != 0) {
+            item["lease"] = write.lease;
+        }
+        body["write"].push_back(std::move(item));
+    }
+    return makeCall("POST", m_base + "/v1/kv-txn", body.dump());
+}
+
+net::HttpCall StoreCalls::grantLease(std::chrono::milliseconds timeToLive) const
+{
+    return makeCall("POST", m_base + "/v1/kv-lease",
+                    fmt::format(R"({{"ttl_ms":{}}})", timeToLive.count()));
+}
+
+net::HttpCall StoreCalls::renewLease(LeaseId lease) const
+{
+    return makeCall("POST", fmt::format("{}/v1/kv-keep/{}", m_base, lease));
+}
+
+net::HttpCall StoreCalls::endLease(LeaseId lease) const
+{
+    return makeCall("DELETE", fmt::format("{}/v1/kv-lease-end/{}", m_base, lease));
+}
+
+StoreReply StoreCalls::judge(const net::HttpCallResult &result)
+{
+    StoreReply reply;
+    if (!result.reply) {
+        reply.outcome = result.sendState == net::SendState::NotSent ? StoreOutcome::NotDone
+                                                                    : StoreOutcome::Unclear;
+        reply.failure = result.failure;
+        return reply;
+    }
+    const int status = result.reply->status;
+    if (status >= 200 && status < 300) {
+        reply.outcome = StoreOutcome::Done;
+        takeBody(result.reply->body, reply);
+        return reply;
+    }
+    reply.failure = fmt::format("the store answered {}", status);
+    switch (status) {
+    case 412:
+        reply.outcome = StoreOutcome::Conflict;
+        takeBody(result.reply->body, reply);
+        break;
+    case 404:
+        reply.outcome = StoreOutcome::Missing;
+        break;
+    case 410:
+        reply.outcome = StoreOutcome::HistoryGone;
+        break;
+    case 500:
+    case 502:
+    case 504:
+        reply.outcome = StoreOutcome::Unclear;
+        break;
+    default:
+        reply.outcome = StoreOutcome::NotDone;
+        break;
+    }
+    return reply;
+}
+
+} // namespace cyclamenlatch::platform
