--- /dev/null
+++ b/src/platform/internal/targetcalls.cpp
@@ -0,0 +1,283 @@
+// Paths and formats of targets.
+#include "platform/targetcalls.h"
+
+#include "platform/internal/jsonfields.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <utility>
+
+namespace cyclamenlatch::platform {
+
+namespace {
+
+using scheduling::OrderAnswer;
+using scheduling::RunEnd;
+using scheduling::TaskRef;
+
+constexpr std::size_t idDigits = 16;
+
+std::string taskName(const TaskRef &task)
+{
+    return fmt::format("{:016x}.{}.{}.{}", task.job, task.occurrence, task.step, task.index);
+}
+
+bool parseNumber(std::string_view text, std::uint32_t &number)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return error == std::errc{} && end == text.data() + text.size() && !text.empty();
+}
+
+std::optional<TaskRef> parseTaskName(std::string_view text)
+{
+    if (text.size() < idDigits + 1 || text[idDigits] != '.') {
+        return std::nullopt;
+    }
+    const auto id = parseJobId(text.substr(0, idDigits));
+    text.remove_prefix(idDigits + 1);
+    const auto first = text.find('.');
+    const auto second = first == std::string_view::npos ? first : text.find('.', first + 1);
+    TaskRef task;
+    if (!id || second == std::string_view::npos
+        || !parseNumber(text.substr(0, first), task.occurrence)
+        || !parseNumber(text.substr(first + 1, second - first - 1), task.step)
+        || !parseNumber(text.substr(second + 1), task.index)) {
+        return std::nullopt;
+    }
+    task.job = *id;
+    return task;
+}
+
+net::HttpCall orderCall(const scheduling::TargetInfo &target, const char *path, std::string body)
+{
+    net::HttpCall call;
+    call.method = "POST";
+    call.url = fmt::format("http://{}{}", target.address, path);
+    call.headers.add("Content-Type", "application/json");
+    call.headers.add("Cyclamenlatch-Expect-Instance", target.id);
+    call.body = std::move(body);
+    return call;
+}
+
+// A JSON string with its quotes.
+std::string quoted(const std::string &text)
+{
+    return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<RunEnd> endOf(const std::string &how)
+{
+    static constexpr NamedValue<RunEnd> entries[] = {
+            {RunEnd::Done, "done"},     {RunEnd::Failed, "failed"}, {RunEnd::Stopped, "stopped"},
+            {RunEnd::Lapsed, "lapsed"}, {RunEnd::Broken, "broken"}, {RunEnd::Alone, "alone"},
+    };
+    static constexpr NameTable names{entries};
+    return names.value(how);
+}
+
+std::optional<scheduling::RunningRow> runningRow(const nlohmann::json &json)
+{
+    if (!json.is_array() || json.size() < 4 || !json[0].is_string() || !json[1].is_number()
+        || !json[3].is_number()) {
+        return std::nullopt;
+    }
+    const auto task = parseTaskName(json[0].get_ref<const std::string &>());
+    if (!task) {
+        return std::nullopt;
+    }
+    scheduling::RunningRow row;
+    row.task = *task;
+    row.attempt = json[1].get<std::uint32_t>();
+    row.checkpoint = json[2].is_string() ? json[2].get<std::string>() : std::string{};
+    row.percent = static_cast<int>(json[3].get<double>());
+    if (json.size() > 4 && json[4].is_number()) {
+        row.figure = static_cast<std::int64_t>(json[4].get<double>());
+    }
+    return row;
+}
+
+std::optional<scheduling::EndRow> endRow(const nlohmann::json &json)
+{
+    if (!json.is_array() || json.size() < 4 || !json[0].is_number() || !json[1].is_string()
+        || !json[2].is_number() || !json[3].is_string()) {
+        return std::nullopt;
+    }
+    const auto task = parseTaskName(json[1].get_ref<const std::string &>());
+    const auto how = endOf(json[3].get_ref<const std::string &>());
+    if (!task || !how) {
+        return std::nullopt;
+    }
+    scheduling::EndRow row;
+    row.number = json[0].get<std::uint64_t>();
+    row.task = *task;
+    row.attempt = json[2].get<std::uint32_t>();
+    row.how = *how;
+    row.checkpoint = json.size() > 4 && json[4].is_string() ? json[4].get<std::string>() : "";
+    return row;
+}
+
+} // namespace
+
+std::string jobIdText(scheduling::JobNumber id)
+{
+    return fmt::format("{:016x}", id);
+}
+
+std::optional<scheduling::JobNumber> parseJobId(std::string_view text)
+{
+    if (text.size() != idDigits) {
+        return std::nullopt;
+    }
+    scheduling::JobNumber id = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id, 16);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return id;
+}
+
+std::optional<scheduling::TargetInfo> decodeTarget(const std::string &key,
+                                                   const std::string &value)
+{
+    const auto json = detail::parseJson(value);
+    scheduling::TargetInfo target;
+    if (!json.is_object() || key.size() <= targetsPrefix.size()) {
+        return std::nullopt;
+    }
+    target.id = key.substr(targetsPrefix.size());
+    target.service = detail::textOf(json, "service");
+    target.address = detail::textOf(json, "address");
+    target.dataCentre = detail::textOf(json, "zone");
+    target.host = detail::textOf(json, "machine");
+    const auto state = detail::textOf(json, "state");
+    const auto *capacity = detail::fieldOf(json, "capacity");
+    const auto *labels = detail::fieldOf(json, "labels");
+    if (target.service.empty() || target.address.find(':') == std::string::npos
+        || (state != "ready" && state != "draining") || capacity == nullptr
+        || !capacity->is_object()) {
+        return std::nullopt;
+    }
+    target.isDraining = state == "draining";
+    target.capacity.processors = detail::numberOf(*capacity, "cpu").value_or(0);
+    target.capacity.memoryMib = detail::numberOf(*capacity, "mem_mb").value_or(0);
+    target.capacity.accelerators = detail::numberOf(*capacity, "gpu").value_or(0);
+    if (labels != nullptr && labels->is_array()) {
+        for (const auto &label : *labels) {
+            if (label.is_string()) {
+                target.labels.push_back(label.get<std::string>());
+            }
+        }
+    }
+    target.born = detail::numberOf(json, "born").value_or(0);
+    return target;
+}
+
+net::HttpCall startCall(const scheduling::TargetInfo &target, std::uint64_t token,
+                        const scheduling::StartOrder &order, const std::string &text)
+{
+    auto body = fmt::format(
+            R"({{"task":"{}","attempt":{},"spec":{},"deadline_ms":{},"fencing_token":{})",
+            taskName(order.task), order.attempt, quoted(text), order.leaseUntil.count(), token);
+    if (!order.checkpoint.empty()) {
+        body += R"(,"checkpoint":)" + quoted(order.checkpoint);
+    }
+    if (!order.ticket.empty()) {
+        body += R"(,"ticket":)" + quoted(order.ticket);
+    }
+    return orderCall(target, "/v1/run-start", body + "}");
+}
+
+net::HttpCall stopCall(const scheduling::TargetInfo &target, std::uint64_t token,
+                       const scheduling::StopOrder &order)
+{
+    return orderCall(target, "/v1/run-stop",
+                     fmt::format(R"({{"task":"{}","attempt":{},"fencing_token":{}}})",
+                                 taskName(order.task), order.attempt, token));
+}
+
+net::HttpCall paceCall(const scheduling::TargetInfo &target, std::uint64_t token,
+                       const scheduling::PaceOrder &order)
+{
+    return orderCall(target, "/v1/pace",
+                     fmt::format(R"({{"task":"{}","attempt":{},"percent":{},"fencing_token":{}}})",
+                                 taskName(order.task), order.attempt, order.percent, token));
+}
+
+net::HttpCall holdCall(const scheduling::TargetInfo &target, std::uint64_t token,
+                       const scheduling::HoldOrder &order)
+{
+    auto body = fmt::format(R"({{"fencing_token":{},"ack_cursor":{})", token, order.endsRecorded);
+    if (order.leaseUntil.count() > 0) {
+        body += fmt::format(R"(,"deadline_ms":{})", order.leaseUntil.count());
+    }
+    if (order.wait.count() > 0) {
+        body += fmt::format(R"(,"wait_ms":{})", order.wait.count());
+    }
+    return orderCall(target, "/v1/hold", body + "}");
+}
+
+OrderAnswer judgeOrder(const net::HttpCallResult &result)
+{
+    if (!result.reply) {
+        return result.sendState == net::SendState::NotSent ? OrderAnswer::NotSent
+                                                           : OrderAnswer::Unclear;
+    }
+    const int status = result.reply->status;
+    if (status == 200) {
+        return OrderAnswer::Accepted;
+    }
+    if (status != 409) {
+        return status == 500 || status == 502 || status == 504 ? OrderAnswer::Unclear
+                                                               : OrderAnswer::Refused;
+    }
+    const auto reason = detail::textOf(detail::parseJson(result.reply->body), "reason");
+    static constexpr NamedValue<OrderAnswer> entries[] = {
+            {OrderAnswer::Fenced, "fence"}, {OrderAnswer::Old, "old"},
+            {OrderAnswer::Late, "late"},    {OrderAnswer::NoRoom, "room"},
+            {OrderAnswer::NoTicket, "ticket"},
+    };
+    static constexpr NameTable names{entries};
+    return names.value(reason).value_or(OrderAnswer::Refused);
+}
+
+HoldAnswer judgeHold(const net::HttpCallResult &result)
+{
+    HoldAnswer answer;
+    if (!result.reply) {
+        answer.failure = result.failure;
+        return answer;
+    }
+    if (result.reply->status != 200) {
+        answer.isFenced = judgeOrder(result) == OrderAnswer::Fenced;
+        answer.isOther = result.reply->status == 421;
+        answer.failure = fmt::format("the target answered {}", result.reply->status);
+        return answer;
+    }
+    const auto json = detail::parseJson(result.reply->body);
+    const auto clock = detail::numberOf(json, "clock_ms");
+    const auto *running = detail::fieldOf(json, "running");
+    const auto *ends = detail::fieldOf(json, "finished");
+    if (!clock || running == nullptr || !running->is_array() || ends == nullptr
+        || !ends->is_array()) {
+        answer.failure = "the target's list is malformed";
+        return answer;
+    }
+    scheduling::HoldReport report;
+    report.clock = std::chrono::milliseconds(*clock);
+    report.born = detail::numberOf(json, "born").value_or(0);
+    for (const auto &item : *running) {
+        if (auto row = runningRow(item)) {
+            report.running.push_back(std::move(*row));
+        }
+    }
+    for (const auto &item : *ends) {
+        if (auto row = endRow(item)) {
+            report.ends.push_back(std::move(*row));
+        }
+    }
+    answer.report = std::move(report);
+    return answer;
+}
+
+} // namespace cyclamenlatch::platform
--- a/src/quota/hostwatch.h
+++ b/src/quota/hostwatch.h
@@ -3,7 +3,7 @@
 // Lock order: m_mutex guards the timer; the table's lock is never taken under it.
 #pragma once
 
-#include "platform/hostclient.h"
+#include "store/hostclient.h"
 #include "quota/quotatable.h"
 
 #include <asio/io_context.hpp>
@@ -16,7 +16,7 @@
 class HostWatch
 {
 public:
-    HostWatch(asio::io_context &context, platform::HostClient &hosts, QuotaTable &table);
+    HostWatch(asio::io_context &context, store::HostClient &hosts, QuotaTable &table);
 
     void start();
     void stop();
@@ -24,7 +24,7 @@
 private:
     void look();
 
-    platform::HostClient &m_hosts;
+    store::HostClient &m_hosts;
     QuotaTable &m_table;
     std::mutex m_mutex;
     // Both guarded by m_mutex.
--- a/src/quota/internal/hostwatch.cpp
+++ b/src/quota/internal/hostwatch.cpp
@@ -9,7 +9,7 @@
 
 } // namespace
 
-HostWatch::HostWatch(asio::io_context &context, platform::HostClient &hosts, QuotaTable &table)
+HostWatch::HostWatch(asio::io_context &context, store::HostClient &hosts, QuotaTable &table)
     : m_hosts(hosts)
     , m_table(table)
     , m_timer(context)
@@ -42,7 +42,7 @@
     if (!m_table.inspect([](const QuotaAgent &agent) { return agent.wantsHostList(); })) {
         return;
     }
-    m_hosts.list([this](const Result<std::vector<platform::HostStatus>> &hosts) {
+    m_hosts.list([this](const Result<std::vector<store::HostStatus>> &hosts) {
         if (hosts) {
             m_table.update([&](QuotaAgent &agent) { agent.takeHostList(hosts.value()); });
         }
--- a/src/quota/internal/quotaagent.cpp
+++ b/src/quota/internal/quotaagent.cpp
@@ -89,7 +89,7 @@
     m_available.insert(m_available.end(), available.begin(), available.end());
 }
 
-void QuotaAgent::takeItem(const platform::StoreItem &item, TimePoint now)
+void QuotaAgent::takeItem(const store::StoreItem &item, TimePoint now)
 {
     const auto pending = m_pending.find(item.key);
     if (item.key == registryKey) {
@@ -131,8 +131,8 @@
     }
 }
 
-void QuotaAgent::takeWriteResult(const platform::StoreWrite &write, WriteResult result,
-                                 platform::StoreRevision revision, TimePoint now, Random &random)
+void QuotaAgent::takeWriteResult(const store::StoreWrite &write, WriteResult result,
+                                 store::StoreRevision revision, TimePoint now, Random &random)
 {
     const auto pending = m_pending.find(write.key);
     if (pending == m_pending.end() || pending->second.write.value != write.value) {
@@ -141,7 +141,7 @@
     pending->second.inFlight = false;
     if (result == WriteResult::Done) {
         m_retries.erase(write.key);
-        platform::StoreItem item;
+        store::StoreItem item;
         item.key = write.key;
         item.value = write.value;
         item.revision = revision;
@@ -221,7 +221,7 @@
                        });
 }
 
-void QuotaAgent::takeHostList(const std::vector<platform::HostStatus> &hosts)
+void QuotaAgent::takeHostList(const std::vector<store::HostStatus> &hosts)
 {
     for (const auto &[holder, registered] : m_registry.holders) {
         const auto &known = registered.host;
@@ -229,7 +229,7 @@
             continue;
         }
         const bool replaced =
-                std::any_of(hosts.begin(), hosts.end(), [&known](const platform::HostStatus &host) {
+                std::any_of(hosts.begin(), hosts.end(), [&known](const store::HostStatus &host) {
                     return host.worker.value() == known.name
                            && host.replacements > known.replacements;
                 });
@@ -459,7 +459,7 @@
            && (retry == m_retries.end() || retry->second.next <= now);
 }
 
-void QuotaAgent::write(const std::string &key, std::string value, platform::StoreRevision expected,
+void QuotaAgent::write(const std::string &key, std::string value, store::StoreRevision expected,
                        QuotaActions &actions, PendingWrite pending)
 {
     pending.write = {key, std::move(value), expected, ""};
--- a/src/quota/internal/quotatrader.cpp
+++ b/src/quota/internal/quotatrader.cpp
@@ -15,7 +15,7 @@
 constexpr std::chrono::milliseconds watchRetryDelay{500};
 constexpr std::chrono::milliseconds leavePollInterval{20};
 
-WriteResult resultOf(const Result<platform::StoreRevision> &revision)
+WriteResult resultOf(const Result<store::StoreRevision> &revision)
 {
     if (revision) {
         return WriteResult::Done;
@@ -27,7 +27,7 @@
 } // namespace
 
 QuotaTrader::QuotaTrader(asio::io_context &context, membership::PeerBus &bus,
-                         platform::StoreClient &store, QuotaTable &table, std::uint64_t seed)
+                         store::StoreClient &store, QuotaTable &table, std::uint64_t seed)
     : m_bus(bus)
     , m_store(store)
     , m_table(table)
@@ -45,7 +45,7 @@
     scheduleTick();
 }
 
-void QuotaTrader::setFleet(const fleet::FleetDocument &fleet, platform::StoreRevision revision)
+void QuotaTrader::setFleet(const fleet::FleetDocument &fleet, store::StoreRevision revision)
 {
     FleetLimits limits;
     limits.revision = revision;
@@ -122,7 +122,7 @@
 
 void QuotaTrader::list()
 {
-    m_store.list(quotaPrefix, [this](const Result<platform::StoreListing> &listing) {
+    m_store.list(quotaPrefix, [this](const Result<store::StoreListing> &listing) {
         if (listing) {
             takeListing(listing.value());
             return watch(listing.value().revision);
@@ -131,13 +131,13 @@
     });
 }
 
-void QuotaTrader::watch(platform::StoreRevision after)
+void QuotaTrader::watch(store::StoreRevision after)
 {
     if (m_stopped) {
         return;
     }
     m_store.watch(quotaPrefix, after, watchWait,
-                  [this, after](const Result<platform::StoreListing> &listing) {
+                  [this, after](const Result<store::StoreListing> &listing) {
                       if (listing) {
                           takeListing(listing.value());
                           return watch(listing.value().revision);
@@ -160,7 +160,7 @@
     });
 }
 
-void QuotaTrader::takeListing(const platform::StoreListing &listing)
+void QuotaTrader::takeListing(const store::StoreListing &listing)
 {
     const auto now = steadyNow();
     m_table.update([&](QuotaAgent &agent) {
@@ -171,15 +171,15 @@
     });
 }
 
-void QuotaTrader::write(const platform::StoreWrite &write)
+void QuotaTrader::write(const store::StoreWrite &write)
 {
-    m_store.compareAndSwap(write, [this, write](const Result<platform::StoreRevision> &revision) {
+    m_store.compareAndSwap(write, [this, write](const Result<store::StoreRevision> &revision) {
         takeWriteResult(write, revision);
     });
 }
 
-void QuotaTrader::takeWriteResult(const platform::StoreWrite &write,
-                                  const Result<platform::StoreRevision> &revision)
+void QuotaTrader::takeWriteResult(const store::StoreWrite &write,
+                                  const Result<store::StoreRevision> &revision)
 {
     m_table.update([&](QuotaAgent &agent) {
         agent.takeWriteResult(write, resultOf(revision), revision ? revision.value() : 0,
@@ -192,7 +192,7 @@
 
 void QuotaTrader::readBack(const std::string &key)
 {
-    m_store.get(key, [this](const Result<std::optional<platform::StoreItem>> &item) {
+    m_store.get(key, [this](const Result<std::optional<store::StoreItem>> &item) {
         if (item && item.value()) {
             m_table.update([&](QuotaAgent &agent) { agent.takeItem(*item.value(), steadyNow()); });
         }
--- a/src/quota/quotaagent.h
+++ b/src/quota/quotaagent.h
@@ -5,9 +5,9 @@
 
 #include "global/random.h"
 #include "global/result.h"
-#include "platform/hoststatus.h"
-#include "platform/storeitem.h"
-#include "platform/storewrite.h"
+#include "store/hoststatus.h"
+#include "store/storeitem.h"
+#include "store/storewrite.h"
 #include "quota/gonesubject.h"
 #include "quota/holderregistry.h"
 #include "quota/quotaledger.h"
@@ -46,7 +46,7 @@
 struct QuotaActions
 {
     std::vector<QuotaOutgoing> messages;
-    std::vector<platform::StoreWrite> writes;
+    std::vector<store::StoreWrite> writes;
 };
 
 enum class WriteResult { Done, NotDone, Unknown };
@@ -79,12 +79,12 @@
     QuotaActions tick(TimePoint now, Random &random);
     void receive(const QuotaHolder &from, const QuotaMessage &message, TimePoint now);
     // An item under quotaPrefix as the store gave it; older ones than known are ignored.
-    void takeItem(const platform::StoreItem &item, TimePoint now);
+    void takeItem(const store::StoreItem &item, TimePoint now);
     // The first full listing has been passed to takeItem.
     void setListed() { m_listed = true; }
     // After anything but Done the caller reads the key and passes it to takeItem.
-    void takeWriteResult(const platform::StoreWrite &write, WriteResult result,
-                         platform::StoreRevision revision, TimePoint now, Random &random);
+    void takeWriteResult(const store::StoreWrite &write, WriteResult result,
+                         store::StoreRevision revision, TimePoint now, Random &random);
     // Resources that have become available to refused work since the last call.
     std::vector<QuotaResource> takeAvailable();
     // Gives everything back, to other entries or else to the store, as work ends.
@@ -100,7 +100,7 @@
     bool wantsHostList() const;
     // The platform's list, which lags. It proves a silent holder gone when it counts more
     // replacements of the holder's host than the holder knew of; an old list counts fewer.
-    void takeHostList(const std::vector<platform::HostStatus> &hosts);
+    void takeHostList(const std::vector<store::HostStatus> &hosts);
 
     const HolderRegistry &registry() const { return m_registry; }
     // Registered, not known to be gone, and neither this entry nor a live one.
@@ -114,12 +114,12 @@
     struct LedgerView
     {
         QuotaLedger ledger;
-        platform::StoreRevision revision = 0;
+        store::StoreRevision revision = 0;
     };
     // The write of a key whose answer is not known yet.
     struct PendingWrite
     {
-        platform::StoreWrite write;
+        store::StoreWrite write;
         // Units drawn or handed back by it, and the account's operation that tells whether it
         // took effect; 0 for other writes.
         std::uint64_t drawn = 0;
@@ -145,7 +145,7 @@
     bool settlementDue(TimePoint now) const;
     void resendPending(TimePoint now, QuotaActions &actions);
     bool mayWrite(const std::string &key, TimePoint now) const;
-    void write(const std::string &key, std::string value, platform::StoreRevision expected,
+    void write(const std::string &key, std::string value, store::StoreRevision expected,
                QuotaActions &actions, PendingWrite pending);
     void resolve(const std::string &key, bool tookEffect);
     void applyRegistry(TimePoint now);
@@ -161,7 +161,7 @@
     std::vector<QuotaPeer> m_live;
     HolderRegistry m_registry;
     // Revision 0: the key does not exist as far as this entry knows.
-    platform::StoreRevision m_registryRevision = 0;
+    store::StoreRevision m_registryRevision = 0;
     // By workspace.
     std::map<std::string, LedgerView> m_ledgers;
     // By key; at most one write per key at a time.
--- a/src/quota/quotatrader.h
+++ b/src/quota/quotatrader.h
@@ -5,7 +5,7 @@
 #include "fleet/fleetdocument.h"
 #include "membership/member.h"
 #include "membership/peerbus.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 #include "quota/quotatable.h"
 
 #include <asio/steady_timer.hpp>
@@ -20,12 +20,12 @@
 class QuotaTrader
 {
 public:
-    QuotaTrader(asio::io_context &context, membership::PeerBus &bus, platform::StoreClient &store,
+    QuotaTrader(asio::io_context &context, membership::PeerBus &bus, store::StoreClient &store,
                 QuotaTable &table, std::uint64_t seed);
 
     void start();
     // Thread-safe. revision is the store's revision of the document.
-    void setFleet(const fleet::FleetDocument &fleet, platform::StoreRevision revision);
+    void setFleet(const fleet::FleetDocument &fleet, store::StoreRevision revision);
     void setLive(const std::vector<membership::Member> &live);
     // Hands units back until none are left or the deadline has passed; blocks.
     void leave(TimePoint deadline);
@@ -36,18 +36,18 @@
     void tick();
     // Reads every record once, then follows their changes.
     void list();
-    void watch(platform::StoreRevision after);
+    void watch(store::StoreRevision after);
     void retryLater(std::function<void()> action);
-    void takeListing(const platform::StoreListing &listing);
-    void write(const platform::StoreWrite &write);
-    void takeWriteResult(const platform::StoreWrite &write,
-                         const Result<platform::StoreRevision> &revision);
+    void takeListing(const store::StoreListing &listing);
+    void write(const store::StoreWrite &write);
+    void takeWriteResult(const store::StoreWrite &write,
+                         const Result<store::StoreRevision> &revision);
     void readBack(const std::string &key);
     void receive(const membership::PeerMessage &message);
     void reportState();
 
     membership::PeerBus &m_bus;
-    platform::StoreClient &m_store;
+    store::StoreClient &m_store;
     QuotaTable &m_table;
     std::mutex m_mutex;
     // Guarded by m_mutex.
--- a/src/quota/tests/quotaworld.h
+++ b/src/quota/tests/quotaworld.h
@@ -91,9 +91,9 @@
     // Every entry sees the platform's list as it was this many replacements ago.
     void showHosts(std::uint64_t lag = 0)
     {
-        std::vector<platform::HostStatus> hosts;
+        std::vector<store::HostStatus> hosts;
         for (const auto &[index, count] : m_replacements) {
-            platform::HostStatus host;
+            store::HostStatus host;
             host.worker = WorkerId("h-" + std::to_string(index));
             host.replacements = count - std::min(lag, count);
             hosts.push_back(host);
@@ -190,7 +190,7 @@
     {
         QuotaHolder writer;
         unsigned index = 0;
-        platform::StoreWrite write;
+        store::StoreWrite write;
         TimePoint due;
     };
 
@@ -337,7 +337,7 @@
     }
 
     // Returns the new revision, or 0 when the key has another one than expected.
-    platform::StoreRevision apply(const platform::StoreWrite &write)
+    store::StoreRevision apply(const store::StoreWrite &write)
     {
         auto &item = m_store[write.key];
         ++m_writes;
@@ -365,10 +365,10 @@
     std::vector<Orphans> m_orphans;
     std::deque<Datagram> m_datagrams;
     std::deque<Write> m_pendingWrites;
-    std::map<std::string, platform::StoreItem> m_store;
+    std::map<std::string, store::StoreItem> m_store;
     // Read from the store's item when that changes, which is far less often than it is looked at.
     QuotaLedger m_ledger;
-    platform::StoreRevision m_revision = 0;
+    store::StoreRevision m_revision = 0;
     std::uint64_t m_writes = 0;
     std::uint64_t m_starts = 0;
 };
--- /dev/null
+++ b/src/scheduling/internal/jobchain.h
@@ -0,0 +1,33 @@
+// The longest chain of work in a job, by its caller's estimates.
+#pragma once
+
+#include "scheduling/jobspec.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace cyclamenlatch::scheduling::detail {
+
+// Milliseconds from the start of each step to the end of the job, along its longest chain.
+inline std::vector<double> chainsFromSteps(const JobSpec &spec)
+{
+    std::vector<double> chains(spec.steps.size(), 0);
+    for (std::size_t index = spec.steps.size(); index-- > 0;) {
+        chains[index] += static_cast<double>(spec.steps[index].estimate.count());
+        for (const auto before : spec.steps[index].after) {
+            chains[before] = std::max(chains[before], chains[index]);
+        }
+    }
+    return chains;
+}
+
+inline double chainMilliseconds(const JobSpec &spec)
+{
+    double longest = 0;
+    for (const double chain : chainsFromSteps(spec)) {
+        longest = std::max(longest, chain);
+    }
+    return longest;
+}
+
+} // namespace cyclamenlatch::scheduling::detail
--- /dev/null
+++ b/src/scheduling/internal/ownercore.cpp
@@ -0,0 +1,348 @@
+// Jobs and their steps: what arrives, what opens, what ends.
+#include "scheduling/ownercore.h"
+
+#include "scheduling/internal/ownerstate.h"
+#include "scheduling/internal/jobchain.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenlatch::scheduling {
+
+using detail::TaskPhase;
+
+OwnerCore::OwnerCore(OwnerSettings settings, TimePoint now, Listener listener)
+    : m_settings(settings)
+    , m_began(now)
+    , m_listener(std::move(listener))
+{}
+
+OwnerCore::~OwnerCore() = default;
+
+void OwnerCore::setRules(FleetRules rules, TimePoint)
+{
+    m_rules = std::move(rules);
+}
+
+const QueueRule *OwnerCore::queueRule(const std::string &name) const
+{
+    const auto found = std::find_if(m_rules.queues.begin(), m_rules.queues.end(),
+                                    [&](const auto &queue) { return queue.name == name; });
+    return found == m_rules.queues.end() ? nullptr : &*found;
+}
+
+const WorkspaceRule *OwnerCore::workspaceRule(const std::string &name) const
+{
+    const auto found = std::find_if(m_rules.workspaces.begin(), m_rules.workspaces.end(),
+                                    [&](const auto &workspace) { return workspace.name == name; });
+    return found == m_rules.workspaces.end() ? nullptr : &*found;
+}
+
+// A queue that is gone from the configuration keeps the largest bound it may have had: 1 is safe
+// for every rule, and its jobs are not owed more.
+std::uint32_t OwnerCore::mostAttempts(const JobState &job) const
+{
+    const auto *rule = queueRule(job.submission.queue);
+    return rule == nullptr ? 1 : std::max<std::uint32_t>(rule->mostAttempts, 1);
+}
+
+void OwnerCore::tell(Decision::Kind kind, const TaskRef &task, std::uint32_t attempt,
+                     const std::string &target, std::string detail)
+{
+    if (m_listener) {
+        m_listener(Decision{kind, task, attempt, target, std::move(detail)});
+    }
+}
+
+void OwnerCore::jobArrived(JobSubmission submission, JobProgress progress, std::uint64_t revision,
+                           std::uint64_t submittedAt, bool isNew, TimePoint now,
+                           WallTime wallNow)
+{
+    if (m_jobs.contains(submission.id) || isFinal(progress.phase)) {
+        return;
+    }
+    auto job = std::make_unique<JobState>();
+    job->submission = std::move(submission);
+    job->phase = progress.phase;
+    job->hasWaitingMark = progress.phase == JobPhase::Queued;
+    job->loaded = std::move(progress);
+    job->isNew = isNew;
+    job->revision = revision;
+    job->submittedAt = submittedAt;
+    job->arrived = now;
+    job->occurrenceDone.assign(job->submission.spec.occurrenceCount(), false);
+    if (const auto *workspace = workspaceRule(job->submission.workspace)) {
+        // Bursts of a second are owed whole.
+        auto &owed = m_owed[workspace->name];
+        const double rate = std::max(workspace->weight, 1.0);
+        owed.jobs = owed.refilled == TimePoint{}
+                            ? rate
+                            : std::min(rate, owed.jobs + rate * toSeconds(now - owed.refilled));
+        owed.refilled = now;
+        job->isExcess = owed.jobs < 1;
+        owed.jobs = std::max(owed.jobs - 1, 0.0);
+    }
+    auto &kept = *m_jobs.emplace(job->submission.id, std::move(job)).first->second;
+    openDue(kept, now, wallNow);
+}
+
+void OwnerCore::jobCancelled(JobNumber id, TimePoint now)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    auto node = m_jobs.extract(found);
+    for (auto &[targetId, target] : m_targets) {
+        for (auto &[task, run] : target->runs) {
+            if (task.job == id) {
+                stopRun(*target, task, run, now);
+            }
+        }
+    }
+}
+
+bool OwnerCore::arrivedBefore(JobNumber id, std::uint64_t revision) const
+{
+    const auto found = m_jobs.find(id);
+    return found != m_jobs.end() && found->second->submittedAt <= revision;
+}
+
+std::vector<JobNumber> OwnerCore::jobs() const
+{
+    std::vector<JobNumber> ids;
+    ids.reserve(m_jobs.size());
+    for (const auto &[id, job] : m_jobs) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+const JobSubmission *OwnerCore::submission(JobNumber id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second->submission;
+}
+
+void OwnerCore::openDue(JobState &job, TimePoint now, WallTime wallNow)
+{
+    const auto &spec = job.submission.spec;
+    while (job.nextOccurrence < spec.occurrenceCount()) {
+        const auto due = spec.firstDue + spec.interval * job.nextOccurrence;
+        if (spec.isTimed() && due > wallNow) {
+            return;
+        }
+        openOccurrence(job, job.nextOccurrence++, now, wallNow);
+        if (isFinal(job.phase)) {
+            return;
+        }
+    }
+}
+
+void OwnerCore::openOccurrence(JobState &job, std::uint32_t number, TimePoint now, WallTime wallNow)
+{
+    const auto &spec = job.submission.spec;
+    OccurrenceState occurrence;
+    occurrence.number = number;
+    const auto due = spec.isTimed() ? spec.firstDue + spec.interval * number
+                                    : job.submission.submitted;
+    // The time of day may be off; more than a minute back is not believed.
+    const auto age = std::clamp<WallTime::duration>(wallNow - due, {}, std::chrono::minutes(1));
+    const auto *queue = queueRule(job.submission.queue);
+    const double slack = queue == nullptr ? 1 : queue->slackFactor;
+    occurrence.objective = now - age
+                           + std::chrono::duration_cast<Duration>(
+                                   std::chrono::duration<double, std::milli>(
+                                           slack * detail::chainMilliseconds(spec)))
+                           + (queue == nullptr ? Duration{} : Duration{queue->targetLatency});
+    occurrence.steps.resize(spec.steps.size());
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        auto &step = occurrence.steps[index];
+        step.spec = &spec.steps[index];
+        step.tasks.resize(step.spec->count);
+        step.waiting = step.spec->count;
+        const auto stored =
+                job.loaded.steps.find({number, static_cast<std::uint32_t>(index)});
+        if (stored == job.loaded.steps.end()) {
+            continue;
+        }
+        const auto &progress = stored->second;
+        for (const auto done : progress.done) {
+            if (done < step.tasks.size() && step.tasks[done].phase == TaskPhase::Waiting) {
+                step.tasks[done].phase = TaskPhase::Done;
+                --step.waiting;
+                ++step.done;
+            }
+        }
+        for (const auto &[task, failures] : progress.failures) {
+            if (step.spec->isGang) {
+                step.gangFailures = failures;
+            } else if (task < step.tasks.size()) {
+                step.tasks[task].failures = failures;
+            }
+        }
+        for (const auto &[task, checkpoint] : progress.checkpoints) {
+            if (task < step.tasks.size()) {
+                step.tasks[task].checkpoint = checkpoint;
+            }
+        }
+    }
+    for (const auto &step : occurrence.steps) {
+        occurrence.stepsDone += step.done == step.spec->count ? 1 : 0;
+    }
+    if (occurrence.stepsDone == occurrence.steps.size()) {
+        job.occurrenceDone[number] = true;
+        ++job.occurrencesDone;
+        if (job.occurrencesDone == spec.occurrenceCount()) {
+            finishJob(job, JobPhase::Completed, now);
+        }
+        return;
+    }
+    auto &kept = job.occurrences.emplace(number, std::move(occurrence)).first->second;
+    openSteps(kept, now);
+}
+
+void OwnerCore::openSteps(OccurrenceState &occurrence, TimePoint now)
+{
+    for (auto &step : occurrence.steps) {
+        if (step.isOpen) {
+            continue;
+        }
+        step.isOpen = std::all_of(step.spec->after.begin(), step.spec->after.end(),
+                                  [&](std::uint32_t before) {
+                                      const auto &other = occurrence.steps[before];
+                                      return other.done == other.spec->count;
+                                  });
+        if (step.isOpen) {
+            for (auto &task : step.tasks) {
+                task.waitingSince = now;
+            }
+        }
+    }
+}
+
+OwnerCore::StepState *OwnerCore::findStep(const TaskRef &task, JobState **job,
+                                          OccurrenceState **occurrence)
+{
+    const auto found = m_jobs.find(task.job);
+    if (found == m_jobs.end()) {
+        return nullptr;
+    }
+    const auto at = found->second->occurrences.find(task.occurrence);
+    if (at == found->second->occurrences.end() || task.step >= at->second.steps.size()) {
+        return nullptr;
+    }
+    if (job != nullptr) {
+        *job = found->second.get();
+    }
+    if (occurrence != nullptr) {
+        *occurrence = &at->second;
+    }
+    return &at->second.steps[task.step];
+}
+
+OwnerCore::TaskState *OwnerCore::findTask(const TaskRef &task, JobState **job, StepState **step)
+{
+    auto *found = findStep(task, job, nullptr);
+    if (found == nullptr || task.index >= found->tasks.size()) {
+        return nullptr;
+    }
+    if (step != nullptr) {
+        *step = found;
+    }
+    return &found->tasks[task.index];
+}
+
+void OwnerCore::markDone(JobState &job, OccurrenceState &occurrence, StepState &step,
+                         std::uint32_t index, TimePoint now)
+{
+    auto &task = step.tasks[index];
+    if (task.phase == TaskPhase::Done) {
+        return;
+    }
+    --(task.phase == TaskPhase::Waiting ? step.waiting : step.ordered);
+    if (task.phase == TaskPhase::Ordered && task.target != nullptr) {
+        // An earlier run was done after all; the one that goes on is no longer needed.
+        const TaskRef ref{job.submission.id, occurrence.number,
+                          static_cast<std::uint32_t>(&step - occurrence.steps.data()), index};
+        const auto run = task.target->runs.find(ref);
+        if (run != task.target->runs.end()) {
+            stopRun(*task.target, ref, run->second, now);
+        }
+    }
+    task.phase = TaskPhase::Done;
+    task.target = nullptr;
+    task.checkpoint.clear();
+    ++step.done;
+    makeDirty(job, false, now);
+    if (step.done != step.spec->count) {
+        return;
+    }
+    ++occurrence.stepsDone;
+    if (occurrence.stepsDone != occurrence.steps.size()) {
+        return openSteps(occurrence, now);
+    }
+    const auto number = occurrence.number;
+    for (std::uint32_t other = 0; other < occurrence.steps.size(); ++other) {
+        auto &progress = job.loaded.steps[{number, other}];
+        progress = StepProgress{};
+        for (std::uint32_t done = 0; done < occurrence.steps[other].tasks.size(); ++done) {
+            progress.done.push_back(done);
+        }
+    }
+    job.occurrences.erase(number);
+    job.occurrenceDone[number] = true;
+    if (++job.occurrencesDone == job.submission.spec.occurrenceCount()) {
+        finishJob(job, JobPhase::Completed, now);
+    }
+}
+
+void OwnerCore::finishJob(JobState &job, JobPhase phase, TimePoint now)
+{
+    job.phase = phase;
+    makeDirty(job, true, now);
+    tell(Decision::Kind::JobEnded, TaskRef{job.submission.id}, 0, {},
+         std::string(jobPhaseNames.name(phase)));
+    for (auto &[targetId, target] : m_targets) {
+        for (auto &[task, run] : target->runs) {
+            if (task.job == job.submission.id) {
+                stopRun(*target, task, run, now);
+            }
+        }
+    }
+}
+
+// The task waits for another start.
+void OwnerCore::release(JobState &, StepState &step, TaskState &task, TimePoint now)
+{
+    if (task.phase != TaskPhase::Ordered) {
+        return;
+    }
+    task.phase = TaskPhase::Waiting;
+    task.target = nullptr;
+    task.waitingSince = now;
+    --step.ordered;
+    ++step.waiting;
+}
+
+void OwnerCore::blame(TargetState &target, JobNumber job, TimePoint now)
+{
+    // Failures of one job alone may be the job's own fault.
+    if (target.failuresInRow == 0 || target.lastFailedJob != job) {
+        ++target.failuresInRow;
+    }
+    target.lastFailedJob = job;
+    // Three jobs in a row without one success: at a usual failure rate of some percent that is
+    // under one in ten thousand on a sound target.
+    constexpr std::uint32_t suspiciousFailures = 3;
+    constexpr std::chrono::seconds avoidance{4};
+    if (target.failuresInRow >= suspiciousFailures) {
+        target.avoidedUntil = now + avoidance;
+        // One more failure after the pause is enough to avoid it again.
+        target.failuresInRow = suspiciousFailures - 1;
+        target.lastFailedJob = 0;
+        tell(Decision::Kind::TargetAvoided, TaskRef{job}, 0, target.info.id, "fails what it starts");
+    }
+}
+
+} // namespace cyclamenlatch::scheduling
--- /dev/null
+++ b/src/scheduling/internal/ownerrecords.cpp
@@ -0,0 +1,141 @@
+// What the owner stores: the progress of jobs, and with it the ends that targets may forget.
+#include "scheduling/ownercore.h"
+
+#include "scheduling/internal/ownerstate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenlatch::scheduling {
+
+using detail::TaskPhase;
+
+namespace {
+
+// Results that a caller waits for are stored after this, so that jobs ending together share a call.
+constexpr std::chrono::milliseconds urgentDelay{10};
+// Ends may wait this long for others to be stored with; the platform wants them within seconds.
+constexpr std::chrono::milliseconds usualDelay{300};
+
+StepProgress progressOf(const detail::StepState &step)
+{
+    StepProgress progress;
+    if (step.spec->isGang && step.gangFailures > 0) {
+        progress.failures[0] = step.gangFailures;
+    }
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        const auto &task = step.tasks[index];
+        if (task.phase == TaskPhase::Done) {
+            progress.done.push_back(index);
+            continue;
+        }
+        if (task.failures > 0 && !step.spec->isGang) {
+            progress.failures[index] = task.failures;
+        }
+        if (!task.checkpoint.empty()) {
+            progress.checkpoints[index] = task.checkpoint;
+        }
+    }
+    return progress;
+}
+
+} // namespace
+
+void OwnerCore::makeDirty(JobState &job, bool isUrgent, TimePoint now)
+{
+    if (!job.isDirty) {
+        job.isDirty = true;
+        m_dirtySince = m_dirty.empty() ? now : m_dirtySince;
+        m_dirty.push_back(job.submission.id);
+    }
+    if (isUrgent && !std::exchange(job.isUrgent, true) && !m_urgentSince) {
+        m_urgentSince = now;
+    }
+}
+
+std::optional<TimePoint> OwnerCore::flushDue(TimePoint) const
+{
+    if (m_urgentSince) {
+        return *m_urgentSince + urgentDelay;
+    }
+    if (!m_dirty.empty()) {
+        return m_dirtySince + usualDelay;
+    }
+    return m_uncoveredSince ? std::optional(*m_uncoveredSince + usualDelay) : std::nullopt;
+}
+
+Flush OwnerCore::takeFlush()
+{
+    Flush flush;
+    for (const auto id : m_dirty) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end()) {
+            continue;
+        }
+        auto &job = *found->second;
+        job.isDirty = false;
+        job.isUrgent = false;
+        ProgressWrite write;
+        write.id = id;
+        write.queue = job.submission.queue;
+        write.expected = job.revision;
+        write.progress.phase = job.phase;
+        write.removesWaitingMark = job.hasWaitingMark && job.phase != JobPhase::Queued;
+        job.isMarkLeaving = write.removesWaitingMark;
+        write.removesSubmission = isFinal(job.phase);
+        if (!isFinal(job.phase)) {
+            write.progress.steps = job.loaded.steps;
+            for (const auto &[number, occurrence] : job.occurrences) {
+                for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                    auto progress = progressOf(occurrence.steps[step]);
+                    if (progress.done.empty() && progress.failures.empty()
+                        && progress.checkpoints.empty()) {
+                        write.progress.steps.erase({number, step});
+                    } else {
+                        write.progress.steps[{number, step}] = std::move(progress);
+                    }
+                }
+            }
+        }
+        flush.writes.push_back(std::move(write));
+    }
+    m_dirty.clear();
+    m_urgentSince.reset();
+    m_uncoveredSince.reset();
+    for (const auto &[id, target] : m_targets) {
+        if (target->endsSeen > target->endsRecorded) {
+            flush.endsCovered[id] = target->endsSeen;
+            flush.lives[id] = target->born;
+        }
+    }
+    return flush;
+}
+
+void OwnerCore::jobWritten(JobNumber id, std::optional<std::uint64_t> revision, TimePoint now)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    if (!revision) {
+        return jobCancelled(id, now);
+    }
+    auto &job = *found->second;
+    job.revision = *revision;
+    job.hasWaitingMark = job.hasWaitingMark && !job.isMarkLeaving;
+    if (isFinal(job.phase) && !job.isDirty) {
+        m_jobs.erase(found);
+    }
+}
+
+void OwnerCore::flushDone(const Flush &flush, TimePoint)
+{
+    for (const auto &[id, covered] : flush.endsCovered) {
+        auto *target = findTarget(id);
+        if (target != nullptr && target->born == flush.lives.at(id)) {
+            target->endsRecorded = std::max(target->endsRecorded, covered);
+        }
+    }
+}
+
+} // namespace cyclamenlatch::scheduling
--- /dev/null
+++ b/src/scheduling/internal/ownerstate.h
@@ -0,0 +1,166 @@
+// The owner's picture of jobs, tasks and targets.
+#pragma once
+
+#include "global/time.h"
+#include "scheduling/fleetrules.h"
+#include "scheduling/holdreport.h"
+#include "scheduling/jobrecord.h"
+#include "scheduling/targetinfo.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamenlatch::scheduling::detail {
+
+struct TargetState;
+
+enum class TaskPhase : std::uint8_t { Waiting, Ordered, Done };
+
+struct TaskState
+{
+    TaskPhase phase = TaskPhase::Waiting;
+    // Ended as failed so far.
+    std::uint32_t failures = 0;
+    // Starts by this owner.
+    std::uint32_t starts = 0;
+    // Where it is ordered; null unless it is.
+    TargetState *target = nullptr;
+    // Where it failed last; may name a target that is gone.
+    std::string failedOn;
+    std::string checkpoint;
+    TimePoint waitingSince{};
+};
+
+struct StepState
+{
+    const StepSpec *spec = nullptr;
+    std::vector<TaskState> tasks;
+    // Add up to the number of tasks.
+    std::uint32_t waiting = 0;
+    std::uint32_t ordered = 0;
+    std::uint32_t done = 0;
+    // Of a gang, by runs.
+    std::uint32_t gangFailures = 0;
+    std::uint32_t gangFailedAttempt = 0;
+    // All steps before it are done.
+    bool isOpen = false;
+};
+
+struct OccurrenceState
+{
+    std::uint32_t number = 0;
+    std::vector<StepState> steps;
+    std::uint32_t stepsDone = 0;
+    // The objective for its end.
+    TimePoint objective{};
+};
+
+struct JobState
+{
+    JobSubmission submission;
+    JobPhase phase = JobPhase::Queued;
+    // Those that are due and not done.
+    std::map<std::uint32_t, OccurrenceState> occurrences;
+    std::uint32_t nextOccurrence = 0;
+    std::uint32_t occurrencesDone = 0;
+    // Which occurrences are done, as far as nextOccurrence.
+    std::vector<bool> occurrenceDone;
+    // Progress of occurrences that are done or were loaded and are not yet due.
+    JobProgress loaded;
+    // Handed in after this owner took over, so that it runs nowhere yet.
+    bool isNew = true;
+    // More than its workspace is owed when it came.
+    bool isExcess = false;
+    // Revision of the stored progress, and of the submission.
+    std::uint64_t revision = 0;
+    std::uint64_t submittedAt = 0;
+    // The stored mark of a job that has not begun is still there.
+    bool hasWaitingMark = true;
+    // Stored progress is behind.
+    bool isDirty = false;
+    // A caller waits for what is to be stored.
+    bool isUrgent = false;
+    // The flush that is under way removes the mark.
+    bool isMarkLeaving = false;
+    TimePoint arrived{};
+};
+
+enum class RunPhase : std::uint8_t {
+    // The start has been sent.
+    Starting,
+    Running,
+    // A stop has been sent; the target has not listed the end.
+    Stopping,
+    // The start was not answered; stops are sent until one is.
+    Unclear,
+};
+
+struct RunState
+{
+    RunPhase phase = RunPhase::Starting;
+    std::uint32_t attempt = 0;
+    Room room;
+    std::string workspace;
+    bool fills = false;
+    bool serves = false;
+    bool lasts = false;
+    std::chrono::milliseconds tailTarget{};
+    // Before this time the target's lists need not show it.
+    TimePoint confirmedAt{};
+    TimePoint orderedAt{};
+    // When a stop was last sent, and whether one was answered.
+    std::optional<TimePoint> stopSentAt;
+    std::optional<TimePoint> stopAnsweredAt;
+    // Wanted pace, the pace last ordered, and when.
+    int pace = 100;
+    int orderedPace = 100;
+    TimePoint paceOrderedAt{};
+    // As last reported.
+    int percent = 0;
+    std::optional<std::int64_t> figure;
+    TimePoint progressAt{};
+    // Since when a serving task is near or over its target.
+    std::optional<TimePoint> overSince;
+};
+
+struct TargetState
+{
+    TargetInfo info;
+    // Has an entry in the platform's list.
+    bool isListed = false;
+    // Its runs are known: it has answered this owner in its present life.
+    bool isAdopted = false;
+    // Its id is recorded, so that a later owner knows to ask for its runs.
+    bool isRecorded = false;
+    // Its machine is wanted elsewhere: it gets no new work.
+    bool isLeaving = false;
+    // Clock of the target and when it was read.
+    std::optional<std::chrono::milliseconds> clock;
+    TimePoint clockAt{};
+    // Latest lease sent, on the target's clock.
+    std::chrono::milliseconds leaseUntil{};
+    TimePoint lastOrderAt{};
+    // Of its life, as its lists tell; 0: never heard.
+    std::int64_t born = 0;
+    std::uint64_t endsSeen = 0;
+    std::uint64_t endsRecorded = 0;
+    std::unordered_map<TaskRef, RunState> runs;
+    // Sum over runs.
+    Room used;
+    TimePoint lastAnswer{};
+    // Calls that failed since the last answer.
+    std::uint32_t failedCalls = 0;
+    // Failed ends in a row, by different jobs.
+    std::uint32_t failuresInRow = 0;
+    JobNumber lastFailedJob = 0;
+    TimePoint avoidedUntil{};
+    // Kept free for a lasting task that needs the room.
+    std::optional<TaskRef> reservedFor;
+    TimePoint reservedUntil{};
+};
+
+} // namespace cyclamenlatch::scheduling::detail
--- /dev/null
+++ b/src/scheduling/orders.h
@@ -0,0 +1,73 @@
+// What the scheduling core tells targets to do, and how they answer.
+#pragma once
+
+#include "scheduling/taskref.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace cyclamenlatch::scheduling {
+
+struct StartOrder
+{
+    std::string targetId;
+    TaskRef task;
+    std::uint32_t attempt = 0;
+    // On the target's clock; for everything that runs there.
+    std::chrono::milliseconds leaseUntil{};
+    std::string checkpoint;
+    // Of the advice service; empty when the queue has none.
+    std::string ticket;
+};
+
+struct StopOrder
+{
+    std::string targetId;
+    TaskRef task;
+    std::uint32_t attempt = 0;
+};
+
+struct PaceOrder
+{
+    std::string targetId;
+    TaskRef task;
+    std::uint32_t attempt = 0;
+    // Share of its full speed at which the task works.
+    int percent = 100;
+};
+
+using Order = std::variant<StartOrder, StopOrder, PaceOrder>;
+
+// What the next call to a target that keeps its runs alive says.
+struct HoldOrder
+{
+    std::chrono::milliseconds leaseUntil{};
+    // Ends up to this one are recorded and may be forgotten.
+    std::uint64_t endsRecorded = 0;
+    std::chrono::milliseconds wait{};
+};
+
+enum class OrderAnswer {
+    // Done, or known to have been done before.
+    Accepted,
+    // A holder with a higher token has called.
+    Fenced,
+    // Not done: the attempt is not higher than one that ended there.
+    Old,
+    // Not done: its deadline had passed.
+    Late,
+    // Not done: it does not fit.
+    NoRoom,
+    // Not done: the advice service's ticket is missing or no longer valid.
+    NoTicket,
+    // Not done: the target is unwell, is another one, or found the order malformed.
+    Refused,
+    // No byte of it can have reached the target.
+    NotSent,
+    // No answer: it may be done now, later or never.
+    Unclear,
+};
+
+} // namespace cyclamenlatch::scheduling
--- /dev/null
+++ b/src/scheduling/ownercore.h
@@ -0,0 +1,232 @@
+// The decisions of the one entry that owns the fleet's work: which task starts where and when,
+// what is stopped, what is stored. Pure: events and times come in, orders and records go out.
+//
+// A task has at most one order at a time. An order's room, its workspace's share and its task stay
+// taken until its end is listed by the target, a stop for it was answered and the target then lists
+// it no more, or the target's lease has run out on a clock that is 2% slow.
+#pragma once
+
+#include "global/time.h"
+#include "scheduling/fleetrules.h"
+#include "scheduling/holdreport.h"
+#include "scheduling/jobrecord.h"
+#include "scheduling/orders.h"
+#include "scheduling/ownersettings.h"
+#include "scheduling/targetinfo.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamenlatch::scheduling {
+
+namespace detail {
+struct JobState;
+struct OccurrenceState;
+struct RunState;
+struct StepState;
+struct TargetState;
+struct TaskState;
+} // namespace detail
+
+// One job's progress, to be stored under the condition that its revision is still the expected one.
+struct ProgressWrite
+{
+    JobNumber id = 0;
+    std::string queue;
+    JobProgress progress;
+    std::uint64_t expected = 0;
+    bool removesWaitingMark = false;
+    // The job has ended, so that its submission is no longer needed.
+    bool removesSubmission = false;
+};
+
+// Everything to be stored at one time, and which ends of targets that covers.
+struct Flush
+{
+    std::vector<ProgressWrite> writes;
+    std::map<std::string, std::uint64_t> endsCovered;
+    // Lives of the targets in endsCovered.
+    std::map<std::string, std::int64_t> lives;
+};
+
+// A decision worth a log line.
+struct Decision
+{
+    enum class Kind {
+        Started,
+        Ended,
+        Lapsed,
+        Vanished,
+        StartRefused,
+        JobEnded,
+        TargetAvoided,
+        TargetReborn,
+        Preempted,
+        Stalled,
+        Adopted,
+    };
+    Kind kind = Kind::Started;
+    TaskRef task;
+    std::uint32_t attempt = 0;
+    std::string target;
+    std::string detail;
+};
+
+class OwnerCore
+{
+public:
+    using Listener = std::function<void(const Decision &)>;
+
+    OwnerCore(OwnerSettings settings, TimePoint now, Listener listener);
+    ~OwnerCore();
+    OwnerCore(const OwnerCore &) = delete;
+    OwnerCore &operator=(const OwnerCore &) = delete;
+
+    void setRules(FleetRules rules, TimePoint now);
+
+    // A target that the platform lists, new or changed.
+    void targetListed(const TargetInfo &info, TimePoint now);
+    void targetUnlisted(const std::string &id, TimePoint now);
+    // A target that an earlier owner gave orders to and that is not listed now.
+    void targetRemembered(const std::string &id, TimePoint now);
+    // Its id is stored among those that were given orders.
+    void targetRecorded(const std::string &id);
+    // Ids that should be stored: all that may run anything.
+    std::vector<std::string> targetsToRecord() const;
+    bool hasUnrecordedTargets() const;
+    std::vector<std::string> targetsToHold() const;
+    const TargetInfo *target(const std::string &id) const;
+
+    // isNew: handed in after this owner took over.
+    // revision is that of the stored progress, submittedAt that of the submission.
+    void jobArrived(JobSubmission submission, JobProgress progress, std::uint64_t revision,
+                    std::uint64_t submittedAt, bool isNew, TimePoint now, WallTime wallNow);
+    void jobCancelled(JobNumber id, TimePoint now);
+    bool knowsJob(JobNumber id) const { return m_jobs.contains(id); }
+    // Whether a list of jobs made at this revision of the store had to show the job.
+    bool arrivedBefore(JobNumber id, std::uint64_t revision) const;
+    std::vector<JobNumber> jobs() const;
+
+    // Nothing when the target is not to be asked.
+    std::optional<HoldOrder> holdOrder(const std::string &id, TimePoint now);
+    void holdAnswered(const std::string &id, const HoldReport &report, TimePoint sentAt,
+                      TimePoint now);
+    void holdFailed(const std::string &id, TimePoint now);
+    void startAnswered(const StartOrder &order, OrderAnswer answer, TimePoint now);
+    void stopAnswered(const StopOrder &order, OrderAnswer answer, TimePoint now);
+    void paceAnswered(const PaceOrder &order, OrderAnswer answer, TimePoint now);
+
+    // Decides all that can be decided now.
+    std::vector<Order> plan(TimePoint now, WallTime wallNow);
+    // The text and the other parts of a start that its order does not repeat.
+    const JobSubmission *submission(JobNumber id) const;
+
+    // Whether something is to be stored, and how soon.
+    std::optional<TimePoint> flushDue(TimePoint now) const;
+    Flush takeFlush();
+    // Nothing as revision: the job was cancelled meanwhile.
+    void jobWritten(JobNumber id, std::optional<std::uint64_t> revision, TimePoint now);
+    // Every write of the flush took effect.
+    void flushDone(const Flush &flush, TimePoint now);
+
+    // Hosts: see HostKeeper.
+    void setLeaving(const std::string &id, bool isLeaving);
+    bool isIdle(const std::string &id) const;
+
+private:
+    using TargetState = detail::TargetState;
+    using JobState = detail::JobState;
+    using StepState = detail::StepState;
+    using TaskState = detail::TaskState;
+    using RunState = detail::RunState;
+    using OccurrenceState = detail::OccurrenceState;
+
+    struct OpenStep;
+
+    TargetState &targetState(const std::string &id);
+    TargetState *findTarget(const std::string &id) const;
+    const QueueRule *queueRule(const std::string &name) const;
+    const WorkspaceRule *workspaceRule(const std::string &name) const;
+    std::uint32_t mostAttempts(const JobState &job) const;
+    void tell(Decision::Kind kind, const TaskRef &task, std::uint32_t attempt,
+              const std::string &target, std::string detail = {});
+
+    // Occurrences and steps.
+    void openDue(JobState &job, TimePoint now, WallTime wallNow);
+    void openOccurrence(JobState &job, std::uint32_t number, TimePoint now, WallTime wallNow);
+    void openSteps(OccurrenceState &occurrence, TimePoint now);
+    StepState *findStep(const TaskRef &task, JobState **job, OccurrenceState **occurrence);
+    TaskState *findTask(const TaskRef &task, JobState **job = nullptr, StepState **step = nullptr);
+    void markDone(JobState &job, OccurrenceState &occurrence, StepState &step,
+                  std::uint32_t index, TimePoint now);
+    void finishJob(JobState &job, JobPhase phase, TimePoint now);
+    void makeDirty(JobState &job, bool isUrgent, TimePoint now);
+    void release(JobState &job, StepState &step, TaskState &task, TimePoint now);
+
+    // Runs.
+    void dropRun(TargetState &target, const TaskRef &task);
+    void loseRuns(TargetState &target, Decision::Kind kind, TimePoint now);
+    void takeEnd(TargetState &target, const EndRow &end, TimePoint now);
+    void takeFailure(TargetState &target, JobState &job, StepState &step, const EndRow &end,
+                     TimePoint now);
+    void takeRunning(TargetState &target, const RunningRow &row, TimePoint sentAt, TimePoint now);
+    void adopt(TargetState &target, const RunningRow &row, TimePoint now);
+    void dropVanished(TargetState &target, const HoldReport &report, TimePoint sentAt,
+                      TimePoint now);
+    void blame(TargetState &target, JobNumber job, TimePoint now);
+    void stopRun(TargetState &target, const TaskRef &task, RunState &run, TimePoint now);
+    bool hasLapsed(const TargetState &target, TimePoint now) const;
+    std::chrono::milliseconds leaseFrom(const TargetState &target, TimePoint now) const;
+
+    // Planning.
+    void planTargets(TimePoint now);
+    void planStops(TargetState &target, TimePoint now);
+    void planPaces(TargetState &target, TimePoint now);
+    void planStalls(TargetState &target, TimePoint now);
+    void planStarts(TimePoint now);
+    std::vector<OpenStep> openSteps(TimePoint now);
+    void startStep(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
+    void startGang(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
+    TargetState *choose(const OpenStep &open, const TaskState &task, const TaskRef &ref,
+                        const std::vector<TargetState *> &pool, TimePoint now) const;
+    void reserve(const OpenStep &open, const TaskState &task, const TaskRef &ref,
+                 const std::vector<TargetState *> &pool, TimePoint now);
+    void start(const OpenStep &open, std::uint32_t index, TargetState &target,
+               std::uint32_t attempt, TimePoint now);
+    bool isUsable(const TargetState &target, TimePoint now) const;
+    bool mayUse(const std::string &workspace, const Room &need) const;
+    bool isUncertain(const std::string &service, TimePoint now) const;
+
+    const OwnerSettings m_settings;
+    const TimePoint m_began;
+    const Listener m_listener;
+    FleetRules m_rules;
+    std::unordered_map<std::string, std::unique_ptr<TargetState>> m_targets;
+    std::unordered_map<JobNumber, std::unique_ptr<JobState>> m_jobs;
+    // What each workspace has running, by orders that are not known to have ended.
+    std::unordered_map<std::string, Room> m_used;
+    // Job starts that each workspace is still owed in this second.
+    struct Owed
+    {
+        double jobs = 0;
+        TimePoint refilled{};
+    };
+    std::unordered_map<std::string, Owed> m_owed;
+    std::vector<Order> m_orders;
+    // The most that may run on targets whose runs are not known, for the length of one plan.
+    Room m_uncertainUse;
+    // Jobs whose stored progress is behind, and since when.
+    std::vector<JobNumber> m_dirty;
+    TimePoint m_dirtySince{};
+    std::optional<TimePoint> m_urgentSince;
+    // Ends that no stored record has to follow, such as those of lapsed runs, and since when.
+    std::optional<TimePoint> m_uncoveredSince;
+};
+
+} // namespace cyclamenlatch::scheduling
--- /dev/null
+++ b/src/scheduling/ownersettings.h
@@ -0,0 +1,30 @@
+// What the deployment prescribes for scheduling, and what was chosen for it.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace cyclamenlatch::scheduling {
+
+struct OwnerSettings
+{
+    // Counts ownerships over the life of the system: the fencing token of every order.
+    std::uint64_t term = 1;
+    // For how long a target runs on without word from its owner. Long enough for a change of
+    // owners and a short outage of the store, short enough that work is not lost for long.
+    std::chrono::milliseconds runLease{6000};
+    // A target shortens longer leases to this.
+    std::chrono::milliseconds longestLease{10000};
+    // A stop takes at most this long.
+    std::chrono::milliseconds stopTime{200};
+    // A gang's member waits this long for the others.
+    std::chrono::milliseconds gangTime{3000};
+    // From an order of another pace to its effect.
+    std::chrono::milliseconds paceTime{100};
+    // A serving task may be over its target for this long because of tasks that fill.
+    std::chrono::milliseconds harmTime{4000};
+    // Tasks take this many times as long away from their data's rack.
+    double remoteFactor = 1.5;
+};
+
+} // namespace cyclamenlatch::scheduling
--- /dev/null
+++ b/src/scheduling/taskref.h
@@ -0,0 +1,35 @@
+// Names one task: a job, one of its occurrences, a step and the task's number in it.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+
+namespace cyclamenlatch::scheduling {
+
+// A job's id: the number that its 16 hexadecimal digits stand for.
+using JobNumber = std::uint64_t;
+
+struct TaskRef
+{
+    JobNumber job = 0;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    auto operator<=>(const TaskRef &) const = default;
+};
+
+} // namespace cyclamenlatch::scheduling
+
+template<>
+struct std::hash<cyclamenlatch::scheduling::TaskRef>
+{
+    std::size_t operator()(const cyclamenlatch::scheduling::TaskRef &task) const noexcept
+    {
+        // Ids are drawn at random by callers, so that mixing the small parts in is enough.
+        const std::uint64_t small = (std::uint64_t{task.occurrence} << 40U)
+                                    ^ (std::uint64_t{task.step} << 24U) ^ task.index;
+        return static_cast<std::size_t>(task.job ^ (small * 0x9E3779B97F4A7C15ULL));
+    }
+};
--- a/src/platform/attempt.h
+++ b/src/store/attempt.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 struct AttemptedValue
 {
@@ -18,4 +18,4 @@
 std::string joinAttempt(const AttemptedValue &value);
 AttemptedValue splitAttempt(std::string_view stored);
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/base64.h
+++ b/src/store/base64.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <string_view>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 std::string toBase64(std::string_view bytes);
 // Returns nothing when the text is not base64.
 std::optional<std::string> fromBase64(std::string_view text);
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/callbudget.h
+++ b/src/store/callbudget.h
@@ -4,7 +4,7 @@
 
 #include "global/time.h"
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 struct CallBudgetSettings
 {
@@ -35,4 +35,4 @@
     TimePoint m_refilled{};
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/heldlease.h
+++ b/src/store/heldlease.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <utility>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 class HeldLease
 {
@@ -42,4 +42,4 @@
     TimePoint m_safeUntil{};
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/hostclient.h
+++ b/src/store/hostclient.h
@@ -4,14 +4,14 @@
 
 #include "global/result.h"
 #include "net/httpclient.h"
-#include "platform/hoststatus.h"
+#include "store/hoststatus.h"
 
 #include <chrono>
 #include <functional>
 #include <string>
 #include <vector>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 class HostClient
 {
@@ -34,4 +34,4 @@
     const std::chrono::milliseconds m_timeout;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/hoststatus.h
+++ b/src/store/hoststatus.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 struct HostStatus
 {
@@ -22,4 +22,4 @@
     double usage = 0;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/internal/attempt.cpp
+++ b/src/store/internal/attempt.cpp
@@ -1,12 +1,12 @@
 // Adds the attempt's id to a stored value and takes it off again.
-#include "platform/attempt.h"
+#include "store/attempt.h"
 
 #include <fmt/format.h>
 #include <sodium.h>
 
 #include <array>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 namespace {
 
@@ -40,4 +40,4 @@
             std::string(stored.substr(lineEnd + 1))};
 }
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/internal/base64.cpp
+++ b/src/store/internal/base64.cpp
@@ -1,9 +1,9 @@
 // Base64 by libsodium.
-#include "platform/base64.h"
+#include "store/base64.h"
 
 #include <sodium.h>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 namespace {
 
@@ -36,4 +36,4 @@
     return bytes;
 }
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/internal/callbudget.cpp
+++ b/src/store/internal/callbudget.cpp
@@ -1,9 +1,9 @@
 // The token bucket of store calls.
-#include "platform/callbudget.h"
+#include "store/callbudget.h"
 
 #include <algorithm>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 CallBudget::CallBudget(CallBudgetSettings settings)
     : m_settings(settings)
@@ -39,4 +39,4 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(-m_tokens / rate()));
 }
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/internal/hostclient.cpp
+++ b/src/store/internal/hostclient.cpp
@@ -1,10 +1,10 @@
 // Speaks the hosts' part of the platform's HTTP protocol (docs/platform-protocol.md).
-#include "platform/hostclient.h"
+#include "store/hostclient.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 namespace {
 
@@ -82,4 +82,4 @@
     });
 }
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/internal/leaderlease.cpp
+++ b/src/store/internal/leaderlease.cpp
@@ -1,11 +1,11 @@
 // Acquires and renews the leader's lease.
-#include "platform/leaderlease.h"
+#include "store/leaderlease.h"
 
 #include <asio/post.hpp>
 
 #include <utility>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 LeaderLease::LeaderLease(Strand strand, StoreClient &store, std::string key, std::string name,
                          std::function<void(bool)> onChange)
@@ -114,4 +114,4 @@
     }
 }
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/internal/storeanswer.cpp
+++ b/src/store/internal/storeanswer.cpp
@@ -1,7 +1,7 @@
 // Reads the store's answers.
-#include "platform/storeanswer.h"
+#include "store/storeanswer.h"
 
-#include "platform/attempt.h"
+#include "store/attempt.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -9,7 +9,7 @@
 #include <charconv>
 #include <utility>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 namespace {
 
@@ -176,4 +176,4 @@
     return revision;
 }
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/internal/storeclient.cpp
+++ b/src/store/internal/storeclient.cpp
@@ -1,9 +1,9 @@
 // Speaks the store's HTTP protocol (docs/platform-protocol.md).
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
-#include "platform/attempt.h"
-#include "platform/retrydelay.h"
-#include "platform/storeanswer.h"
+#include "store/attempt.h"
+#include "store/retrydelay.h"
+#include "store/storeanswer.h"
 
 #include <asio/steady_timer.hpp>
 #include <fmt/format.h>
@@ -11,7 +11,7 @@
 #include <random>
 #include <utility>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 namespace {
 
@@ -353,4 +353,4 @@
                                    operationDeadline(), judgeLeaseEnd, std::move(completion)));
 }
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/internal/storefollower.cpp
+++ b/src/store/internal/storefollower.cpp
@@ -1,11 +1,11 @@
 // Lists, watches and tries again.
-#include "platform/storefollower.h"
+#include "store/storefollower.h"
 
 #include <asio/post.hpp>
 
 #include <utility>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 StoreFollower::StoreFollower(Strand strand, StoreClient &store, std::string prefix,
                              Listener listener)
@@ -77,4 +77,4 @@
     });
 }
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/internal/taskclient.cpp
+++ b/src/store/internal/taskclient.cpp
@@ -1,7 +1,7 @@
 // Speaks the platform's task protocol (docs/platform-protocol.md).
-#include "platform/taskclient.h"
+#include "store/taskclient.h"
 
-#include "platform/base64.h"
+#include "store/base64.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -9,7 +9,7 @@
 #include <optional>
 #include <utility>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 namespace {
 
@@ -124,4 +124,4 @@
     });
 }
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/leaderlease.h
+++ b/src/store/leaderlease.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "global/time.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -15,7 +15,7 @@
 #include <functional>
 #include <string>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 class LeaderLease
 {
@@ -55,4 +55,4 @@
     TimePoint m_trustedUntil;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/retrydelay.h
+++ b/src/store/retrydelay.h
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <chrono>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 inline constexpr std::chrono::milliseconds firstRetryDelay{50};
 inline constexpr std::chrono::milliseconds longestRetryDelay{2000};
@@ -22,4 +22,4 @@
                                                 * uniformReal(random));
 }
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/storeanswer.h
+++ b/src/store/storeanswer.h
@@ -4,12 +4,12 @@
 
 #include "global/result.h"
 #include "net/httpcallresult.h"
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 #include <optional>
 #include <string>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 Result<StoreListing> judgeListing(const net::HttpCallResult &result);
 // Nothing when the store has no such key.
@@ -23,4 +23,4 @@
 // The store's revision, which every answer of it carries in a header.
 std::optional<StoreRevision> revisionOf(const net::HttpCallResult &result);
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/storeclient.h
+++ b/src/store/storeclient.h
@@ -12,10 +12,10 @@
 #include "global/random.h"
 #include "global/result.h"
 #include "net/httpclient.h"
-#include "platform/callbudget.h"
-#include "platform/storeclientsettings.h"
-#include "platform/storeitem.h"
-#include "platform/storewrite.h"
+#include "store/callbudget.h"
+#include "store/storeclientsettings.h"
+#include "store/storeitem.h"
+#include "store/storewrite.h"
 
 #include <asio/io_context.hpp>
 
@@ -27,7 +27,7 @@
 #include <optional>
 #include <string>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 class StoreClient
 {
@@ -103,4 +103,4 @@
     std::optional<TimePoint> m_lastContact;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/storeclientsettings.h
+++ b/src/store/storeclientsettings.h
@@ -1,12 +1,12 @@
 // How an entry reaches the platform's store, and how much it asks of it.
 #pragma once
 
-#include "platform/callbudget.h"
+#include "store/callbudget.h"
 
 #include <chrono>
 #include <string>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 struct StoreClientSettings
 {
@@ -19,4 +19,4 @@
     CallBudgetSettings budget;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/storefollower.h
+++ b/src/store/storefollower.h
@@ -2,7 +2,7 @@
 // it begins with a list again. All functions and callbacks run on the strand.
 #pragma once
 
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -12,7 +12,7 @@
 #include <functional>
 #include <string>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 class StoreFollower
 {
@@ -48,4 +48,4 @@
     StoreRevision m_revision = 0;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/storeitem.h
+++ b/src/store/storeitem.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 // Counts the store's changes; grows with each one.
 using StoreRevision = std::uint64_t;
@@ -28,4 +28,4 @@
     std::vector<StoreItem> items;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/storewrite.h
+++ b/src/store/storewrite.h
@@ -1,11 +1,11 @@
 // A conditional write to the platform's store.
 #pragma once
 
-#include "platform/storeitem.h"
+#include "store/storeitem.h"
 
 #include <string>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 struct StoreWrite
 {
@@ -17,4 +17,4 @@
     std::string lease;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/taskclient.h
+++ b/src/store/taskclient.h
@@ -4,16 +4,16 @@
 
 #include "global/result.h"
 #include "net/httpclient.h"
-#include "platform/taskcommand.h"
-#include "platform/taskstart.h"
-#include "platform/taskstatus.h"
+#include "store/taskcommand.h"
+#include "store/taskstart.h"
+#include "store/taskstatus.h"
 
 #include <chrono>
 #include <functional>
 #include <string>
 #include <vector>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 class TaskClient
 {
@@ -35,4 +35,4 @@
     std::chrono::milliseconds m_timeout;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/taskcommand.h
+++ b/src/store/taskcommand.h
@@ -3,7 +3,7 @@
 
 #include "global/nametable.h"
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 enum class TaskCommand {
     Renew,
@@ -25,4 +25,4 @@
 };
 inline constexpr NameTable taskCommandNames{taskCommandEntries};
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/taskstart.h
+++ b/src/store/taskstart.h
@@ -7,7 +7,7 @@
 #include <chrono>
 #include <string>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 struct TaskStart
 {
@@ -22,4 +22,4 @@
     std::string body;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/taskstate.h
+++ b/src/store/taskstate.h
@@ -3,7 +3,7 @@
 
 #include "global/nametable.h"
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 enum class TaskState {
     Running,
@@ -28,4 +28,4 @@
 };
 inline constexpr NameTable taskStateNames{taskStateEntries};
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/taskstatus.h
+++ b/src/store/taskstatus.h
@@ -2,14 +2,14 @@
 #pragma once
 
 #include "global/ids.h"
-#include "platform/taskstate.h"
+#include "store/taskstate.h"
 
 #include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 
 // Counts the changes of all tasks.
 using TaskRevision = std::uint64_t;
@@ -41,4 +41,4 @@
     std::vector<WorkerId> draining;
 };
 
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/tests/heldlease_tests.cpp
+++ b/src/store/tests/heldlease_tests.cpp
@@ -1,11 +1,11 @@
 // Leases, budgets and attempt ids under passing time.
-#include "platform/attempt.h"
-#include "platform/callbudget.h"
-#include "platform/heldlease.h"
+#include "store/attempt.h"
+#include "store/callbudget.h"
+#include "store/heldlease.h"
 
 #include <gtest/gtest.h>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 namespace {
 
 using std::chrono::seconds;
@@ -46,4 +46,4 @@
 }
 
 } // namespace
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/src/platform/tests/storeanswer_tests.cpp
+++ b/src/store/tests/storeanswer_tests.cpp
@@ -1,9 +1,9 @@
 // Malformed answers of the store are errors, never exceptions or values.
-#include "platform/storeanswer.h"
+#include "store/storeanswer.h"
 
 #include <gtest/gtest.h>
 
-namespace cyclamenlatch::platform {
+namespace cyclamenlatch::store {
 namespace {
 
 net::HttpCallResult answerOf(const std::string &body)
@@ -26,4 +26,4 @@
 }
 
 } // namespace
-} // namespace cyclamenlatch::platform
+} // namespace cyclamenlatch::store
--- a/standins/platform/platformserver.cpp
+++ b/standins/platform/platformserver.cpp
@@ -20,7 +20,7 @@
 constexpr std::string_view keyPrefix = "/v1/kv/";
 constexpr std::string_view leasePrefix = "/v1/leases";
 
-json itemJson(const platform::StoreItem &item)
+json itemJson(const store::StoreItem &item)
 {
     json value{{"key", item.key}, {"value", item.value}, {"revision", item.revision}};
     if (item.deleted) {
@@ -29,7 +29,7 @@
     return value;
 }
 
-net::HttpReply listingReply(const platform::StoreListing &listing)
+net::HttpReply listingReply(const store::StoreListing &listing)
 {
     json items = json::array();
     for (const auto &item : listing.items) {
@@ -167,7 +167,7 @@
                                  : jsonReply(404, {{"error", "no such key"}}));
     }
     const auto expected = queryNumber(request.query, "expected");
-    std::optional<platform::StoreRevision> revision;
+    std::optional<store::StoreRevision> revision;
     if (request.method == "PUT") {
         revision = m_store.write({key, request.body, expected, queryText(request.query, "lease")});
     } else if (request.method == "DELETE") {
--- a/standins/platform/platformserver.h
+++ b/standins/platform/platformserver.h
@@ -29,7 +29,7 @@
     struct PendingWatch
     {
         std::string prefix;
-        platform::StoreRevision after = 0;
+        store::StoreRevision after = 0;
         TimePoint expiry;
         net::HttpResponder respond;
     };
--- a/standins/platform/storemodel.cpp
+++ b/standins/platform/storemodel.cpp
@@ -5,10 +5,10 @@
 
 namespace cyclamenlatch::standins {
 
-using platform::StoreItem;
-using platform::StoreListing;
-using platform::StoreRevision;
-using platform::StoreWrite;
+using store::StoreItem;
+using store::StoreListing;
+using store::StoreRevision;
+using store::StoreWrite;
 
 std::optional<StoreItem> StoreModel::get(const std::string &key) const
 {
--- a/standins/platform/storemodel.h
+++ b/standins/platform/storemodel.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "global/time.h"
-#include "platform/storeitem.h"
-#include "platform/storewrite.h"
+#include "store/storeitem.h"
+#include "store/storewrite.h"
 
 #include <map>
 #include <optional>
@@ -16,16 +16,16 @@
 class StoreModel
 {
 public:
-    std::optional<platform::StoreItem> get(const std::string &key) const;
-    platform::StoreListing list(std::string_view prefix) const;
+    std::optional<store::StoreItem> get(const std::string &key) const;
+    store::StoreListing list(std::string_view prefix) const;
     // Items under prefix whose last change is newer than the revision, deletions included.
-    platform::StoreListing changes(std::string_view prefix, platform::StoreRevision after) const;
+    store::StoreListing changes(std::string_view prefix, store::StoreRevision after) const;
 
     // Returns the new revision, or nothing when the key's revision is not the expected one or
     // the lease does not exist.
-    std::optional<platform::StoreRevision> write(const platform::StoreWrite &write);
-    std::optional<platform::StoreRevision> remove(const std::string &key,
-                                                  platform::StoreRevision expected);
+    std::optional<store::StoreRevision> write(const store::StoreWrite &write);
+    std::optional<store::StoreRevision> remove(const std::string &key,
+                                                  store::StoreRevision expected);
 
     std::string grantLease(Duration timeToLive, TimePoint now);
     // Returns false when the lease has lapsed; its keys are gone then.
@@ -33,7 +33,7 @@
     void endLease(const std::string &lease);
     void expireLeases(TimePoint now);
 
-    platform::StoreRevision revision() const { return m_revision; }
+    store::StoreRevision revision() const { return m_revision; }
 
 private:
     struct Lease
@@ -43,13 +43,13 @@
     };
     struct StoredItem
     {
-        platform::StoreItem item;
+        store::StoreItem item;
         std::string lease;
     };
 
-    platform::StoreRevision revisionOf(const std::string &key) const;
+    store::StoreRevision revisionOf(const std::string &key) const;
 
-    platform::StoreRevision m_revision = 0;
+    store::StoreRevision m_revision = 0;
     std::uint64_t m_nextLease = 1;
     // Deleted keys stay as tombstones so that watches can report them.
     std::map<std::string, StoredItem> m_items;
--- a/standins/platform/taskmodel.cpp
+++ b/standins/platform/taskmodel.cpp
@@ -8,15 +8,15 @@
 
 namespace cyclamenlatch::standins {
 
-using platform::TaskCommand;
-using platform::TaskState;
+using store::TaskCommand;
+using store::TaskState;
 
 std::string jobOfTask(const std::string &task)
 {
     return task.substr(0, task.rfind('.'));
 }
 
-void TaskModel::start(const platform::TaskStart &start, TimePoint now)
+void TaskModel::start(const store::TaskStart &start, TimePoint now)
 {
     if (m_tasks.contains(start.id) || m_forgotten.contains(start.id)) {
         return;
@@ -172,9 +172,9 @@
     }
 }
 
-platform::TaskListing TaskModel::changes(platform::TaskRevision after) const
+store::TaskListing TaskModel::changes(store::TaskRevision after) const
 {
-    platform::TaskListing listing;
+    store::TaskListing listing;
     listing.revision = m_revision;
     for (const auto &[id, task] : m_tasks) {
         if (task.status.revision > after) {
--- a/standins/platform/taskmodel.h
+++ b/standins/platform/taskmodel.h
@@ -4,9 +4,9 @@
 #pragma once
 
 #include "global/time.h"
-#include "platform/taskcommand.h"
-#include "platform/taskstart.h"
-#include "platform/taskstatus.h"
+#include "store/taskcommand.h"
+#include "store/taskstart.h"
+#include "store/taskstatus.h"
 
 #include <map>
 #include <set>
@@ -42,12 +42,12 @@
     static constexpr std::chrono::milliseconds usageLag{1000};
     static constexpr double throttledShare = 0.1;
 
-    void start(const platform::TaskStart &start, TimePoint now);
-    void command(platform::TaskCommand command, const std::vector<std::string> &tasks,
+    void start(const store::TaskStart &start, TimePoint now);
+    void command(store::TaskCommand command, const std::vector<std::string> &tasks,
                  TimePoint now);
     // Lets time pass: completions, failures, lapses and usage reports.
     void advance(TimePoint now);
-    platform::TaskListing changes(platform::TaskRevision after) const;
+    store::TaskListing changes(store::TaskRevision after) const;
 
     void setFaults(TaskFaults faults);
     const TaskFaults &faults() const { return m_faults; }
@@ -56,7 +56,7 @@
 private:
     struct Task
     {
-        platform::TaskStatus status;
+        store::TaskStatus status;
         Duration lease{};
         TimePoint leaseEnd;
         TimePoint started;
@@ -75,10 +75,10 @@
     void advanceTask(Task &task, TimePoint now);
     void makeProgress(Task &task, TimePoint now);
     void change(Task &task);
-    void end(Task &task, platform::TaskState state);
+    void end(Task &task, store::TaskState state);
     void countStart(const std::string &id);
 
-    platform::TaskRevision m_revision = 0;
+    store::TaskRevision m_revision = 0;
     // Ended tasks stay as tombstones: an id never runs twice.
     std::map<std::string, Task> m_tasks;
     std::set<std::string> m_forgotten;
--- a/standins/platform/taskserver.cpp
+++ b/standins/platform/taskserver.cpp
@@ -1,7 +1,7 @@
 // Answers the platform's task protocol (docs/platform-protocol.md) from the state machine.
 #include "standins/platform/taskserver.h"
 
-#include "platform/base64.h"
+#include "store/base64.h"
 #include "standins/jsonreply.h"
 #include "standins/queryfields.h"
 
@@ -18,21 +18,21 @@
 
 constexpr std::string_view taskPrefix = "/v1/tasks/";
 
-json statusJson(const platform::TaskStatus &status)
+json statusJson(const store::TaskStatus &status)
 {
     return {{"id", status.id},
             {"worker", status.worker.value()},
-            {"state", platform::taskStateNames.name(status.state)},
+            {"state", store::taskStateNames.name(status.state)},
             {"throttled", status.throttled},
             {"ended", status.ended},
-            {"checkpoint", platform::toBase64(status.checkpoint)},
+            {"checkpoint", store::toBase64(status.checkpoint)},
             {"failure", status.failure},
             {"usedProcessors", status.usedProcessors},
             {"usedMemoryMib", status.usedMemoryMib},
             {"revision", status.revision}};
 }
 
-net::HttpReply listingReply(const platform::TaskListing &listing)
+net::HttpReply listingReply(const store::TaskListing &listing)
 {
     json tasks = json::array();
     for (const auto &task : listing.tasks) {
@@ -47,17 +47,17 @@
                            {"draining", std::move(draining)}});
 }
 
-platform::TaskStart readStart(const std::string &id, const json &body)
+store::TaskStart readStart(const std::string &id, const json &body)
 {
-    platform::TaskStart start;
+    store::TaskStart start;
     start.id = id;
     start.worker = WorkerId(body.value("worker", ""));
     start.lease = std::chrono::milliseconds(body.value("leaseMs", 0));
     start.processors = body.value("processors", 0.0);
     start.memoryMib = body.value("memoryMib", 0.0);
     start.accelerators = body.value("accelerators", 0U);
-    start.checkpoint = platform::fromBase64(body.value("checkpoint", "")).value_or("");
-    start.body = platform::fromBase64(body.value("body", "")).value_or("");
+    start.checkpoint = store::fromBase64(body.value("checkpoint", "")).value_or("");
+    start.body = store::fromBase64(body.value("body", "")).value_or("");
     return start;
 }
 
@@ -111,7 +111,7 @@
     if (request.method == "PUT" && body.is_object()) {
         m_tasks.start(readStart(request.path.substr(taskPrefix.size()), body), now);
     } else if (const auto command =
-                       platform::taskCommandNames.value(queryText(request.query, "command"));
+                       store::taskCommandNames.value(queryText(request.query, "command"));
                command && body.is_array()) {
         m_tasks.command(*command, body.get<std::vector<std::string>>(), now);
     } else {
--- a/standins/platform/taskserver.h
+++ b/standins/platform/taskserver.h
@@ -22,7 +22,7 @@
 private:
     struct PendingChanges
     {
-        platform::TaskRevision after = 0;
+        store::TaskRevision after = 0;
         TimePoint expiry;
         net::HttpResponder respond;
     };
--- a/tests/fuzz/storeanswer.cpp
+++ b/tests/fuzz/storeanswer.cpp
@@ -1,6 +1,6 @@
 // Whatever the store answers, reading it gives a value or an error with a remedy. The first line is
 // the status, the second the revision header, the rest the body.
-#include "platform/storeanswer.h"
+#include "store/storeanswer.h"
 
 #include <charconv>
 #include <cstdint>
@@ -37,13 +37,13 @@
     std::from_chars(status.data(), status.data() + status.size(), result.reply->status);
     result.reply->headers.add("Store-Revision", std::string(takeLine(text)));
     result.reply->body = std::string(text);
-    check(platform::judgeListing(result));
-    check(platform::judgeItem(result));
-    check(platform::judgeGrant(result));
-    check(platform::judgeRenewal(result));
-    check(platform::judgeLeaseEnd(result));
-    platform::revisionOf(result);
-    const auto written = platform::judgeRevision(result);
+    check(store::judgeListing(result));
+    check(store::judgeItem(result));
+    check(store::judgeGrant(result));
+    check(store::judgeRenewal(result));
+    check(store::judgeLeaseEnd(result));
+    store::revisionOf(result);
+    const auto written = store::judgeRevision(result);
     check(written);
     // A refusal without effect is never read out of an answer that doesn't say so.
     const auto code = result.reply->status;
--- a/tests/jobs/jobinterleavings_tests.cpp
+++ b/tests/jobs/jobinterleavings_tests.cpp
@@ -21,8 +21,8 @@
 namespace cyclamenlatch::jobs {
 namespace {
 
-using platform::TaskCommand;
-using platform::TaskStart;
+using store::TaskCommand;
+using store::TaskStart;
 using standins::StoreModel;
 using standins::TaskModel;
 
@@ -193,7 +193,7 @@
     }
 
     // Parses each revision once; the store is looked at far more often than it changes.
-    const JobRecord &recordOf(const platform::StoreItem &item) const
+    const JobRecord &recordOf(const store::StoreItem &item) const
     {
         auto &read = m_read[item.key];
         if (read.revision != item.revision) {
@@ -296,7 +296,7 @@
         apply(message);
     }
 
-    std::optional<platform::StoreRevision> apply(const Message &message)
+    std::optional<store::StoreRevision> apply(const Message &message)
     {
         switch (message.kind) {
         case Sending::Write:
@@ -424,7 +424,7 @@
     Duration m_now{std::chrono::seconds(1)};
     struct ReadRecord
     {
-        platform::StoreRevision revision = 0;
+        store::StoreRevision revision = 0;
         JobRecord record;
     };
 
--- a/tests/platform/hostclient_tests.cpp
+++ b/tests/platform/hostclient_tests.cpp
@@ -1,5 +1,5 @@
 // Tests of the host client against the stand-in platform.
-#include "platform/hostclient.h"
+#include "store/hostclient.h"
 #include "tests/platform/inprocessplatform.h"
 
 #include <gtest/gtest.h>
@@ -24,7 +24,7 @@
     });
     ASSERT_TRUE(isSetUp.get_future().get());
 
-    platform::HostClient hosts(http, platform.url(), callTimeout);
+    store::HostClient hosts(http, platform.url(), callTimeout);
     const auto reboot = [&](const char *worker, const char *attempt) {
         return InProcessPlatform::await<void>(
                 [&](auto completion) { hosts.reboot(WorkerId(worker), attempt, completion); });
@@ -34,10 +34,10 @@
     EXPECT_EQ(reboot("w-9", "wave.w-9").error().kind, ErrorKind::NotFound);
 
     // The list lags; ask until the reboot shows.
-    std::vector<platform::HostStatus> listed;
+    std::vector<store::HostStatus> listed;
     const auto deadline = steadyNow() + std::chrono::seconds(20);
     while (steadyNow() < deadline && (listed.size() < 2 || listed[1].finishedReboot.empty())) {
-        auto answer = InProcessPlatform::await<std::vector<platform::HostStatus>>(
+        auto answer = InProcessPlatform::await<std::vector<store::HostStatus>>(
                 [&](auto completion) { hosts.list(completion); });
         ASSERT_TRUE(answer.has_value());
         listed = answer.value();
--- a/tests/platform/inprocessplatform.h
+++ b/tests/platform/inprocessplatform.h
@@ -4,7 +4,7 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/workerthreads.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 #include "standins/platform/platformserver.h"
 
 #include <fmt/format.h>
@@ -42,7 +42,7 @@
     InProcessPlatform &operator=(const InProcessPlatform &) = delete;
 
     std::string url() const { return fmt::format("http://127.0.0.1:{}", m_server.port()); }
-    platform::StoreClient &client() { return *m_client; }
+    store::StoreClient &client() { return *m_client; }
     asio::io_context &context() { return m_threads.context(); }
 
     // Sets faults as POST /control does.
@@ -64,24 +64,24 @@
         return promise.get_future().get();
     }
 
-    Result<platform::StoreRevision> write(const std::string &key, const std::string &value,
-                                          platform::StoreRevision expected)
+    Result<store::StoreRevision> write(const std::string &key, const std::string &value,
+                                          store::StoreRevision expected)
     {
-        return await<platform::StoreRevision>([&](auto completion) {
+        return await<store::StoreRevision>([&](auto completion) {
             m_client->compareAndSwap({key, value, expected, ""}, completion);
         });
     }
 
-    Result<std::optional<platform::StoreItem>> get(const std::string &key)
+    Result<std::optional<store::StoreItem>> get(const std::string &key)
     {
-        return await<std::optional<platform::StoreItem>>(
+        return await<std::optional<store::StoreItem>>(
                 [&](auto completion) { m_client->get(key, completion); });
     }
 
 private:
-    platform::StoreClientSettings clientSettings() const
+    store::StoreClientSettings clientSettings() const
     {
-        platform::StoreClientSettings settings;
+        store::StoreClientSettings settings;
         settings.url = url();
         settings.callTimeout = std::chrono::milliseconds(2000);
         settings.operationTimeout = std::chrono::milliseconds(4000);
@@ -91,7 +91,7 @@
     net::WorkerThreads m_threads{2};
     standins::PlatformServer m_platform;
     net::HttpServer m_server;
-    std::optional<platform::StoreClient> m_client;
+    std::optional<store::StoreClient> m_client;
     net::HttpClient m_http;
 };
 
--- a/tests/platform/storeclient_tests.cpp
+++ b/tests/platform/storeclient_tests.cpp
@@ -4,7 +4,7 @@
 namespace cyclamenlatch::tests {
 namespace {
 
-using platform::StoreRevision;
+using store::StoreRevision;
 
 TEST(StoreClient, resolvesLostAnswerOfWriteThatTookEffect)
 {
--- a/tests/scenarios/entrynode.h
+++ b/tests/scenarios/entrynode.h
@@ -56,7 +56,7 @@
     std::map<std::string, unsigned> demand;
     // Ends of the work that is running, by workspace.
     std::map<std::string, std::multiset<TimePoint>> running;
-    platform::StoreRevision inForce = 0;
+    store::StoreRevision inForce = 0;
     bool paused = false;
     bool leaving = false;
 };
--- a/tests/scenarios/fleetkeeper.h
+++ b/tests/scenarios/fleetkeeper.h
@@ -23,12 +23,12 @@
     std::map<std::string, maintenance::QuietCollector> collectors;
     std::unordered_map<WorkerId, capacity::VersionedAssignment> assignments;
     // Of the store when the assignments were read; 0 before that.
-    platform::StoreRevision assignmentsRevision = 0;
+    store::StoreRevision assignmentsRevision = 0;
     // By scope: until when this life trusts its lease.
     std::map<std::string, TimePoint> leadsUntil;
     // Keys with a write under way, and the revision of the last write of each.
     std::set<std::string> writing;
-    std::map<std::string, platform::StoreRevision> written;
+    std::map<std::string, store::StoreRevision> written;
     // When each reboot was last asked for.
     std::map<std::string, TimePoint> rebootAsked;
 };
--- a/tests/scenarios/hostfleet.cpp
+++ b/tests/scenarios/hostfleet.cpp
@@ -87,9 +87,9 @@
     m_flights.remove_if([&](const Flight &flight) { return flight.end <= now; });
 }
 
-std::vector<platform::HostStatus> HostFleet::list() const
+std::vector<store::HostStatus> HostFleet::list() const
 {
-    std::vector<platform::HostStatus> list;
+    std::vector<store::HostStatus> list;
     for (const auto &[worker, host] : m_hosts) {
         list.push_back({worker, host.up, host.finishedReboot, 0});
     }
--- a/tests/scenarios/hostfleet.h
+++ b/tests/scenarios/hostfleet.h
@@ -4,7 +4,7 @@
 
 #include "fleet/fleetdocument.h"
 #include "global/time.h"
-#include "platform/hoststatus.h"
+#include "store/hoststatus.h"
 #include "tests/scenarios/scenario.h"
 
 #include <list>
@@ -47,7 +47,7 @@
     std::optional<std::string> reboot(const WorkerId &worker, const std::string &attempt,
                                       TimePoint now);
     void tick(TimePoint now);
-    std::vector<platform::HostStatus> list() const;
+    std::vector<store::HostStatus> list() const;
 
     // Returns what is wrong with the request, if anything.
     std::optional<std::string> send(const Flight &flight);
--- a/tests/scenarios/world.cpp
+++ b/tests/scenarios/world.cpp
@@ -518,7 +518,7 @@
 }
 
 // A revision never falls at an entry; nor does a new life begin below what a peer that answers has.
-void World::checkPublished(const EntryNode &node, platform::StoreRevision revision)
+void World::checkPublished(const EntryNode &node, store::StoreRevision revision)
 {
     const auto &name = node.address.entry.value();
     if (revision < node.inForce) {
@@ -655,16 +655,16 @@
     }
 }
 
-platform::StoreListing World::storeChanges(const std::string &prefix,
-                                           platform::StoreRevision after) const
+store::StoreListing World::storeChanges(const std::string &prefix,
+                                           store::StoreRevision after) const
 {
     const auto &store = m_oldStore ? *m_oldStore : m_store;
     return store.changes(prefix, after);
 }
 
-void World::writeQuota(EntryNode &node, const platform::StoreWrite &write)
+void World::writeQuota(EntryNode &node, const store::StoreWrite &write)
 {
-    auto revision = std::make_shared<std::optional<platform::StoreRevision>>();
+    auto revision = std::make_shared<std::optional<store::StoreRevision>>();
     callStore(
             node,
             [this, write, revision] {
@@ -692,7 +692,7 @@
     });
 }
 
-void World::readConfiguration(EntryNode &node, platform::StoreRevision after)
+void World::readConfiguration(EntryNode &node, store::StoreRevision after)
 {
     const auto sentAt = m_now;
     callStore(node, nullptr, [this, after, sentAt](EntryNode &reader, bool answered) {
--- a/tests/scenarios/world.h
+++ b/tests/scenarios/world.h
@@ -111,9 +111,9 @@
     void ask(EntryNode &node, const maintenance::DrainPoll &poll);
     maintenance::DrainAnswer answerPoll(EntryNode &node, const maintenance::DrainPoll &poll);
     void receiveMaintenance(EntryNode &node, const Envelope &envelope);
-    std::unordered_map<WorkerId, platform::StoreRevision> quietOf(const EntryNode &node,
+    std::unordered_map<WorkerId, store::StoreRevision> quietOf(const EntryNode &node,
                                                                   const std::string &scope) const;
-    void writeFleetRecord(EntryNode &node, const platform::StoreWrite &write);
+    void writeFleetRecord(EntryNode &node, const store::StoreWrite &write);
     void askReboot(EntryNode &node, const maintenance::RebootRequest &request);
     Failure checkTaken(const maintenance::HostRecord &record) const;
     Failure checkWaves();
@@ -123,7 +123,7 @@
     void receive(EntryNode &node, const Envelope &envelope);
     void receiveOutcome(EntryNode &node, const Envelope &envelope);
     void perform(EntryNode &node, const configuration::SpreadActions &actions);
-    void checkPublished(const EntryNode &node, platform::StoreRevision revision);
+    void checkPublished(const EntryNode &node, store::StoreRevision revision);
     void send(const EntryNode &node, const EntryId &to, Body body);
     void sendClaim(EntryNode &node, Attempt &attempt);
     void endClaim(EntryNode &node, Attempt &attempt, dispatch::ClaimVerdict verdict);
@@ -132,12 +132,12 @@
     void callStore(const EntryNode &node, std::function<bool()> apply,
                    std::function<void(EntryNode &, bool)> answer);
     void answerStoreCalls();
-    void writeQuota(EntryNode &node, const platform::StoreWrite &write);
+    void writeQuota(EntryNode &node, const store::StoreWrite &write);
     void readQuota(EntryNode &node);
-    void readConfiguration(EntryNode &node, platform::StoreRevision after);
+    void readConfiguration(EntryNode &node, store::StoreRevision after);
     void storeWithdrawn(EntryNode &node, const std::vector<KeyId> &ids);
-    platform::StoreListing storeChanges(const std::string &prefix,
-                                        platform::StoreRevision after) const;
+    store::StoreListing storeChanges(const std::string &prefix,
+                                        store::StoreRevision after) const;
     bool storeReachable(const EntryNode &node) const;
 
     void start(Slot &slot);
--- a/tests/scenarios/worldfleet.cpp
+++ b/tests/scenarios/worldfleet.cpp
@@ -107,7 +107,7 @@
     found.assignment.desired = step.pool;
     found.assignment.home = worker->pool;
     found.assignment.setBy = "operator";
-    const platform::StoreWrite write{capacity::assignmentKey(step.worker),
+    const store::StoreWrite write{capacity::assignmentKey(step.worker),
                                      writeAssignment(found.assignment), found.revision, ""};
     callStore(
             *slot->node,
@@ -240,7 +240,7 @@
                 kept = {assignment, item.revision};
             }
         }
-        std::unordered_map<WorkerId, platform::StoreRevision> read;
+        std::unordered_map<WorkerId, store::StoreRevision> read;
         for (const auto &[worker, found] : keeper.assignments) {
             read[worker] = found.revision;
         }
@@ -306,7 +306,7 @@
         keeper.health.fill(view.observed);
         view.observed.quiet = quietOf(node, scope.value());
         for (const auto &action : planWave(view, recordTime(m_now))) {
-            if (const auto *write = std::get_if<platform::StoreWrite>(&action)) {
+            if (const auto *write = std::get_if<store::StoreWrite>(&action)) {
                 writeFleetRecord(node, *write);
             } else {
                 askReboot(node, std::get<maintenance::RebootRequest>(action));
@@ -371,7 +371,7 @@
     node.keeper.collectors[answer.scope].take(envelope.from, envelope.incarnation, answer, m_now);
 }
 
-std::unordered_map<WorkerId, platform::StoreRevision> World::quietOf(const EntryNode &node,
+std::unordered_map<WorkerId, store::StoreRevision> World::quietOf(const EntryNode &node,
                                                                      const std::string &scope) const
 {
     const auto collector = node.keeper.collectors.find(scope);
@@ -382,7 +382,7 @@
 }
 
 // Skips a key whose last write is not resolved or not yet part of the reading.
-void World::writeFleetRecord(EntryNode &node, const platform::StoreWrite &write)
+void World::writeFleetRecord(EntryNode &node, const store::StoreWrite &write)
 {
     auto &keeper = node.keeper;
     const auto written = keeper.written.find(write.key);
@@ -392,7 +392,7 @@
     if (!isRead || !keeper.writing.insert(write.key).second) {
         return;
     }
-    auto revision = std::make_shared<std::optional<platform::StoreRevision>>();
+    auto revision = std::make_shared<std::optional<store::StoreRevision>>();
     callStore(
             node,
             [this, write, revision] {
