--- /dev/null
+++ b/src/control/hostservice.h
@@ -0,0 +1,73 @@
+// The owner's calls about hosts: reads the platform's list, sends the keeper's orders, stores how
+// far waves have come. Exists only while this entry owns the work.
+#pragma once
+
+#include "control/ownership.h"
+#include "control/storelink.h"
+#include "net/httpclient.h"
+#include "platform/entrysettings.h"
+#include "platform/machinecalls.h"
+#include "scheduling/hostkeeper.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cyclamenlatch::control {
+
+class HostService
+{
+public:
+    // planned is called when hosts have changed, so that work is planned anew.
+    HostService(asio::io_context &context, StoreLink &store, net::HttpClient &http,
+                Ownership &ownership, const platform::EntrySettings &settings,
+                scheduling::OwnerCore &core, std::function<void()> planned);
+    ~HostService();
+    HostService(const HostService &) = delete;
+    HostService &operator=(const HostService &) = delete;
+
+    void start();
+    void setRules(const scheduling::FleetRules &rules) { m_keeper.setRules(rules); }
+    void setWaves(const std::map<std::uint64_t, scheduling::WavePlan> &waves);
+
+private:
+    void loadWaves();
+    void takeWaves();
+    void tick();
+    void list();
+    void listPage(const std::string &page, std::vector<scheduling::HostInfo> gathered);
+    void plan();
+    void send(const scheduling::HostOrder &order);
+    void storeProgress();
+    void writeProgress(const scheduling::HostKeeper::WaveProgress &progress);
+
+    asio::io_context &m_context;
+    StoreLink &m_store;
+    net::HttpClient &m_http;
+    Ownership &m_ownership;
+    const platform::EntrySettings &m_settings;
+    const platform::MachineCalls m_calls;
+    const scheduling::HostHolder m_holder;
+    const platform::StoreRevision m_ownerRevision;
+    const std::function<void()> m_planned;
+    scheduling::HostKeeper m_keeper;
+    asio::steady_timer m_timer;
+    asio::steady_timer m_retryTimer;
+    std::map<std::uint64_t, scheduling::WavePlan> m_waves;
+    // As stored when this owner began.
+    std::map<std::uint64_t, std::set<std::string>> m_storedDone;
+    bool m_hasStored = false;
+    bool m_isListing = false;
+    TimePoint m_listedAt{};
+    bool m_isStoring = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cyclamenlatch::control
--- /dev/null
+++ b/src/control/internal/hostservice.cpp
@@ -0,0 +1,236 @@
+// Lists hosts, orders them, stores waves.
+#include "control/hostservice.h"
+
+#include "control/clock.h"
+#include "control/controlevents.h"
+#include "control/records.h"
+#include "control/storekeys.h"
+#include "platform/configwire.h"
+
+#include <charconv>
+#include <utility>
+
+namespace cyclamenlatch::control {
+
+namespace {
+
+using platform::StoreOutcome;
+
+constexpr std::chrono::milliseconds tickInterval{100};
+constexpr std::chrono::milliseconds callTimeout{800};
+constexpr std::chrono::milliseconds retryPause{300};
+
+} // namespace
+
+HostService::HostService(asio::io_context &context, StoreLink &store, net::HttpClient &http,
+                         Ownership &ownership, const platform::EntrySettings &settings,
+                         scheduling::OwnerCore &core, std::function<void()> planned)
+    : m_context(context)
+    , m_store(store)
+    , m_http(http)
+    , m_ownership(ownership)
+    , m_settings(settings)
+    , m_calls(settings.machinesAddress)
+    , m_holder{settings.name, ownership.tenure().term}
+    , m_ownerRevision(ownership.tenure().revision)
+    , m_planned(std::move(planned))
+    , m_keeper({settings.holderPause, settings.upkeepTime, settings.moveTime}, core, bootNow(),
+               ownership.tenure().term == 1,
+               [term = ownership.tenure().term](const auto &host, const auto &what) {
+                   logEvent(hostDecision, "host={} what=\"{}\" term={}", host, what, term);
+               })
+    , m_timer(context)
+    , m_retryTimer(context)
+{}
+
+HostService::~HostService() = default;
+
+void HostService::start()
+{
+    if (!m_settings.machinesAddress.empty()) {
+        loadWaves();
+    }
+}
+
+void HostService::setWaves(const std::map<std::uint64_t, scheduling::WavePlan> &waves)
+{
+    m_waves = waves;
+    takeWaves();
+}
+
+void HostService::loadWaves()
+{
+    m_store.list(std::string(waveRecordPrefix),
+                 [this, alive = std::weak_ptr(m_alive)](const auto &reply) {
+                     if (alive.expired()) {
+                         return;
+                     }
+                     if (reply.outcome != StoreOutcome::Done) {
+                         m_retryTimer.expires_after(retryPause);
+                         m_retryTimer.async_wait([this, alive](const auto &error) {
+                             if (!error && !alive.expired()) {
+                                 loadWaves();
+                             }
+                         });
+                         return;
+                     }
+                     for (const auto &item : reply.items) {
+                         std::uint64_t number = 0;
+                         const auto text = item.key.substr(waveRecordPrefix.size());
+                         std::from_chars(text.data(), text.data() + text.size(), number);
+                         if (const auto done = decodeIds(item.value)) {
+                             m_storedDone[number] = {done.value().begin(), done.value().end()};
+                         } else {
+                             logEvent(recordUnreadable, "key={}", item.key);
+                         }
+                     }
+                     m_hasStored = true;
+                     takeWaves();
+                     tick();
+                 });
+}
+
+void HostService::takeWaves()
+{
+    if (!m_hasStored) {
+        return;
+    }
+    for (const auto &[number, wave] : m_waves) {
+        m_keeper.waveAsked(wave, m_storedDone[number], false, bootNow());
+    }
+}
+
+void HostService::tick()
+{
+    if (bootNow() - m_listedAt > m_keeper.listInterval()) {
+        list();
+    }
+    plan();
+    storeProgress();
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this, alive = std::weak_ptr(m_alive)](const auto &error) {
+        if (!error && !alive.expired()) {
+            tick();
+        }
+    });
+}
+
+void HostService::list()
+{
+    if (std::exchange(m_isListing, true)) {
+        return;
+    }
+    m_listedAt = bootNow();
+    listPage({}, {});
+}
+
+void HostService::listPage(const std::string &page, std::vector<scheduling::HostInfo> gathered)
+{
+    auto call = m_calls.list(page);
+    call.timeout = callTimeout;
+    m_http.send(std::move(call), [this, gathered = std::move(gathered),
+                                  alive = std::weak_ptr(m_alive)](const auto &result) mutable {
+        if (alive.expired()) {
+            return;
+        }
+        auto answer = platform::MachineCalls::judgeList(result);
+        if (!answer) {
+            m_isListing = false;
+            return;
+        }
+        for (auto &host : answer->hosts) {
+            gathered.push_back(std::move(host));
+        }
+        if (!answer->nextPage.empty()) {
+            return listPage(answer->nextPage, std::move(gathered));
+        }
+        m_isListing = false;
+        m_keeper.hostsListed(std::move(gathered), bootNow());
+        plan();
+    });
+}
+
+void HostService::plan()
+{
+    if (!m_ownership.isHeld()) {
+        return;
+    }
+    for (const auto &order : m_keeper.plan(bootNow())) {
+        send(order);
+    }
+    m_planned();
+}
+
+void HostService::send(const scheduling::HostOrder &order)
+{
+    struct Caller
+    {
+        const HostService &service;
+
+        net::HttpCall operator()(const scheduling::UpkeepOrder &upkeep) const
+        {
+            return service.m_calls.upkeep(service.m_holder, upkeep.host, upkeep.wave);
+        }
+        net::HttpCall operator()(const scheduling::MoveOrder &move) const
+        {
+            return service.m_calls.move(service.m_holder, move.host, move.pool);
+        }
+    };
+    auto call = std::visit(Caller{*this}, order);
+    call.timeout = callTimeout;
+    m_http.send(std::move(call),
+                [this, order, alive = std::weak_ptr(m_alive)](const auto &result) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    const auto answer = platform::MachineCalls::judgeOrder(result);
+                    m_keeper.answered(order, answer, bootNow());
+                    if (answer == scheduling::HostAnswer::Fenced) {
+                        return m_ownership.resign("a host has seen a later holder");
+                    }
+                    m_planned();
+                });
+}
+
+void HostService::storeProgress()
+{
+    if (m_isStoring || !m_ownership.isHeld()) {
+        return;
+    }
+    if (const auto progress = m_keeper.changedWave()) {
+        m_isStoring = true;
+        writeProgress(*progress);
+    }
+}
+
+void HostService::writeProgress(const scheduling::HostKeeper::WaveProgress &progress)
+{
+    platform::StoreChange change;
+    change.expected = {{std::string(ownerKey), m_ownerRevision}};
+    change.writes = {{waveRecordKey(progress.number),
+                      encodeIds({progress.done.begin(), progress.done.end()}), 0},
+                     {platform::waveStatusKey(progress.number),
+                      platform::waveStatusText(progress.isCompleted), 0}};
+    m_store.change(change, [this, progress, alive = std::weak_ptr(m_alive)](const auto &reply) {
+        if (alive.expired()) {
+            return;
+        }
+        if (reply.outcome == StoreOutcome::Done) {
+            m_isStoring = false;
+            logEvent(waveChanged, "wave={} done={} completed={}", progress.number,
+                     progress.done.size(), progress.isCompleted);
+            return;
+        }
+        if (reply.outcome == StoreOutcome::Conflict) {
+            return m_ownership.resign("another entry has taken over");
+        }
+        m_retryTimer.expires_after(retryPause);
+        m_retryTimer.async_wait([this, progress, alive](const auto &error) {
+            if (!error && !alive.expired()) {
+                writeProgress(progress);
+            }
+        });
+    });
+}
+
+} // namespace cyclamenlatch::control
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -69,16 +69,17 @@
     unsigned failures = 0;
 };
 
-OwnerService::OwnerService(asio::io_context &context, StoreLink &store, net::HttpClient &targets,
+OwnerService::OwnerService(asio::io_context &context, StoreLink &store, net::HttpClient &http,
                            Ownership &ownership, const platform::EntrySettings &settings)
     : m_context(context)
     , m_store(store)
-    , m_http(targets)
+    , m_http(http)
     , m_ownership(ownership)
     , m_settings(settings)
     , m_tenure(ownership.tenure())
     , m_core(makeSettings(settings, m_tenure), bootNow(),
              [this](const auto &decision) { logDecision(decision); })
+    , m_hosts(context, store, http, ownership, settings, m_core, [this] { planSoon(); })
     , m_jobs(context, store, std::string(jobPrefix), jobWatch,
              [this](const auto &items, auto at, bool isWhole) { takeJobs(items, at, isWhole); })
     , m_targets(context, store, std::string(platform::targetsPrefix), targetWatch,
@@ -104,6 +105,7 @@
         m_services.insert(service.name);
     }
     m_core.setRules(rules, bootNow());
+    m_hosts.setRules(rules);
     planSoon();
 }
 
@@ -200,6 +202,7 @@
         m_states.clear();
         logEvent(ownerLoaded, "term={} jobs={} at={}", m_tenure.term, m_core.jobs().size(), at);
         m_targets.start();
+        m_hosts.start();
     }
     planSoon();
 }
@@ -490,6 +493,7 @@
             {Kind::Preempted, "preempted"},
             {Kind::Stalled, "stalled"},
             {Kind::Adopted, "adopted"},
+            {Kind::Evacuated, "evacuated"},
     };
     static constexpr NameTable names{entries};
     if (decision.kind == Kind::JobEnded) {
--- a/src/control/internal/platformentry.cpp
+++ b/src/control/internal/platformentry.cpp
@@ -19,6 +19,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <csignal>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -113,6 +114,9 @@
     void takeOperator(const std::vector<platform::StoreItem> &items)
     {
         for (const auto &item : items) {
+            if (!item.deleted && item.key.starts_with(platform::wavePrefix)) {
+                takeWave(item);
+            }
             if (item.deleted || item.key != platform::configurationKey) {
                 continue;
             }
@@ -131,6 +135,19 @@
         }
     }
 
+    void takeWave(const platform::StoreItem &item)
+    {
+        const auto wave = platform::decodeWave(item.value);
+        if (!wave) {
+            logEvent(recordUnreadable, "key={} revision={}", item.key, item.revision);
+            return;
+        }
+        m_waves[wave->number] = *wave;
+        if (m_owner) {
+            m_owner->setWaves(m_waves);
+        }
+    }
+
     void gain(const Tenure &tenure)
     {
         logEvent(ownershipGained, "term={} revision={}", tenure.term, tenure.revision);
@@ -143,6 +160,7 @@
     {
         m_owner = std::make_unique<OwnerService>(m_context, m_store, m_targetHttp, m_ownership,
                                                  m_settings);
+        m_owner->setWaves(m_waves);
         m_owner->start(*m_frontDoor.rules());
     }
 
@@ -228,6 +246,7 @@
     asio::steady_timer m_healthTimer;
     // Present while this entry owns the work and has a configuration.
     std::unique_ptr<OwnerService> m_owner;
+    std::map<std::uint64_t, scheduling::WavePlan> m_waves;
     bool m_wasAway = false;
     bool m_isLeaving = false;
     TimePoint m_leaveAt{};
--- a/src/control/internal/storelink.cpp
+++ b/src/control/internal/storelink.cpp
@@ -24,25 +24,35 @@
     , m_lastAnswer(bootNow())
 {}
 
-void StoreLink::send(net::HttpCall call, std::chrono::milliseconds timeout, Completion completion)
+void StoreLink::send(net::HttpCall call, std::chrono::milliseconds timeout, Completion completion,
+                     bool isWatch)
 {
     ++m_calls;
     call.timeout = timeout;
     call.connectTimeout = connectTimeout;
     m_http.send(std::move(call),
-                [this, completion = std::move(completion)](const net::HttpCallResult &result) {
+                [this, isWatch, completion = std::move(completion)](const net::HttpCallResult &result) {
                     const auto reply = platform::StoreCalls::judge(result);
                     ++m_outcomes[reply.outcome];
                     const bool isAnswer = reply.outcome != platform::StoreOutcome::NotDone
                                           && reply.outcome != platform::StoreOutcome::Unclear;
                     if (isAnswer) {
                         m_lastAnswer = bootNow();
+                        m_isFailing = false;
+                    } else if (!isWatch) {
+                        m_isFailing = true;
                     }
-                    m_isFailing = !isAnswer;
                     completion(reply);
                 });
 }
 
+void StoreLink::probe()
+{
+    if (!std::exchange(m_isProbing, true)) {
+        get("probe", [this](const auto &) { m_isProbing = false; });
+    }
+}
+
 void StoreLink::get(const std::string &key, Completion completion)
 {
     send(m_format.get(key), callTimeout, std::move(completion));
@@ -77,7 +87,14 @@
 void StoreLink::watch(const std::string &prefix, platform::StoreRevision after,
                       std::chrono::milliseconds wait, Completion completion)
 {
-    send(m_format.watch(prefix, after, wait), wait + watchMargin, std::move(completion));
+    send(m_format.watch(prefix, after, wait), wait + watchMargin,
+         [this, completion = std::move(completion)](const platform::StoreReply &reply) {
+             if (reply.outcome == platform::StoreOutcome::Unclear) {
+                 probe();
+             }
+             completion(reply);
+         },
+         true);
 }
 
 void StoreLink::change(const platform::StoreChange &change, Completion completion)
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -2,6 +2,7 @@
 // orders to targets and stores what has ended. Exists only while this entry owns the work.
 #pragma once
 
+#include "control/hostservice.h"
 #include "control/keyfollower.h"
 #include "control/ownership.h"
 #include "control/storelink.h"
@@ -28,7 +29,7 @@
 class OwnerService
 {
 public:
-    OwnerService(asio::io_context &context, StoreLink &store, net::HttpClient &targets,
+    OwnerService(asio::io_context &context, StoreLink &store, net::HttpClient &http,
                  Ownership &ownership, const platform::EntrySettings &settings);
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
@@ -36,6 +37,10 @@
 
     void start(const scheduling::FleetRules &rules);
     void setRules(const scheduling::FleetRules &rules);
+    void setWaves(const std::map<std::uint64_t, scheduling::WavePlan> &waves)
+    {
+        m_hosts.setWaves(waves);
+    }
     const scheduling::OwnerCore &core() const { return m_core; }
 
 private:
@@ -90,6 +95,7 @@
     const platform::EntrySettings &m_settings;
     const Tenure m_tenure;
     scheduling::OwnerCore m_core;
+    HostService m_hosts;
     KeyFollower m_jobs;
     KeyFollower m_targets;
     asio::steady_timer m_tickTimer;
--- a/src/control/storekeys.h
+++ b/src/control/storekeys.h
@@ -30,6 +30,14 @@
     return std::string(statePrefix) + platform::jobIdText(id);
 }
 
+// Hosts of each wave whose upkeep was accepted.
+inline constexpr std::string_view waveRecordPrefix = "wave/";
+
+inline std::string waveRecordKey(std::uint64_t number)
+{
+    return std::string(waveRecordPrefix) + std::to_string(number);
+}
+
 // Marks of a queue's jobs that have not begun.
 inline std::string waitingPrefix(const std::string &queue)
 {
--- a/src/control/storelink.h
+++ b/src/control/storelink.h
@@ -41,7 +41,11 @@
     const std::map<platform::StoreOutcome, std::uint64_t> &outcomes() const { return m_outcomes; }
 
 private:
-    void send(net::HttpCall call, std::chrono::milliseconds timeout, Completion completion);
+    // A watch that is not answered says little of the store: nothing may have changed.
+    void send(net::HttpCall call, std::chrono::milliseconds timeout, Completion completion,
+              bool isWatch = false);
+    // Tells a silent watch from a silent store.
+    void probe();
     void listPage(const std::string &prefix, platform::StoreReply gathered,
                   ListCompletion completion);
 
@@ -52,6 +56,7 @@
     TimePoint m_lastAnswer{};
     // Set from the first failure after an answer.
     bool m_isFailing = false;
+    bool m_isProbing = false;
 };
 
 } // namespace cyclamenlatch::control
--- a/src/platform/configwire.h
+++ b/src/platform/configwire.h
@@ -3,6 +3,7 @@
 
 #include "global/result.h"
 #include "scheduling/fleetrules.h"
+#include "scheduling/hostinfo.h"
 
 #include <chrono>
 #include <cstdint>
@@ -20,18 +21,8 @@
 
 Result<scheduling::FleetRules> decodeRules(const std::string &value);
 
-// Machines that are each to be taken down for upkeep once.
-struct WaveRequest
-{
-    std::uint64_t number = 0;
-    std::vector<std::string> hosts;
-    std::chrono::milliseconds duration{};
-    // Hosts that may be down for it at once.
-    std::uint32_t mostAtOnce = 1;
-};
-
 // Nothing when it can't be read.
-std::optional<WaveRequest> decodeWave(const std::string &value);
+std::optional<scheduling::WavePlan> decodeWave(const std::string &value);
 std::string waveStatusKey(std::uint64_t number);
 std::string waveStatusText(bool isCompleted);
 // Whether a stored status says that the wave is completed.
--- a/src/platform/internal/configwire.cpp
+++ b/src/platform/internal/configwire.cpp
@@ -112,7 +112,7 @@
     return rules;
 }
 
-std::optional<WaveRequest> decodeWave(const std::string &value)
+std::optional<scheduling::WavePlan> decodeWave(const std::string &value)
 {
     const auto json = detail::parseJson(value);
     const auto number = detail::numberOf(json, "wave");
@@ -120,7 +120,7 @@
     if (!number || hosts == nullptr || !hosts->is_array()) {
         return std::nullopt;
     }
-    WaveRequest wave;
+    scheduling::WavePlan wave;
     wave.number = static_cast<std::uint64_t>(*number);
     for (const auto &host : *hosts) {
         if (host.is_string()) {
--- a/src/platform/internal/machinecalls.cpp
+++ b/src/platform/internal/machinecalls.cpp
@@ -1,6 +1,7 @@
 // Paths and formats of the platform's machines.
 #include "platform/machinecalls.h"
 
+#include "global/nametable.h"
 #include "platform/internal/jsonfields.h"
 
 #include <fmt/format.h>
@@ -9,9 +10,14 @@
 
 namespace cyclamenlatch::platform {
 
+using scheduling::HostAnswer;
+using scheduling::HostHolder;
+using scheduling::HostInfo;
+using scheduling::HostState;
+
 namespace {
 
-net::HttpCall orderCall(const std::string &url, const MachineHolder &holder, nlohmann::json body)
+net::HttpCall orderCall(const std::string &url, const HostHolder &holder, nlohmann::json body)
 {
     net::HttpCall call;
     call.method = "POST";
@@ -23,36 +29,36 @@
     return call;
 }
 
-std::optional<Machine> machineOf(const nlohmann::json &json)
+std::optional<HostInfo> hostOf(const nlohmann::json &json)
 {
-    static constexpr NamedValue<MachineState> entries[] = {{MachineState::Up, "up"},
-                                                           {MachineState::Moving, "moving"},
-                                                           {MachineState::Upkeep, "upkeep"},
-                                                           {MachineState::Down, "down"}};
+    static constexpr NamedValue<HostState> entries[] = {{HostState::Up, "up"},
+                                                           {HostState::Moving, "moving"},
+                                                           {HostState::Upkeep, "upkeep"},
+                                                           {HostState::Down, "down"}};
     static constexpr NameTable names{entries};
-    Machine machine;
-    machine.name = detail::textOf(json, "machine");
-    machine.pool = detail::textOf(json, "pool");
-    machine.dataCentre = detail::textOf(json, "zone");
-    machine.target = detail::textOf(json, "id");
+    HostInfo host;
+    host.name = detail::textOf(json, "machine");
+    host.pool = detail::textOf(json, "pool");
+    host.dataCentre = detail::textOf(json, "zone");
+    host.target = detail::textOf(json, "id");
     const auto state = names.value(detail::textOf(json, "state"));
-    if (machine.name.empty() || !state) {
+    if (host.name.empty() || !state) {
         return std::nullopt;
     }
-    machine.state = *state;
+    host.state = *state;
     if (const auto *labels = detail::fieldOf(json, "labels"); labels && labels->is_array()) {
         for (const auto &label : *labels) {
             if (label.is_string()) {
-                machine.labels.push_back(label.get<std::string>());
+                host.labels.push_back(label.get<std::string>());
             }
         }
     }
     if (const auto *capacity = detail::fieldOf(json, "capacity"); capacity != nullptr) {
-        machine.capacity = {detail::numberOf(*capacity, "cpu").value_or(0),
+        host.capacity = {detail::numberOf(*capacity, "cpu").value_or(0),
                             detail::numberOf(*capacity, "mem_mb").value_or(0),
                             detail::numberOf(*capacity, "gpu").value_or(0)};
     }
-    return machine;
+    return host;
 }
 
 } // namespace
@@ -67,13 +73,13 @@
     return call;
 }
 
-net::HttpCall MachineCalls::move(const MachineHolder &holder, const std::string &machine,
+net::HttpCall MachineCalls::move(const HostHolder &holder, const std::string &machine,
                                  const std::string &pool) const
 {
     return orderCall(m_base + "/v1/machine-move", holder, {{"machine", machine}, {"pool", pool}});
 }
 
-net::HttpCall MachineCalls::upkeep(const MachineHolder &holder, const std::string &machine,
+net::HttpCall MachineCalls::upkeep(const HostHolder &holder, const std::string &machine,
                                    std::uint64_t wave) const
 {
     return orderCall(m_base + "/v1/machine-upkeep", holder, {{"machine", machine}, {"wave", wave}});
@@ -91,40 +97,40 @@
     }
     MachinePage page;
     for (const auto &item : *machines) {
-        if (auto machine = machineOf(item)) {
-            page.machines.push_back(std::move(*machine));
+        if (auto host = hostOf(item)) {
+            page.hosts.push_back(std::move(*host));
         }
     }
     page.nextPage = detail::textOf(json, "next_page_token");
     return page;
 }
 
-MachineAnswer MachineCalls::judgeOrder(const net::HttpCallResult &result)
+HostAnswer MachineCalls::judgeOrder(const net::HttpCallResult &result)
 {
     if (!result.reply) {
-        return result.sendState == net::SendState::NotSent ? MachineAnswer::NotDone
-                                                           : MachineAnswer::Unclear;
+        return result.sendState == net::SendState::NotSent ? HostAnswer::NotDone
+                                                           : HostAnswer::Unclear;
     }
     switch (result.reply->status) {
     case 200:
-        return MachineAnswer::Accepted;
+        return HostAnswer::Accepted;
     case 400:
-        return MachineAnswer::Invalid;
+        return HostAnswer::Invalid;
     case 409: {
-        static constexpr NamedValue<MachineAnswer> entries[] = {
-                {MachineAnswer::Fenced, "fence"},
-                {MachineAnswer::Busy, "busy"},
-                {MachineAnswer::NotOfWave, "wave"}};
+        static constexpr NamedValue<HostAnswer> entries[] = {
+                {HostAnswer::Fenced, "fence"},
+                {HostAnswer::Busy, "busy"},
+                {HostAnswer::NotOfWave, "wave"}};
         static constexpr NameTable names{entries};
         const auto reason = detail::textOf(detail::parseJson(result.reply->body), "reason");
-        return names.value(reason).value_or(MachineAnswer::Busy);
+        return names.value(reason).value_or(HostAnswer::Busy);
     }
     case 500:
     case 502:
     case 504:
-        return MachineAnswer::Unclear;
+        return HostAnswer::Unclear;
     default:
-        return MachineAnswer::NotDone;
+        return HostAnswer::NotDone;
     }
 }
 
--- /dev/null
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -0,0 +1,264 @@
+// Waves: which host next, when it is empty enough, what is known of its return.
+#include "scheduling/hostkeeper.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cyclamenlatch::scheduling {
+
+namespace {
+
+// While hosts are on their way the list is read this often; else only for hosts that come and go.
+constexpr std::chrono::milliseconds busyList{300};
+constexpr std::chrono::milliseconds quietList{3000};
+// A host that refused or did not answer is asked again after this.
+constexpr std::chrono::milliseconds orderRetry{400};
+// Part of a host's share of a wave's time that may go into emptying it.
+constexpr double emptyingShare = 0.6;
+constexpr std::chrono::milliseconds leastEmptying{1500};
+constexpr std::chrono::milliseconds mostEmptying{6000};
+// Of a wave's time, what is kept for hosts that are hard to empty.
+constexpr double usableShare = 0.85;
+// An upkeep that the platform does not list is over after this many times its usual time.
+constexpr int lostUpkeeps = 10;
+
+} // namespace
+
+HostKeeper::HostKeeper(HostKeeperSettings settings, OwnerCore &core, TimePoint now,
+                       bool isFirstTerm, Listener listener)
+    : m_settings(settings)
+    , m_core(core)
+    , m_listener(std::move(listener))
+    , m_notBefore(isFirstTerm ? now : now + settings.holderPause * 5 / 4)
+{}
+
+void HostKeeper::setRules(const FleetRules &rules)
+{
+    m_rules = rules;
+}
+
+void HostKeeper::waveAsked(const WavePlan &plan, const std::set<std::string> &done,
+                           bool isCompleted, TimePoint now)
+{
+    auto [found, isNew] = m_waves.try_emplace(plan.number);
+    auto &wave = found->second;
+    wave.plan = plan;
+    wave.done.insert(done.begin(), done.end());
+    if (isNew) {
+        wave.began = now;
+        wave.isCompleted = isCompleted;
+        wave.isChanged = !isCompleted;
+    }
+}
+
+void HostKeeper::hostsListed(std::vector<HostInfo> hosts, TimePoint now)
+{
+    for (auto &[name, host] : m_hosts) {
+        host.isListed = false;
+    }
+    for (auto &info : hosts) {
+        auto &host = m_hosts[info.name];
+        const bool isBack = info.state == HostState::Up && !info.target.empty()
+                            && info.target != host.targetBefore;
+        const bool isOverdue = host.awaySince && info.state == HostState::Up
+                               && now - *host.awaySince > m_settings.upkeepTime * lostUpkeeps;
+        host.info = std::move(info);
+        host.isListed = true;
+        if (host.awaySince && (isBack || isOverdue)) {
+            host.awaySince.reset();
+            host.downFor = 0;
+        }
+    }
+    std::erase_if(m_hosts, [](const auto &item) { return !item.second.isListed; });
+    m_hasList = true;
+}
+
+std::chrono::milliseconds HostKeeper::listInterval() const
+{
+    const bool isBusy =
+            std::any_of(m_waves.begin(), m_waves.end(),
+                        [](const auto &item) { return !item.second.isCompleted; })
+            || std::any_of(m_hosts.begin(), m_hosts.end(), [](const auto &item) {
+                   return item.second.awaySince || item.second.wanted;
+               });
+    return isBusy ? busyList : quietList;
+}
+
+std::vector<HostOrder> HostKeeper::plan(TimePoint now)
+{
+    std::vector<HostOrder> orders;
+    if (!m_hasList || now < m_notBefore) {
+        return orders;
+    }
+    planWaves(now);
+    for (auto &[name, host] : m_hosts) {
+        orderIfEmpty(host, now, orders);
+    }
+    return orders;
+}
+
+void HostKeeper::planWaves(TimePoint now)
+{
+    for (auto &[number, wave] : m_waves) {
+        if (!wave.isCompleted) {
+            planWave(wave, now);
+        }
+    }
+}
+
+void HostKeeper::planWave(Wave &wave, TimePoint now)
+{
+    std::uint32_t taken = 0;
+    bool isOpen = false;
+    // Emptiest first; of equals those whose tasks can be spared.
+    std::vector<std::pair<std::tuple<std::size_t, std::size_t, std::size_t>, Host *>> next;
+    for (const auto &name : wave.plan.hosts) {
+        const auto found = m_hosts.find(name);
+        if (found == m_hosts.end()) {
+            continue;
+        }
+        auto &host = found->second;
+        const bool isForThis = host.wanted && std::holds_alternative<UpkeepOrder>(*host.wanted)
+                               && std::get<UpkeepOrder>(*host.wanted).wave == wave.plan.number;
+        taken += isForThis || (host.awaySince && host.downFor == wave.plan.number) ? 1 : 0;
+        if (wave.done.contains(name)) {
+            continue;
+        }
+        isOpen = true;
+        if (!host.wanted && !host.awaySince && host.info.state == HostState::Up) {
+            const auto load = m_core.load(host.info.target);
+            next.push_back({{load.needed, load.lasting, load.runs}, &host});
+        }
+    }
+    if (!isOpen) {
+        wave.isCompleted = true;
+        wave.isChanged = true;
+        return;
+    }
+    std::sort(next.begin(), next.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.first, left.second->info.name)
+               < std::tie(right.first, right.second->info.name);
+    });
+    // No more at once than the time asks for, so that the pools keep what they can.
+    const double rounds = usableShare * toSeconds(wave.plan.duration)
+                          / std::max(0.1, toSeconds(mostEmptying + m_settings.upkeepTime));
+    const auto wanted = static_cast<std::uint32_t>(std::max(
+            1.0, static_cast<double>(wave.plan.hosts.size()) / std::max(1.0, rounds) + 0.999));
+    const auto most = std::min(wave.plan.mostAtOnce, wanted);
+    for (const auto &[load, host] : next) {
+        if (taken >= most) {
+            break;
+        }
+        ++taken;
+        empty(*host, UpkeepOrder{host->info.name, wave.plan.number}, now);
+    }
+}
+
+void HostKeeper::empty(Host &host, HostOrder order, TimePoint now)
+{
+    host.wanted = std::move(order);
+    host.emptyingSince = now;
+    host.notBefore = now;
+    m_core.setLeaving(host.info.target, true);
+    m_listener(host.info.name, "emptying");
+}
+
+void HostKeeper::release(Host &host)
+{
+    host.wanted.reset();
+    host.isOrdered = false;
+    host.isUnclear = false;
+    m_core.setLeaving(host.info.target, false);
+}
+
+std::chrono::milliseconds HostKeeper::emptyingTime(const Host &host) const
+{
+    const auto *upkeep = std::get_if<UpkeepOrder>(&*host.wanted);
+    if (upkeep == nullptr) {
+        return leastEmptying;
+    }
+    const auto wave = m_waves.find(upkeep->wave);
+    if (wave == m_waves.end() || wave->second.plan.hosts.empty()) {
+        return leastEmptying;
+    }
+    const auto &plan = wave->second.plan;
+    const double rounds = std::max(1.0, static_cast<double>(plan.hosts.size())
+                                                / std::max<double>(plan.mostAtOnce, 1));
+    const auto perHost = std::chrono::milliseconds(static_cast<std::int64_t>(
+            emptyingShare * static_cast<double>(plan.duration.count()) / rounds));
+    return std::clamp(perHost - m_settings.upkeepTime, leastEmptying, mostEmptying);
+}
+
+void HostKeeper::orderIfEmpty(Host &host, TimePoint now, std::vector<HostOrder> &orders)
+{
+    if (!host.wanted || host.isOrdered || now < host.notBefore) {
+        return;
+    }
+    const auto load = m_core.load(host.info.target);
+    const bool isDue = now - host.emptyingSince > emptyingTime(host);
+    if (load.runs > 0 && (!isDue || load.lasting > 0) && !host.isUnclear) {
+        return;
+    }
+    host.isOrdered = true;
+    m_listener(host.info.name, "ordered");
+    orders.push_back(*host.wanted);
+}
+
+void HostKeeper::answered(const HostOrder &order, HostAnswer answer, TimePoint now)
+{
+    const auto &name = std::visit([](const auto &item) -> const std::string & { return item.host; },
+                                  order);
+    const auto found = m_hosts.find(name);
+    if (found == m_hosts.end()) {
+        return;
+    }
+    auto &host = found->second;
+    host.isOrdered = false;
+    host.isUnclear = answer == HostAnswer::Unclear || (host.isUnclear && answer != HostAnswer::Accepted);
+    host.notBefore = now + orderRetry;
+    const auto *upkeep = std::get_if<UpkeepOrder>(&order);
+    switch (answer) {
+    case HostAnswer::Accepted:
+        m_listener(name, "accepted");
+        m_core.targetTakenDown(host.info.target, now);
+        host.targetBefore = host.info.target;
+        host.awaySince = now;
+        host.wanted.reset();
+        if (upkeep != nullptr) {
+            host.downFor = upkeep->wave;
+            auto &wave = m_waves[upkeep->wave];
+            wave.done.insert(name);
+            wave.isChanged = true;
+        }
+        return;
+    case HostAnswer::NotOfWave:
+    case HostAnswer::Invalid:
+        m_listener(name, "refused for good");
+        if (upkeep != nullptr) {
+            auto &wave = m_waves[upkeep->wave];
+            wave.done.insert(name);
+            wave.isChanged = true;
+        }
+        return release(host);
+    case HostAnswer::Unclear:
+        // It may be done: nothing else is ordered there until the same order is answered.
+        m_listener(name, "unclear");
+        return;
+    default:
+        m_listener(name, "refused for now");
+        return;
+    }
+}
+
+std::optional<HostKeeper::WaveProgress> HostKeeper::changedWave()
+{
+    for (auto &[number, wave] : m_waves) {
+        if (std::exchange(wave.isChanged, false)) {
+            return WaveProgress{number, wave.done, wave.isCompleted};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace cyclamenlatch::scheduling
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -320,6 +320,7 @@
     }
     task.phase = TaskPhase::Waiting;
     task.target = nullptr;
+    task.isAtWork = false;
     task.waitingSince = now;
     --step.ordered;
     ++step.waiting;
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -85,6 +85,7 @@
         planStops(*target, now);
         planPaces(*target, now);
         planStalls(*target, now);
+        planEvacuation(*target, now);
     }
     for (const auto &id : ended) {
         m_targets.erase(id);
@@ -168,6 +169,29 @@
     }
 }
 
+// Lasting tasks leave a target that goes away, each step's no more at a time than it can spare.
+void OwnerCore::planEvacuation(TargetState &target, TimePoint now)
+{
+    if (!target.isLeaving && !target.info.isDraining) {
+        return;
+    }
+    for (auto &[task, run] : target.runs) {
+        if (!run.lasts || run.phase != RunPhase::Running) {
+            continue;
+        }
+        const auto *step = findStep(task, nullptr, nullptr);
+        if (step == nullptr || (isNeeded(*step) && !target.info.isDraining)) {
+            continue;
+        }
+        // One after the other also where the step's owner allows any number.
+        if (step->spec->mayBeAway == 0 && tasksAway(*step) > 0 && !target.info.isDraining) {
+            continue;
+        }
+        tell(Decision::Kind::Evacuated, task, run.attempt, target.info.id);
+        stopRun(target, task, run, now);
+    }
+}
+
 bool OwnerCore::isUsable(const TargetState &target, TimePoint now) const
 {
     return target.isListed && target.isAdopted && target.isRecorded && !target.isLeaving
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds holdWait{2000};
 // Where serving tasks share a target with tasks that fill, their figures are read this often.
 constexpr std::chrono::milliseconds watchfulWait{500};
+// A lasting task that is at work reports this.
+constexpr int fullPercent = 100;
 
 } // namespace
 
@@ -145,6 +147,9 @@
         return;
     }
     run.phase = run.phase == RunPhase::Starting ? RunPhase::Unclear : RunPhase::Stopping;
+    if (auto *state = findTask(task); state != nullptr && state->target == &target) {
+        state->isAtWork = false;
+    }
     run.stopSentAt = now;
     run.stopAnsweredAt.reset();
     m_orders.emplace_back(StopOrder{target.info.id, task, run.attempt});
@@ -182,6 +187,11 @@
         // The first call only reads, so that the clock is known before a lease is given.
         return order;
     }
+    if (target->failedCalls > 0) {
+        // A call without an answer may still be carried out: while the target is silent no longer
+        // leases are sent, so that its last one can run out.
+        return order;
+    }
     order.leaseUntil = leaseFrom(*target, now);
     target->leaseUntil = std::max(target->leaseUntil, order.leaseUntil);
     target->lastOrderAt = now;
@@ -352,8 +362,11 @@
     }
     run.percent = row.percent;
     run.figure = row.figure;
-    if (auto *task = findTask(row.task); task != nullptr && !row.checkpoint.empty()) {
-        task->checkpoint = row.checkpoint;
+    if (auto *task = findTask(row.task); task != nullptr && task->target == &target) {
+        task->isAtWork = row.percent >= fullPercent && run.phase == RunPhase::Running;
+        if (!row.checkpoint.empty()) {
+            task->checkpoint = row.checkpoint;
+        }
     }
 }
 
@@ -397,6 +410,7 @@
     }
     task->phase = TaskPhase::Ordered;
     task->target = &target;
+    task->isAtWork = row.percent >= fullPercent;
     --step->waiting;
     ++step->ordered;
     if (!row.checkpoint.empty()) {
@@ -545,10 +559,60 @@
     }
 }
 
-bool OwnerCore::isIdle(const std::string &id) const
+void OwnerCore::targetTakenDown(const std::string &id, TimePoint now)
 {
+    if (auto *target = findTarget(id)) {
+        loseRuns(*target, Decision::Kind::Vanished, now);
+        target->isListed = false;
+    }
+}
+
+TargetLoad OwnerCore::load(const std::string &id) const
+{
+    TargetLoad load;
     const auto *target = findTarget(id);
-    return target == nullptr || target->runs.empty();
+    if (target == nullptr) {
+        return load;
+    }
+    load.runs = target->runs.size();
+    load.usedShare = static_cast<double>(target->used.processors)
+                     / static_cast<double>(
+                             std::max<std::int64_t>(target->info.capacity.processors, 1));
+    for (const auto &[task, run] : target->runs) {
+        if (!run.lasts) {
+            continue;
+        }
+        ++load.lasting;
+        const auto job = m_jobs.find(task.job);
+        if (job == m_jobs.end()) {
+            continue;
+        }
+        const auto occurrence = job->second->occurrences.find(task.occurrence);
+        if (occurrence == job->second->occurrences.end()) {
+            continue;
+        }
+        const auto &step = occurrence->second.steps[task.step];
+        if (isNeeded(step)) {
+            ++load.needed;
+        }
+    }
+    return load;
+}
+
+// Tasks of a lasting step that are not at work, whatever the cause.
+std::uint32_t OwnerCore::tasksAway(const StepState &step) const
+{
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        const auto &task = step.tasks[index];
+        away += task.target == nullptr || !task.isAtWork || task.target->failedCalls > 0 ? 1 : 0;
+    }
+    return away;
+}
+
+bool OwnerCore::isNeeded(const StepState &step) const
+{
+    return step.spec->mayBeAway > 0 && tasksAway(step) >= step.spec->mayBeAway;
 }
 
 } // namespace cyclamenlatch::scheduling
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -29,6 +29,8 @@
     std::uint32_t starts = 0;
     // Where it is ordered; null unless it is.
     TargetState *target = nullptr;
+    // Of a lasting task: was at work at the last report.
+    bool isAtWork = false;
     // Where it failed last; may name a target that is gone.
     std::string failedOn;
     std::string checkpoint;
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -70,6 +70,7 @@
         Preempted,
         Stalled,
         Adopted,
+        Evacuated,
     };
     Kind kind = Kind::Started;
     TaskRef task;
@@ -78,6 +79,17 @@
     std::string detail;
 };
 
+// What would end if a target's host were taken away.
+struct TargetLoad
+{
+    std::size_t runs = 0;
+    // Lasting tasks, and those among them whose step can't spare them now.
+    std::size_t lasting = 0;
+    std::size_t needed = 0;
+    // Share of the processors in use.
+    double usedShare = 0;
+};
+
 class OwnerCore
 {
 public:
@@ -135,9 +147,11 @@
     // Every write of the flush took effect.
     void flushDone(const Flush &flush, TimePoint now);
 
-    // Hosts: see HostKeeper.
+    // A target whose host is wanted elsewhere gets no new work, and its lasting tasks move away.
     void setLeaving(const std::string &id, bool isLeaving);
-    bool isIdle(const std::string &id) const;
+    // Its host was taken down: all that ran there has ended.
+    void targetTakenDown(const std::string &id, TimePoint now);
+    TargetLoad load(const std::string &id) const;
 
 private:
     using TargetState = detail::TargetState;
@@ -189,6 +203,10 @@
     void planStops(TargetState &target, TimePoint now);
     void planPaces(TargetState &target, TimePoint now);
     void planStalls(TargetState &target, TimePoint now);
+    void planEvacuation(TargetState &target, TimePoint now);
+    std::uint32_t tasksAway(const StepState &step) const;
+    // Whether no more tasks of the step may be taken away now.
+    bool isNeeded(const StepState &step) const;
     void planStarts(TimePoint now);
     std::vector<OpenStep> openSteps(TimePoint now);
     void startStep(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
--- a/src/scheduling/ownersettings.h
+++ b/src/scheduling/ownersettings.h
@@ -12,7 +12,7 @@
     std::uint64_t term = 1;
     // For how long a target runs on without word from its owner. Long enough for a change of
     // owners and a short outage of the store, short enough that work is not lost for long.
-    std::chrono::milliseconds runLease{6000};
+    std::chrono::milliseconds runLease{4500};
     // A target shortens longer leases to this.
     std::chrono::milliseconds longestLease{10000};
     // A stop takes at most this long.
