--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -33,6 +33,8 @@
 constexpr std::chrono::milliseconds holdRetry{150};
 constexpr std::chrono::milliseconds slowHoldRetry{1000};
 constexpr unsigned quickHoldTries = 5;
+// The record of targets with orders is brought up to date this often when only old ids leave it.
+constexpr std::chrono::milliseconds recordInterval{1000};
 // Between an answer with ends and the next call, so that more ends come together.
 constexpr std::chrono::milliseconds holdPause{25};
 
@@ -267,11 +269,16 @@
 // The ids are stored before the first order, so that an owner that comes later asks them all.
 void OwnerService::recordTargets()
 {
-    if (m_isRecording || !m_core.hasUnrecordedTargets() || !isHeld()) {
+    if (m_isRecording || !m_hasTargets || !isHeld()) {
         return;
     }
-    m_isRecording = true;
     const auto ids = m_core.targetsToRecord();
+    // Ids of targets that are gone make a later owner wait for them, so they leave the record soon.
+    const bool isStale = ids != m_recordedIds && bootNow() - m_recordedAt > recordInterval;
+    if (!m_core.hasUnrecordedTargets() && !isStale) {
+        return;
+    }
+    m_isRecording = true;
     platform::StoreChange change;
     change.expected = {{std::string(ownerKey), m_tenure.revision},
                        {std::string(orderedTargetsKey), m_orderedRevision}};
@@ -283,6 +290,8 @@
         m_isRecording = false;
         if (reply.outcome == StoreOutcome::Done) {
             m_orderedRevision = reply.revision;
+            m_recordedIds = ids;
+            m_recordedAt = bootNow();
             for (const auto &id : ids) {
                 m_core.targetRecorded(id);
             }
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -109,6 +109,8 @@
     // Of the record of targets with orders.
     platform::StoreRevision m_orderedRevision = 0;
     bool m_isRecording = false;
+    std::vector<std::string> m_recordedIds;
+    TimePoint m_recordedAt{};
     bool m_isFlushing = false;
     TimePoint m_lastFlush{};
     // Jobs that have ended, with the time when their state may be removed.
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -196,6 +196,7 @@
 {
     return target.isListed && target.isAdopted && target.isRecorded && !target.isLeaving
            && !target.info.isDraining && target.failedCalls < failedCallsBeforeRest
+           && target.strangers == 0
            && target.avoidedUntil <= now;
 }
 
@@ -276,6 +277,8 @@
     for (auto &[id, target] : m_targets) {
         if (!target->isAdopted && !hasLapsed(*target, now)) {
             m_uncertainUse += target->info.capacity == Room{} ? largest : target->info.capacity;
+        } else if (target->strangers > 0) {
+            m_uncertainUse += target->info.capacity - target->used;
         }
     }
     for (auto &[service, pool] : pools) {
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -121,6 +121,7 @@
     if (found == target.runs.end()) {
         return;
     }
+    target.strangers -= found->second.isStranger ? 1 : 0;
     target.used -= found->second.room;
     m_used[found->second.workspace] -= found->second.room;
     target.runs.erase(found);
@@ -389,6 +390,8 @@
     run.orderedPace = -1;
     run.paceOrderedAt = now;
     if (task == nullptr) {
+        run.isStranger = true;
+        ++target.strangers;
         auto &kept = target.runs.emplace(row.task, std::move(run)).first->second;
         return stopRun(target, row.task, kept, now);
     }
@@ -563,7 +566,7 @@
 {
     if (auto *target = findTarget(id)) {
         loseRuns(*target, Decision::Kind::Vanished, now);
-        target->isListed = false;
+        m_targets.erase(id);
     }
 }
 
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -107,6 +107,8 @@
     std::uint32_t attempt = 0;
     Room room;
     std::string workspace;
+    // Its job is not known any more, so that its room isn't either.
+    bool isStranger = false;
     bool fills = false;
     bool serves = false;
     bool lasts = false;
@@ -153,6 +155,8 @@
     std::unordered_map<TaskRef, RunState> runs;
     // Sum over runs.
     Room used;
+    // Runs of jobs that are not known any more; their room is not known either.
+    std::uint32_t strangers = 0;
     TimePoint lastAnswer{};
     // Calls that failed since the last answer.
     std::uint32_t failedCalls = 0;
