Move hosts that are off to pressed pools and back

Cause: a pool's turn asks for 4 times its mean; its 9 to 12 hosts clear that too late while 8 hosts are off.

--- a/src/control/controlevents.h
+++ b/src/control/controlevents.h
@@ -49,6 +49,8 @@
                                     "More was logged than could be written; says how many lines are missing."};
 inline constexpr Event hostDecision{1830, Severity::Info, "host-decision",
                                     "A machine is emptied, moved or taken down for upkeep; says why."};
+inline constexpr Event poolState{1832, Severity::Info, "pool-state",
+                                 "What a pool has and has to do: cores, core-seconds, hosts."};
 inline constexpr Event waveChanged{1831, Severity::Info, "wave-changed",
                                    "A wave has begun or is completed."};
 
--- a/src/control/hostservice.h
+++ b/src/control/hostservice.h
@@ -39,12 +39,16 @@
 
 private:
     void loadWaves();
+    void loadBases();
+    void storeBases();
+    void again(std::function<void()> action);
     void takeWaves();
     void tick();
     void list();
     void listPage(const std::string &page, std::vector<scheduling::HostInfo> gathered);
     void plan();
     void send(const scheduling::HostOrder &order);
+    void logPools();
     void storeProgress();
     void writeProgress(const scheduling::HostKeeper::WaveProgress &progress);
 
@@ -57,16 +61,18 @@
     const scheduling::HostHolder m_holder;
     const platform::StoreRevision m_ownerRevision;
     const std::function<void()> m_planned;
+    const scheduling::OwnerCore &m_core;
     scheduling::HostKeeper m_keeper;
     asio::steady_timer m_timer;
-    asio::steady_timer m_retryTimer;
     std::map<std::uint64_t, scheduling::WavePlan> m_waves;
     // As stored when this owner began.
     std::map<std::uint64_t, std::set<std::string>> m_storedDone;
     bool m_hasStored = false;
     bool m_isListing = false;
     TimePoint m_listedAt{};
+    TimePoint m_poolsLoggedAt{};
     bool m_isStoring = false;
+    bool m_areBasesStored = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds tickInterval{100};
 constexpr std::chrono::milliseconds callTimeout{800};
 constexpr std::chrono::milliseconds retryPause{300};
+constexpr std::chrono::milliseconds poolLogInterval{1000};
 
 } // namespace
 
@@ -34,13 +35,13 @@
     , m_holder{settings.name, ownership.tenure().term}
     , m_ownerRevision(ownership.tenure().revision)
     , m_planned(std::move(planned))
+    , m_core(core)
     , m_keeper({settings.holderPause, settings.upkeepTime, settings.moveTime}, core, bootNow(),
                ownership.tenure().term == 1,
                [term = ownership.tenure().term](const auto &host, const auto &what) {
                    logEvent(hostDecision, "host={} what=\"{}\" term={}", host, what, term);
                })
     , m_timer(context)
-    , m_retryTimer(context)
 {}
 
 HostService::~HostService() = default;
@@ -66,13 +67,7 @@
                          return;
                      }
                      if (reply.outcome != StoreOutcome::Done) {
-                         m_retryTimer.expires_after(retryPause);
-                         m_retryTimer.async_wait([this, alive](const auto &error) {
-                             if (!error && !alive.expired()) {
-                                 loadWaves();
-                             }
-                         });
-                         return;
+                         return again([this] { loadWaves(); });
                      }
                      for (const auto &item : reply.items) {
                          std::uint64_t number = 0;
@@ -86,10 +81,58 @@
                      }
                      m_hasStored = true;
                      takeWaves();
-                     tick();
+                     loadBases();
                  });
 }
 
+void HostService::loadBases()
+{
+    m_store.get(std::string(poolBasesKey), [this, alive = std::weak_ptr(m_alive)](const auto &reply) {
+        if (alive.expired()) {
+            return;
+        }
+        if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+            if (auto bases = decodeCounts(reply.items.front().value)) {
+                m_keeper.setBases(std::move(bases).value());
+            } else {
+                logEvent(recordUnreadable, "key={}", poolBasesKey);
+            }
+            m_areBasesStored = true;
+        } else if (reply.outcome != StoreOutcome::Missing) {
+            return again([this] { loadBases(); });
+        }
+        tick();
+    });
+}
+
+void HostService::storeBases()
+{
+    if (m_areBasesStored || m_keeper.bases().empty() || !m_ownership.isHeld()) {
+        return;
+    }
+    m_areBasesStored = true;
+    platform::StoreChange change;
+    change.expected = {{std::string(ownerKey), m_ownerRevision}, {std::string(poolBasesKey), 0}};
+    change.writes = {{std::string(poolBasesKey), encodeCounts(m_keeper.bases()), 0}};
+    m_store.change(change, [this, alive = std::weak_ptr(m_alive)](const auto &reply) {
+        if (!alive.expired() && reply.outcome != StoreOutcome::Done
+            && reply.outcome != StoreOutcome::Conflict) {
+            m_areBasesStored = false;
+        }
+    });
+}
+
+void HostService::again(std::function<void()> action)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_context, retryPause);
+    timer->async_wait([timer, action = std::move(action),
+                       alive = std::weak_ptr(m_alive)](const auto &error) {
+        if (!error && !alive.expired()) {
+            action();
+        }
+    });
+}
+
 void HostService::takeWaves()
 {
     if (!m_hasStored) {
@@ -107,6 +150,8 @@
     }
     plan();
     storeProgress();
+    storeBases();
+    logPools();
     m_timer.expires_after(tickInterval);
     m_timer.async_wait([this, alive = std::weak_ptr(m_alive)](const auto &error) {
         if (!error && !alive.expired()) {
@@ -192,6 +237,22 @@
                 });
 }
 
+void HostService::logPools()
+{
+    const auto now = bootNow();
+    if (now - m_poolsLoggedAt < poolLogInterval) {
+        return;
+    }
+    m_poolsLoggedAt = now;
+    for (const auto &[service, demand] : m_core.demands(now)) {
+        logEvent(poolState,
+                 "pool={} hosts={} coming={} cores={:.0f} lasting={:.0f} used={:.0f} "
+                 "lasting_waiting={:.0f} waiting_core_seconds={:.0f}",
+                 service, demand.targets, m_keeper.comingTo(service), demand.processors,
+                 demand.lasting, demand.used, demand.lastingWaiting, demand.waitingWork);
+    }
+}
+
 void HostService::storeProgress()
 {
     if (m_isStoring || !m_ownership.isHeld()) {
@@ -224,12 +285,7 @@
         if (reply.outcome == StoreOutcome::Conflict) {
             return m_ownership.resign("another entry has taken over");
         }
-        m_retryTimer.expires_after(retryPause);
-        m_retryTimer.async_wait([this, progress, alive](const auto &error) {
-            if (!error && !alive.expired()) {
-                writeProgress(progress);
-            }
-        });
+        again([this, progress] { writeProgress(progress); });
     });
 }
 
--- a/src/control/internal/platformentry.cpp
+++ b/src/control/internal/platformentry.cpp
@@ -52,9 +52,9 @@
         : m_settings(std::move(settings))
         , m_settingsPath(std::move(settingsPath))
         , m_log(m_context, m_settings.name)
-        , m_storeHttp(m_context, storeConnections)
-        , m_targetHttp(m_context, connectionsPerTarget)
-        , m_store(m_storeHttp, m_settings.storeAddress)
+        , m_storeHttp(std::make_unique<net::HttpClient>(m_context, storeConnections))
+        , m_targetHttp(std::make_unique<net::HttpClient>(m_context, connectionsPerTarget))
+        , m_store(*m_storeHttp, m_settings.storeAddress)
         , m_frontDoor(m_store)
         , m_ownership(
                   m_context, m_store, m_settings.name, [this](const auto &tenure) { gain(tenure); },
@@ -87,6 +87,9 @@
         watchHealth();
         m_context.run();
         m_owner.reset();
+        // Calls that are cut off here end in parts that must still be there.
+        m_targetHttp.reset();
+        m_storeHttp.reset();
         logEvent(controlStopped, "open_requests={}", m_frontDoor.openRequests());
         return success();
     }
@@ -158,7 +161,7 @@
 
     void startOwner()
     {
-        m_owner = std::make_unique<OwnerService>(m_context, m_store, m_targetHttp, m_ownership,
+        m_owner = std::make_unique<OwnerService>(m_context, m_store, *m_targetHttp, m_ownership,
                                                  m_settings);
         m_owner->setWaves(m_waves);
         m_owner->start(*m_frontDoor.rules());
@@ -234,8 +237,8 @@
     const std::string m_settingsPath;
     asio::io_context m_context{1};
     EventLog m_log;
-    net::HttpClient m_storeHttp;
-    net::HttpClient m_targetHttp;
+    std::unique_ptr<net::HttpClient> m_storeHttp;
+    std::unique_ptr<net::HttpClient> m_targetHttp;
     StoreLink m_store;
     FrontDoor m_frontDoor;
     Ownership m_ownership;
--- a/src/control/internal/records.cpp
+++ b/src/control/internal/records.cpp
@@ -135,6 +135,17 @@
     return decode<scheduling::JobProgress>(record);
 }
 
+std::string encodeCounts(const std::map<std::string, std::size_t> &counts)
+{
+    return encode(std::map<std::string, std::uint64_t>(counts.begin(), counts.end()));
+}
+
+Result<std::map<std::string, std::size_t>> decodeCounts(const std::string &record)
+{
+    BOOST_OUTCOME_TRY(counts, (decode<std::map<std::string, std::uint64_t>>(record)));
+    return std::map<std::string, std::size_t>(counts.begin(), counts.end());
+}
+
 std::string encodeIds(const std::vector<std::string> &ids)
 {
     return encode(ids);
--- a/src/control/records.h
+++ b/src/control/records.h
@@ -4,6 +4,8 @@
 #include "global/result.h"
 #include "scheduling/jobrecord.h"
 
+#include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -13,6 +15,8 @@
 Result<scheduling::JobSubmission> decodeSubmission(const std::string &record);
 std::string encodeProgress(const scheduling::JobProgress &progress);
 Result<scheduling::JobProgress> decodeProgress(const std::string &record);
+std::string encodeCounts(const std::map<std::string, std::size_t> &counts);
+Result<std::map<std::string, std::size_t>> decodeCounts(const std::string &record);
 std::string encodeIds(const std::vector<std::string> &ids);
 Result<std::vector<std::string>> decodeIds(const std::string &record);
 
--- a/src/control/storekeys.h
+++ b/src/control/storekeys.h
@@ -33,6 +33,9 @@
 // Hosts of each wave whose upkeep was accepted.
 inline constexpr std::string_view waveRecordPrefix = "wave/";
 
+// Hosts that each pool began with.
+inline constexpr std::string_view poolBasesKey = "pool-bases";
+
 inline std::string waveRecordKey(std::uint64_t number)
 {
     return std::string(waveRecordPrefix) + std::to_string(number);
--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cyclamenlatch::scheduling {
@@ -44,6 +45,10 @@
     void waveAsked(const WavePlan &plan, const std::set<std::string> &done, bool isCompleted,
                    TimePoint now);
     void hostsListed(std::vector<HostInfo> hosts, TimePoint now);
+    // Hosts that each pool began with, as an earlier owner stored them.
+    void setBases(std::map<std::string, std::size_t> bases) { m_bases = std::move(bases); }
+    // As the first list showed them; empty before it.
+    const std::map<std::string, std::size_t> &bases() const { return m_bases; }
     // How soon the list is to be read again.
     std::chrono::milliseconds listInterval() const;
 
@@ -58,6 +63,8 @@
         bool isCompleted = false;
     };
     std::optional<WaveProgress> changedWave();
+    // Hosts on their way to a service's pool.
+    std::size_t comingTo(const std::string &service) const;
 
 private:
     struct Wave
@@ -88,12 +95,23 @@
         std::uint64_t downFor = 0;
         // Nothing has run there since.
         std::optional<TimePoint> idleSince;
+        // Pool it is on its way to.
+        std::string movingTo;
     };
 
     void planWaves(TimePoint now);
     void planWave(Wave &wave, TimePoint now);
     void orderIfEmpty(Host &host, TimePoint now, std::vector<HostOrder> &orders);
     void planMoves(TimePoint now);
+    void planReturns(const std::map<std::string, PoolDemand> &demands, TimePoint now);
+    Host *donorFor(const std::string &service, const std::map<std::string, PoolDemand> &demands,
+                   TimePoint now);
+    bool isStandby(const std::string &service) const;
+    std::size_t leavingFrom(const std::string &service) const;
+    void watchPeak(const std::string &service, const PoolDemand &demand, TimePoint now);
+    // Whether the pool keeps enough for its next peak without so many hosts.
+    bool canSpare(const std::string &service, const PoolDemand &demand, std::size_t hosts,
+                  double cores, TimePoint now) const;
     void empty(Host &host, HostOrder order, TimePoint now);
     void release(Host &host);
     bool isFree(const Host &host) const;
@@ -106,6 +124,19 @@
     FleetRules m_rules;
     std::map<std::string, Host> m_hosts;
     bool m_hasList = false;
+    // Host and pool that the platform would not bring together.
+    std::set<std::pair<std::string, std::string>> m_unfit;
+    std::map<std::string, std::size_t> m_bases;
+    // The most cores that a pool's short work needed lately.
+    struct Peak
+    {
+        double cores = 0;
+        TimePoint since{};
+        TimePoint updated{};
+    };
+    std::map<std::string, Peak> m_peaks;
+    // Since when a pool has had nothing waiting.
+    std::map<std::string, TimePoint> m_calmSince;
     std::map<std::uint64_t, Wave> m_waves;
 };
 
--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -22,6 +22,8 @@
 constexpr double usableShare = 0.85;
 // An upkeep that the platform does not list is over after this many times its usual time.
 constexpr int lostUpkeeps = 10;
+// Beyond the time in which holders may not take turns, for what was on its way.
+constexpr std::chrono::milliseconds holderMargin{150};
 
 } // namespace
 
@@ -30,7 +32,7 @@
     : m_settings(settings)
     , m_core(core)
     , m_listener(std::move(listener))
-    , m_notBefore(isFirstTerm ? now : now + settings.holderPause * 5 / 4)
+    , m_notBefore(isFirstTerm ? now : now + settings.holderPause + holderMargin)
 {}
 
 void HostKeeper::setRules(const FleetRules &rules)
@@ -59,8 +61,11 @@
     }
     for (auto &info : hosts) {
         auto &host = m_hosts[info.name];
-        const bool isBack = info.state == HostState::Up && !info.target.empty()
-                            && info.target != host.targetBefore;
+        const bool isOff = !host.movingTo.empty() && info.pool == host.movingTo
+                           && isStandby(host.movingTo);
+        const bool isBack = info.state == HostState::Up
+                            && (isOff || (!info.target.empty() && info.target != host.targetBefore
+                                          && m_core.target(info.target) != nullptr));
         const bool isOverdue = host.awaySince && info.state == HostState::Up
                                && now - *host.awaySince > m_settings.upkeepTime * lostUpkeeps;
         host.info = std::move(info);
@@ -68,10 +73,16 @@
         if (host.awaySince && (isBack || isOverdue)) {
             host.awaySince.reset();
             host.downFor = 0;
+            host.movingTo.clear();
         }
     }
     std::erase_if(m_hosts, [](const auto &item) { return !item.second.isListed; });
     m_hasList = true;
+    if (m_bases.empty()) {
+        for (const auto &[name, host] : m_hosts) {
+            ++m_bases[host.info.pool];
+        }
+    }
 }
 
 std::chrono::milliseconds HostKeeper::listInterval() const
@@ -92,6 +103,7 @@
         return orders;
     }
     planWaves(now);
+    planMoves(now);
     for (auto &[name, host] : m_hosts) {
         orderIfEmpty(host, now, orders);
     }
@@ -161,7 +173,9 @@
     host.emptyingSince = now;
     host.notBefore = now;
     m_core.setLeaving(host.info.target, true);
-    m_listener(host.info.name, "emptying");
+    const auto *move = std::get_if<MoveOrder>(&*host.wanted);
+    m_listener(host.info.name, move == nullptr ? "emptying for a wave"
+                                               : "to move from " + host.info.pool + " to " + move->pool);
 }
 
 void HostKeeper::release(Host &host)
@@ -220,11 +234,14 @@
     const auto *upkeep = std::get_if<UpkeepOrder>(&order);
     switch (answer) {
     case HostAnswer::Accepted:
-        m_listener(name, "accepted");
+        m_listener(name, upkeep != nullptr ? "down" : "moving");
         m_core.targetTakenDown(host.info.target, now);
         host.targetBefore = host.info.target;
         host.awaySince = now;
         host.wanted.reset();
+        if (const auto *move = std::get_if<MoveOrder>(&order)) {
+            host.movingTo = move->pool;
+        }
         if (upkeep != nullptr) {
             host.downFor = upkeep->wave;
             auto &wave = m_waves[upkeep->wave];
@@ -239,6 +256,8 @@
             auto &wave = m_waves[upkeep->wave];
             wave.done.insert(name);
             wave.isChanged = true;
+        } else {
+            m_unfit.insert({name, std::get<MoveOrder>(order).pool});
         }
         return release(host);
     case HostAnswer::Unclear:
@@ -247,6 +266,9 @@
         return;
     default:
         m_listener(name, "refused for now");
+        if (upkeep == nullptr && !host.isUnclear) {
+            release(host);
+        }
         return;
     }
 }
--- /dev/null
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -0,0 +1,213 @@
+// Moves between pools: pools with more work than they can clear in time get idle hosts, calm pools
+// give hosts back to the pool that is off.
+#include "scheduling/hostkeeper.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cyclamenlatch::scheduling {
+
+namespace {
+
+// Waiting work that a pool clears within this time needs no more hosts: about the time that a move
+// takes, so that a host that comes still finds work.
+constexpr double clearSeconds = 1.5;
+// A pool is calm when it clears what waits within this time, and gives hosts away after having been
+// calm for the other.
+constexpr double calmSeconds = 0.1;
+constexpr std::chrono::milliseconds calmBeforeReturn{1000};
+// A host without runs for this long may go to another pool, or to the one that is off.
+constexpr std::chrono::milliseconds idleBeforeLending{300};
+constexpr std::chrono::milliseconds idleBeforeReturn{1000};
+// A pool keeps this part of what its last peaks needed; peaks are forgotten by half in the other.
+constexpr double peakKept = 0.7;
+constexpr std::chrono::seconds peakHalfLife{40};
+// A pool that has been watched for less time than this keeps the hosts that it began with.
+constexpr std::chrono::seconds peakWatch{90};
+// Work that waits during a peak is to be cleared within this time.
+constexpr double peakClearSeconds = 2;
+constexpr std::size_t fewestHosts = 3;
+// Hosts that may be on their way into one pool at the same time.
+constexpr std::size_t mostComing = 8;
+constexpr double milli = 0.001;
+
+double coresOf(const HostInfo &host)
+{
+    return std::max(1.0, milli * static_cast<double>(host.capacity.processors));
+}
+
+// Seconds until what waits has begun, with the processors that are not taken for good.
+double clearTime(const PoolDemand &demand, double coming)
+{
+    const double free = demand.processors - demand.lasting - demand.lastingWaiting + coming;
+    return (demand.waitingWork + demand.lastingWaiting) / std::max(free, 1.0);
+}
+
+} // namespace
+
+bool HostKeeper::isStandby(const std::string &service) const
+{
+    return std::any_of(m_rules.services.begin(), m_rules.services.end(), [&](const auto &rule) {
+        return rule.name == service && rule.isStandby;
+    });
+}
+
+std::size_t HostKeeper::comingTo(const std::string &service) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &item) {
+                const auto &host = item.second;
+                const auto *move = host.wanted ? std::get_if<MoveOrder>(&*host.wanted) : nullptr;
+                return (host.awaySince && host.movingTo == service)
+                       || (move != nullptr && move->pool == service);
+            }));
+}
+
+void HostKeeper::planMoves(TimePoint now)
+{
+    const auto demands = m_core.demands(now);
+    double cores = 1;
+    for (auto &[name, host] : m_hosts) {
+        cores = std::max(cores, coresOf(host.info));
+        const bool isIdle = !host.wanted && !host.awaySince && host.info.state == HostState::Up
+                            && m_core.load(host.info.target).runs == 0;
+        if (!isIdle) {
+            host.idleSince.reset();
+        } else if (!host.idleSince) {
+            host.idleSince = now;
+        }
+    }
+    for (const auto &[service, demand] : demands) {
+        watchPeak(service, demand, now);
+    }
+    // The most pressed pool gets the next host, one by one.
+    while (true) {
+        const std::string *pressed = nullptr;
+        double longest = clearSeconds;
+        for (const auto &rule : m_rules.services) {
+            const auto demand = demands.find(rule.name);
+            if (rule.isStandby || demand == demands.end()) {
+                continue;
+            }
+            const auto coming = comingTo(rule.name);
+            const double time =
+                    clearTime(demand->second, static_cast<double>(coming) * cores);
+            if (time > longest && coming < mostComing) {
+                longest = time;
+                pressed = &rule.name;
+            }
+        }
+        auto *donor = pressed == nullptr ? nullptr : donorFor(*pressed, demands, now);
+        if (donor == nullptr) {
+            break;
+        }
+        empty(*donor, MoveOrder{donor->info.name, *pressed}, now);
+    }
+    planReturns(demands, now);
+}
+
+std::size_t HostKeeper::leavingFrom(const std::string &service) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &item) {
+                return item.second.info.pool == service && item.second.wanted;
+            }));
+}
+
+void HostKeeper::watchPeak(const std::string &service, const PoolDemand &demand, TimePoint now)
+{
+    auto [found, isNew] = m_peaks.try_emplace(service);
+    auto &peak = found->second;
+    if (isNew) {
+        peak.since = now;
+        peak.updated = now;
+    }
+    peak.cores *= std::exp2(-toSeconds(now - peak.updated) / toSeconds(peakHalfLife));
+    peak.updated = now;
+    peak.cores = std::max(peak.cores, demand.used - demand.lasting
+                                              + demand.waitingWork / peakClearSeconds);
+}
+
+bool HostKeeper::canSpare(const std::string &service, const PoolDemand &demand, std::size_t hosts,
+                          double cores, TimePoint now) const
+{
+    const auto peak = m_peaks.find(service);
+    if (peak == m_peaks.end() || demand.targets < fewestHosts + hosts) {
+        return false;
+    }
+    const auto base = m_bases.find(service);
+    if (base != m_bases.end() && demand.targets >= base->second + hosts) {
+        return true;
+    }
+    if (now - peak->second.since < peakWatch) {
+        return false;
+    }
+    return demand.processors - static_cast<double>(hosts) * cores
+           >= demand.lasting + demand.lastingWaiting + peakKept * peak->second.cores;
+}
+
+// Hosts that are off come at once; those of calm pools may be needed there again soon.
+HostKeeper::Host *HostKeeper::donorFor(const std::string &service,
+                                       const std::map<std::string, PoolDemand> &demands,
+                                       TimePoint now)
+{
+    Host *best = nullptr;
+    double bestScore = 0;
+    for (auto &[name, host] : m_hosts) {
+        if (!host.idleSince || host.wanted || host.awaySince || host.info.pool == service
+            || m_unfit.contains({name, service})) {
+            continue;
+        }
+        double score = 4;
+        if (!isStandby(host.info.pool)) {
+            const auto own = demands.find(host.info.pool);
+            if (own == demands.end() || now - *host.idleSince < idleBeforeLending
+                || clearTime(own->second, 0) > calmSeconds
+                || !canSpare(host.info.pool, own->second, leavingFrom(host.info.pool) + 1,
+                             coresOf(host.info), now)) {
+                continue;
+            }
+            score = 2;
+        }
+        if (best == nullptr || score > bestScore) {
+            best = &host;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void HostKeeper::planReturns(const std::map<std::string, PoolDemand> &demands, TimePoint now)
+{
+    const auto standby = std::find_if(m_rules.services.begin(), m_rules.services.end(),
+                                      [](const auto &rule) { return rule.isStandby; });
+    if (standby == m_rules.services.end()) {
+        return;
+    }
+    for (const auto &[service, demand] : demands) {
+        if (isStandby(service)) {
+            continue;
+        }
+        if (clearTime(demand, 0) > calmSeconds || demand.lastingWaiting > 0) {
+            m_calmSince.erase(service);
+            continue;
+        }
+        const auto since = m_calmSince.try_emplace(service, now).first->second;
+        if (now - since < calmBeforeReturn) {
+            continue;
+        }
+        for (auto &[name, host] : m_hosts) {
+            const bool isIdle = host.idleSince && now - *host.idleSince >= idleBeforeReturn
+                                && host.info.pool == service && !host.wanted
+                                && !m_unfit.contains({name, standby->name});
+            if (!isIdle || !canSpare(service, demand, leavingFrom(service) + 1,
+                                     coresOf(host.info), now)) {
+                continue;
+            }
+            empty(host, MoveOrder{name, standby->name}, now);
+        }
+    }
+}
+
+} // namespace cyclamenlatch::scheduling
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -369,9 +369,8 @@
         const double freeShare = static_cast<double>(free.processors)
                                  / static_cast<double>(std::max<std::int64_t>(
                                          target->info.capacity.processors, 1));
-        // Lower is better: tight for what ends soon, so that whole targets stay free for large
-        // tasks; spread for what lasts.
-        double score = spec.lasts ? -freeShare : freeShare;
+        // Lower is better: tight, so that whole targets stay free for large tasks and other pools.
+        double score = freeShare;
         if (spec.lasts) {
             for (const auto &[other, run] : target->runs) {
                 score += (spec.fills && run.serves) || (spec.serves() && run.fills) ? 2 : 0;
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -277,6 +277,7 @@
          end.how == RunEnd::Done ? "done" : end.how == RunEnd::Failed ? "failed" : "cut short");
     const auto run = target.runs.find(end.task);
     const bool isCurrent = run != target.runs.end() && run->second.attempt == end.attempt;
+    const auto ranFor = isCurrent ? now - run->second.orderedAt : Duration{};
     if (isCurrent) {
         dropRun(target, end.task);
     }
@@ -302,6 +303,13 @@
     }
     if (end.how == RunEnd::Done && !step->spec->lasts) {
         target.failuresInRow = 0;
+        if (isCurrent) {
+            // Some hundred runs make a good mean.
+            constexpr double keep = 0.99;
+            auto &times = m_runTimes[job->submission.queue];
+            times.real = keep * times.real + toSeconds(ranFor);
+            times.guessed = keep * times.guessed + toSeconds(step->spec->estimate);
+        }
         if (!step->spec->isGang) {
             return markDone(*job, *occurrence, *step, end.task.index, now);
         }
@@ -610,6 +618,57 @@
     return load;
 }
 
+double OwnerCore::runTimeRatio(const std::string &queue) const
+{
+    // Before some runs have ended the guess stands.
+    constexpr double enoughSeconds = 5;
+    const auto found = m_runTimes.find(queue);
+    return found == m_runTimes.end() || found->second.guessed < enoughSeconds
+                   ? 1
+                   : found->second.real / found->second.guessed;
+}
+
+std::map<std::string, PoolDemand> OwnerCore::demands(TimePoint now) const
+{
+    std::map<std::string, PoolDemand> demands;
+    constexpr double milli = 0.001;
+    for (const auto &[id, target] : m_targets) {
+        if (!target->isListed || target->info.isDraining || target->failedCalls > 0) {
+            continue;
+        }
+        auto &demand = demands[target->info.service];
+        demand.processors += milli * static_cast<double>(target->info.capacity.processors);
+        demand.used += milli * static_cast<double>(target->used.processors);
+        ++demand.targets;
+        for (const auto &[task, run] : target->runs) {
+            demand.lasting += run.lasts ? milli * static_cast<double>(run.room.processors) : 0;
+        }
+    }
+    for (const auto &[id, job] : m_jobs) {
+        if (isFinal(job->phase)) {
+            continue;
+        }
+        auto &demand = demands[job->submission.service];
+        const double ratio = runTimeRatio(job->submission.queue);
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (const auto &step : occurrence.steps) {
+                if (step.spec->lasts) {
+                    demand.lastingWaiting +=
+                            step.spec->fills ? 0
+                                             : milli * step.waiting
+                                                       * static_cast<double>(
+                                                               step.spec->need.processors);
+                } else if (occurrence.objective > now) {
+                    demand.waitingWork += milli * milli * ratio * step.waiting
+                                          * static_cast<double>(step.spec->need.processors)
+                                          * static_cast<double>(step.spec->estimate.count());
+                }
+            }
+        }
+    }
+    return demands;
+}
+
 // Tasks of a lasting step that are not at work, whatever the cause.
 std::uint32_t OwnerCore::tasksAway(const StepState &step) const
 {
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -90,6 +90,21 @@
     double usedShare = 0;
 };
 
+// What a service's pool has to do and to do it with.
+struct PoolDemand
+{
+    // Core-seconds of short tasks that have not begun, later steps of jobs that have arrived included.
+    double waitingWork = 0;
+    // Cores of targets that take work, and of what lasts there.
+    double processors = 0;
+    double lasting = 0;
+    // Cores in use by anything.
+    double used = 0;
+    std::size_t targets = 0;
+    // Cores of lasting tasks that wait for a place.
+    double lastingWaiting = 0;
+};
+
 class OwnerCore
 {
 public:
@@ -152,6 +167,8 @@
     // Its host was taken down: all that ran there has ended.
     void targetTakenDown(const std::string &id, TimePoint now);
     TargetLoad load(const std::string &id) const;
+    // By service.
+    std::map<std::string, PoolDemand> demands(TimePoint now) const;
 
 private:
     using TargetState = detail::TargetState;
@@ -236,6 +253,14 @@
         TimePoint refilled{};
     };
     std::unordered_map<std::string, Owed> m_owed;
+    // By queue, how long tasks really ran and were guessed to run, older runs counting less.
+    struct RunTimes
+    {
+        double real = 0;
+        double guessed = 0;
+    };
+    std::unordered_map<std::string, RunTimes> m_runTimes;
+    double runTimeRatio(const std::string &queue) const;
     std::vector<Order> m_orders;
     // The most that may run on targets whose runs are not known, for the length of one plan.
     Room m_uncertainUse;
