--- a/bench/configcluster.h
+++ b/bench/configcluster.h
@@ -7,8 +7,8 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/workerthreads.h"
-#include "store/storeclient.h"
 #include "standins/platform/platformserver.h"
+#include "store/storeclient.h"
 
 #include <fmt/format.h>
 
@@ -83,8 +83,7 @@
     }
 
     // Returns the accepted revision, or 0.
-    store::StoreRevision apply(const fleet::FleetDocument &document,
-                                  store::StoreRevision from)
+    store::StoreRevision apply(const fleet::FleetDocument &document, store::StoreRevision from)
     {
         std::promise<store::StoreRevision> promise;
         at(0).apply(document, from, [&promise](const Result<store::StoreRevision> &applied) {
--- a/src/app/entry.h
+++ b/src/app/entry.h
@@ -19,13 +19,13 @@
 #include "net/workerthreads.h"
 #include "operatorapi/fleetcommands.h"
 #include "operatorapi/operatorapi.h"
-#include "store/hostclient.h"
-#include "store/storeclient.h"
 #include "quota/hostwatch.h"
 #include "quota/limitsurvey.h"
 #include "quota/quotatable.h"
 #include "quota/quotatrader.h"
 #include "report/reportservice.h"
+#include "store/hostclient.h"
+#include "store/storeclient.h"
 
 #include <atomic>
 #include <memory>
--- a/src/capacity/internal/poolcontroller.cpp
+++ b/src/capacity/internal/poolcontroller.cpp
@@ -26,9 +26,8 @@
 
 } // namespace
 
-PoolController::PoolController(asio::io_context &context, EntryId entry,
-                               store::StoreClient &store, Draining draining,
-                               FleetListener listener)
+PoolController::PoolController(asio::io_context &context, EntryId entry, store::StoreClient &store,
+                               Draining draining, FleetListener listener)
     : m_strand(asio::make_strand(context))
     , m_entry(std::move(entry))
     , m_store(store)
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -38,16 +38,15 @@
     using ReportCompletion = std::function<void(const SpreadReport &)>;
 
     // Subscribes to its topics: create it before the peer bus starts.
-    Configuration(asio::io_context &context, membership::PeerBus &peers,
-                  store::StoreClient &store, ConfigurationCallbacks callbacks);
+    Configuration(asio::io_context &context, membership::PeerBus &peers, store::StoreClient &store,
+                  ConfigurationCallbacks callbacks);
 
     void start();
     void stop();
 
     FleetRevision current() const;
     // The fleet document of one of the latest revisions, or nothing when it is too old.
-    std::shared_ptr<const fleet::FleetDocument> findRevision(
-            store::StoreRevision revision) const;
+    std::shared_ptr<const fleet::FleetDocument> findRevision(store::StoreRevision revision) const;
     std::string unreadyReason() const;
     // Last time at which this entry knew of every withdrawal; the epoch: never.
     TimePoint evidenceAt() const { return TimePoint(Duration(m_evidence.load())); }
--- a/src/configuration/spreadstate.h
+++ b/src/configuration/spreadstate.h
@@ -52,14 +52,12 @@
     SpreadActions receive(const EntryId &from, std::uint64_t incarnation,
                           const ConfigMessage &message, TimePoint now, Random &random);
     // sentAt is when the store was asked. A listing that answers ReadStore{0} is whole.
-    SpreadActions takeListing(const store::StoreListing &listing, TimePoint sentAt,
-                              TimePoint now);
+    SpreadActions takeListing(const store::StoreListing &listing, TimePoint sentAt, TimePoint now);
     SpreadActions failRead(TimePoint now, Random &random);
     // Content read from the store or made here.
     SpreadActions takePart(const std::string &content, TimePoint now);
     // A head that this entry itself wrote to the store.
-    SpreadActions takeHead(store::StoreRevision revision, const std::string &head,
-                           TimePoint now);
+    SpreadActions takeHead(store::StoreRevision revision, const std::string &head, TimePoint now);
     // The shell has put the revision in force, or refused it for good.
     SpreadActions putInForce(store::StoreRevision revision);
     // Takes the withdrawal here and sends it to every peer at once.
--- a/src/control/controlevents.h
+++ b/src/control/controlevents.h
@@ -15,8 +15,9 @@
                                     "The settings file was read again after a signal."};
 inline constexpr Event rulesInForce{1804, Severity::Info, "rules-in-force",
                                     "The entry uses a newer configuration; says its version."};
-inline constexpr Event rulesRefused{1805, Severity::Error, "rules-refused",
-                                    "The configuration can't be read; the last one stays in force."};
+inline constexpr Event rulesRefused{
+        1805, Severity::Error, "rules-refused",
+        "The configuration can't be read; the last one stays in force."};
 inline constexpr Event storeLost{1806, Severity::Warning, "store-lost",
                                  "The store does not answer this entry; jobs are refused."};
 inline constexpr Event storeRegained{1807, Severity::Info, "store-regained",
@@ -31,24 +32,28 @@
                                         "A record in the store can't be read and is left alone."};
 inline constexpr Event taskDecision{1814, Severity::Info, "task-decision",
                                     "A task was started, ended, lost or stopped; says why."};
-inline constexpr Event jobEnded{1815, Severity::Info, "job-ended",
-                                "A job has ended; says how."};
-inline constexpr Event targetLost{1816, Severity::Warning, "target-lost",
-                                  "A target does not answer; its work is safe until its lease ends."};
+inline constexpr Event jobEnded{1815, Severity::Info, "job-ended", "A job has ended; says how."};
+inline constexpr Event targetLost{
+        1816, Severity::Warning, "target-lost",
+        "A target does not answer; its work is safe until its lease ends."};
 inline constexpr Event targetRegained{1817, Severity::Info, "target-regained",
                                       "A target answers again."};
 inline constexpr Event jobAccepted{1820, Severity::Info, "job-accepted",
                                    "A job is stored; from now on it is run."};
-inline constexpr Event jobRefused{1821, Severity::Info, "job-refused",
-                                  "A caller's request was refused; says with which status and why."};
-inline constexpr Event jobUnclear{1822, Severity::Warning, "job-unclear",
-                                  "The store did not say whether a job was stored; the caller asks again."};
+inline constexpr Event jobRefused{
+        1821, Severity::Info, "job-refused",
+        "A caller's request was refused; says with which status and why."};
+inline constexpr Event jobUnclear{
+        1822, Severity::Warning, "job-unclear",
+        "The store did not say whether a job was stored; the caller asks again."};
 inline constexpr Event jobCancelAccepted{1823, Severity::Info, "job-cancel-accepted",
                                          "A job's cancelling is stored."};
-inline constexpr Event linesDropped{1824, Severity::Warning, "lines-dropped",
-                                    "More was logged than could be written; says how many lines are missing."};
-inline constexpr Event hostDecision{1830, Severity::Info, "host-decision",
-                                    "A machine is emptied, moved or taken down for upkeep; says why."};
+inline constexpr Event linesDropped{
+        1824, Severity::Warning, "lines-dropped",
+        "More was logged than could be written; says how many lines are missing."};
+inline constexpr Event hostDecision{
+        1830, Severity::Info, "host-decision",
+        "A machine is emptied, moved or taken down for upkeep; says why."};
 inline constexpr Event poolState{1832, Severity::Info, "pool-state",
                                  "What a pool has and has to do: cores, core-seconds, hosts."};
 inline constexpr Event waveChanged{1831, Severity::Info, "wave-changed",
--- a/src/control/internal/frontdoor.cpp
+++ b/src/control/internal/frontdoor.cpp
@@ -97,10 +97,10 @@
     visit->respond = std::move(respond);
     visit->method = request.method;
     visit->arrived = bootNow();
-    visit->deadline = visit->arrived
-                      + std::max(platform::callerPatience(request).value_or(usualPatience)
-                                         - answerTime,
-                                 answerTime);
+    visit->deadline =
+            visit->arrived
+            + std::max(platform::callerPatience(request).value_or(usualPatience) - answerTime,
+                       answerTime);
     ++m_openRequests;
     if (!m_rules) {
         return refuse(visit, 503, "this entry has no configuration yet", "ask again soon");
@@ -318,8 +318,7 @@
                        const std::string &remedy)
 {
     logEvent(jobRefused, "job={} method={} queue={} status={} reason=\"{}\" version={} ms={}",
-             platform::jobIdText(visit->id), visit->method,
-             visit->queue.name, status, why,
+             platform::jobIdText(visit->id), visit->method, visit->queue.name, status, why,
              m_rules ? m_rules->version : 0, toMilliseconds(bootNow() - visit->arrived).count());
     answer(visit, status, platform::errorBody(why, remedy));
 }
--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -87,22 +87,23 @@
 
 void HostService::loadBases()
 {
-    m_store.get(std::string(poolBasesKey), [this, alive = std::weak_ptr(m_alive)](const auto &reply) {
-        if (alive.expired()) {
-            return;
-        }
-        if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
-            if (auto bases = decodeCounts(reply.items.front().value)) {
-                m_keeper.setBases(std::move(bases).value());
-            } else {
-                logEvent(recordUnreadable, "key={}", poolBasesKey);
-            }
-            m_areBasesStored = true;
-        } else if (reply.outcome != StoreOutcome::Missing) {
-            return again([this] { loadBases(); });
-        }
-        tick();
-    });
+    m_store.get(std::string(poolBasesKey),
+                [this, alive = std::weak_ptr(m_alive)](const auto &reply) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                        if (auto bases = decodeCounts(reply.items.front().value)) {
+                            m_keeper.setBases(std::move(bases).value());
+                        } else {
+                            logEvent(recordUnreadable, "key={}", poolBasesKey);
+                        }
+                        m_areBasesStored = true;
+                    } else if (reply.outcome != StoreOutcome::Missing) {
+                        return again([this] { loadBases(); });
+                    }
+                    tick();
+                });
 }
 
 void HostService::storeBases()
@@ -125,12 +126,12 @@
 void HostService::again(std::function<void()> action)
 {
     auto timer = std::make_shared<asio::steady_timer>(m_context, retryPause);
-    timer->async_wait([timer, action = std::move(action),
-                       alive = std::weak_ptr(m_alive)](const auto &error) {
-        if (!error && !alive.expired()) {
-            action();
-        }
-    });
+    timer->async_wait(
+            [timer, action = std::move(action), alive = std::weak_ptr(m_alive)](const auto &error) {
+                if (!error && !alive.expired()) {
+                    action();
+                }
+            });
 }
 
 void HostService::takeWaves()
@@ -223,18 +224,17 @@
     };
     auto call = std::visit(Caller{*this}, order);
     call.timeout = callTimeout;
-    m_http.send(std::move(call),
-                [this, order, alive = std::weak_ptr(m_alive)](const auto &result) {
-                    if (alive.expired()) {
-                        return;
-                    }
-                    const auto answer = platform::MachineCalls::judgeOrder(result);
-                    m_keeper.answered(order, answer, bootNow());
-                    if (answer == scheduling::HostAnswer::Fenced) {
-                        return m_ownership.resign("a host has seen a later holder");
-                    }
-                    m_planned();
-                });
+    m_http.send(std::move(call), [this, order, alive = std::weak_ptr(m_alive)](const auto &result) {
+        if (alive.expired()) {
+            return;
+        }
+        const auto answer = platform::MachineCalls::judgeOrder(result);
+        m_keeper.answered(order, answer, bootNow());
+        if (answer == scheduling::HostAnswer::Fenced) {
+            return m_ownership.resign("a host has seen a later holder");
+        }
+        m_planned();
+    });
 }
 
 void HostService::logPools()
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -38,7 +38,8 @@
 // Between an answer with ends and the next call, so that more ends come together.
 constexpr std::chrono::milliseconds holdPause{25};
 
-scheduling::OwnerSettings makeSettings(const platform::EntrySettings &settings, const Tenure &tenure)
+scheduling::OwnerSettings makeSettings(const platform::EntrySettings &settings,
+                                       const Tenure &tenure)
 {
     scheduling::OwnerSettings owner;
     owner.term = tenure.term;
@@ -54,9 +55,9 @@
 
 std::optional<JobNumber> jobOf(const std::string &key, std::string_view prefix)
 {
-    return key.size() > prefix.size() ? platform::parseJobId(std::string_view(key).substr(
-                                                prefix.size()))
-                                      : std::nullopt;
+    return key.size() > prefix.size()
+                   ? platform::parseJobId(std::string_view(key).substr(prefix.size()))
+                   : std::nullopt;
 }
 
 } // namespace
@@ -84,10 +85,9 @@
     , m_hosts(context, store, http, ownership, settings, m_core, [this] { planSoon(); })
     , m_jobs(context, store, std::string(jobPrefix), jobWatch,
              [this](const auto &items, auto at, bool isWhole) { takeJobs(items, at, isWhole); })
-    , m_targets(context, store, std::string(platform::targetsPrefix), targetWatch,
-                [this](const auto &items, auto at, bool isWhole) {
-                    takeTargets(items, at, isWhole);
-                })
+    , m_targets(
+              context, store, std::string(platform::targetsPrefix), targetWatch,
+              [this](const auto &items, auto at, bool isWhole) { takeTargets(items, at, isWhole); })
     , m_tickTimer(context)
     , m_planTimer(context)
 {}
@@ -114,32 +114,33 @@
 void OwnerService::again(std::function<void()> action)
 {
     auto timer = std::make_shared<asio::steady_timer>(m_context, retryPause);
-    timer->async_wait([timer, action = std::move(action),
-                       alive = std::weak_ptr(m_alive)](const auto &error) {
-        if (!error && !alive.expired()) {
-            action();
-        }
-    });
+    timer->async_wait(
+            [timer, action = std::move(action), alive = std::weak_ptr(m_alive)](const auto &error) {
+                if (!error && !alive.expired()) {
+                    action();
+                }
+            });
 }
 
 // States before jobs: a job handed in between has its first state, and one that was cancelled in
 // between is not listed.
 void OwnerService::loadStates()
 {
-    m_store.list(std::string(statePrefix), [this, alive = std::weak_ptr(m_alive)](const auto &reply) {
-        if (alive.expired()) {
-            return;
-        }
-        if (reply.outcome != StoreOutcome::Done) {
-            return again([this] { loadStates(); });
-        }
-        for (const auto &item : reply.items) {
-            if (const auto id = jobOf(item.key, statePrefix)) {
-                m_states.emplace(*id, item);
-            }
-        }
-        loadOrderedTargets();
-    });
+    m_store.list(std::string(statePrefix),
+                 [this, alive = std::weak_ptr(m_alive)](const auto &reply) {
+                     if (alive.expired()) {
+                         return;
+                     }
+                     if (reply.outcome != StoreOutcome::Done) {
+                         return again([this] { loadStates(); });
+                     }
+                     for (const auto &item : reply.items) {
+                         if (const auto id = jobOf(item.key, statePrefix)) {
+                             m_states.emplace(*id, item);
+                         }
+                     }
+                     loadOrderedTargets();
+                 });
 }
 
 void OwnerService::loadOrderedTargets()
@@ -398,20 +399,20 @@
 {
     call.timeout = orderTimeout;
     call.connectTimeout = connectTimeout;
-    m_http.send(std::move(call), [this, order, answered,
-                                  alive = std::weak_ptr(m_alive)](const auto &result) {
-        if (alive.expired()) {
-            return;
-        }
-        const auto answer = platform::judgeOrder(result);
-        (m_core.*answered)(order, answer, bootNow());
-        if (answer == scheduling::OrderAnswer::Fenced) {
-            return m_ownership.resign("a target has seen a later owner");
-        }
-        if (answer != scheduling::OrderAnswer::Accepted) {
-            planSoon();
-        }
-    });
+    m_http.send(std::move(call),
+                [this, order, answered, alive = std::weak_ptr(m_alive)](const auto &result) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    const auto answer = platform::judgeOrder(result);
+                    (m_core.*answered)(order, answer, bootNow());
+                    if (answer == scheduling::OrderAnswer::Fenced) {
+                        return m_ownership.resign("a target has seen a later owner");
+                    }
+                    if (answer != scheduling::OrderAnswer::Accepted) {
+                        planSoon();
+                    }
+                });
 }
 
 void OwnerService::send(const scheduling::Order &order)
@@ -425,9 +426,9 @@
             const auto *target = service.m_core.target(start.targetId);
             const auto *job = service.m_core.submission(start.task.job);
             if (target != nullptr && job != nullptr) {
-                service.sendOrder(platform::startCall(*target, service.m_tenure.term, start,
-                                                      job->spec.text),
-                                  start, &scheduling::OwnerCore::startAnswered);
+                service.sendOrder(
+                        platform::startCall(*target, service.m_tenure.term, start, job->spec.text),
+                        start, &scheduling::OwnerCore::startAnswered);
             }
         }
         void operator()(const scheduling::StopOrder &stop) const
@@ -510,7 +511,8 @@
                  decision.detail, m_tenure.term);
         return;
     }
-    logEvent(taskDecision, "job={} task={}.{}.{} attempt={} target={} what={} detail=\"{}\" term={}",
+    logEvent(taskDecision,
+             "job={} task={}.{}.{} attempt={} target={} what={} detail=\"{}\" term={}",
              platform::jobIdText(decision.task.job), decision.task.occurrence, decision.task.step,
              decision.task.index, decision.attempt, decision.target, names.name(decision.kind),
              decision.detail, m_tenure.term);
--- a/src/control/internal/ownership.cpp
+++ b/src/control/internal/ownership.cpp
@@ -100,31 +100,31 @@
     }
     m_stage = Stage::Claiming;
     const auto sentAt = bootNow();
-    m_store.grantLease(timeToLive, [this, sentAt,
-                                    alive = std::weak_ptr(m_alive)](const auto &reply) {
-        if (alive.expired()) {
-            return;
-        }
-        if (reply.outcome != platform::StoreOutcome::Done || reply.lease == 0) {
-            return giveUpClaim(0);
-        }
-        claimWithLease(reply.lease, timeToLive, sentAt);
-    });
+    m_store.grantLease(timeToLive,
+                       [this, sentAt, alive = std::weak_ptr(m_alive)](const auto &reply) {
+                           if (alive.expired()) {
+                               return;
+                           }
+                           if (reply.outcome != platform::StoreOutcome::Done || reply.lease == 0) {
+                               return giveUpClaim(0);
+                           }
+                           claimWithLease(reply.lease, timeToLive, sentAt);
+                       });
 }
 
 void Ownership::claimWithLease(platform::LeaseId lease, Duration duration, TimePoint sentAt)
 {
-    m_store.get(std::string(termKey), [this, lease, duration, sentAt,
-                                       alive = std::weak_ptr(m_alive)](const auto &reply) {
-        if (alive.expired()) {
-            return;
-        }
-        if (reply.outcome != platform::StoreOutcome::Done
-            && reply.outcome != platform::StoreOutcome::Missing) {
-            return giveUpClaim(lease);
-        }
-        writeClaim(lease, reply, duration, sentAt);
-    });
+    m_store.get(std::string(termKey),
+                [this, lease, duration, sentAt, alive = std::weak_ptr(m_alive)](const auto &reply) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    if (reply.outcome != platform::StoreOutcome::Done
+                        && reply.outcome != platform::StoreOutcome::Missing) {
+                        return giveUpClaim(lease);
+                    }
+                    writeClaim(lease, reply, duration, sentAt);
+                });
 }
 
 void Ownership::writeClaim(platform::LeaseId lease, const platform::StoreReply &term,
@@ -213,19 +213,20 @@
 // The key goes with the lease, so that others need not wait for it to run out.
 void Ownership::endLease(platform::LeaseId lease, unsigned tries)
 {
-    m_store.endLease(lease, [this, lease, tries, alive = std::weak_ptr(m_alive)](const auto &reply) {
-        const bool isEnded = reply.outcome == platform::StoreOutcome::Done
-                             || reply.outcome == platform::StoreOutcome::Missing;
-        if (alive.expired() || isEnded || tries >= mostEndTries) {
-            return;
-        }
-        auto timer = std::make_shared<asio::steady_timer>(m_context, claimRetry);
-        timer->async_wait([this, lease, tries, timer, alive](const auto &error) {
-            if (!error && !alive.expired()) {
-                endLease(lease, tries + 1);
-            }
-        });
-    });
+    m_store.endLease(lease,
+                     [this, lease, tries, alive = std::weak_ptr(m_alive)](const auto &reply) {
+                         const bool isEnded = reply.outcome == platform::StoreOutcome::Done
+                                              || reply.outcome == platform::StoreOutcome::Missing;
+                         if (alive.expired() || isEnded || tries >= mostEndTries) {
+                             return;
+                         }
+                         auto timer = std::make_shared<asio::steady_timer>(m_context, claimRetry);
+                         timer->async_wait([this, lease, tries, timer, alive](const auto &error) {
+                             if (!error && !alive.expired()) {
+                                 endLease(lease, tries + 1);
+                             }
+                         });
+                     });
 }
 
 void Ownership::renew()
@@ -235,24 +236,24 @@
     }
     const auto sentAt = bootNow();
     const auto lease = m_leaseId;
-    m_store.renewLease(lease, [this, sentAt, lease,
-                               alive = std::weak_ptr(m_alive)](const auto &reply) {
-        if (alive.expired()) {
-            return;
-        }
-        m_isRenewing = false;
-        if (m_stage != Stage::Holding || lease != m_leaseId) {
-            return;
-        }
-        if (reply.outcome == platform::StoreOutcome::Done) {
-            m_lease.renewed(sentAt);
-            return tickAfter(renewInterval);
-        }
-        if (reply.outcome == platform::StoreOutcome::Missing) {
-            return resign("the lease has ended");
-        }
-        tickAfter(renewRetry);
-    });
+    m_store.renewLease(lease,
+                       [this, sentAt, lease, alive = std::weak_ptr(m_alive)](const auto &reply) {
+                           if (alive.expired()) {
+                               return;
+                           }
+                           m_isRenewing = false;
+                           if (m_stage != Stage::Holding || lease != m_leaseId) {
+                               return;
+                           }
+                           if (reply.outcome == platform::StoreOutcome::Done) {
+                               m_lease.renewed(sentAt);
+                               return tickAfter(renewInterval);
+                           }
+                           if (reply.outcome == platform::StoreOutcome::Missing) {
+                               return resign("the lease has ended");
+                           }
+                           tickAfter(renewRetry);
+                       });
 }
 
 void Ownership::tick()
--- a/src/control/internal/records.cpp
+++ b/src/control/internal/records.cpp
@@ -54,8 +54,8 @@
     std::int64_t submitted = 0;
     std::int64_t firstDue = 0;
     std::int64_t interval = 0;
-    archive(job.id, job.queue, job.service, job.workspace, submitted, job.spec.text,
-            job.spec.steps, job.spec.repeats, firstDue, interval);
+    archive(job.id, job.queue, job.service, job.workspace, submitted, job.spec.text, job.spec.steps,
+            job.spec.repeats, firstDue, interval);
     job.submitted = WallTime(std::chrono::milliseconds(submitted));
     job.spec.firstDue = WallTime(std::chrono::milliseconds(firstDue));
     job.spec.interval = std::chrono::milliseconds(interval);
--- a/src/control/internal/storelink.cpp
+++ b/src/control/internal/storelink.cpp
@@ -30,20 +30,20 @@
     ++m_calls;
     call.timeout = timeout;
     call.connectTimeout = connectTimeout;
-    m_http.send(std::move(call),
-                [this, isWatch, completion = std::move(completion)](const net::HttpCallResult &result) {
-                    const auto reply = platform::StoreCalls::judge(result);
-                    ++m_outcomes[reply.outcome];
-                    const bool isAnswer = reply.outcome != platform::StoreOutcome::NotDone
-                                          && reply.outcome != platform::StoreOutcome::Unclear;
-                    if (isAnswer) {
-                        m_lastAnswer = bootNow();
-                        m_isFailing = false;
-                    } else if (!isWatch) {
-                        m_isFailing = true;
-                    }
-                    completion(reply);
-                });
+    m_http.send(std::move(call), [this, isWatch, completion = std::move(completion)](
+                                         const net::HttpCallResult &result) {
+        const auto reply = platform::StoreCalls::judge(result);
+        ++m_outcomes[reply.outcome];
+        const bool isAnswer = reply.outcome != platform::StoreOutcome::NotDone
+                              && reply.outcome != platform::StoreOutcome::Unclear;
+        if (isAnswer) {
+            m_lastAnswer = bootNow();
+            m_isFailing = false;
+        } else if (!isWatch) {
+            m_isFailing = true;
+        }
+        completion(reply);
+    });
 }
 
 void StoreLink::probe()
@@ -87,14 +87,15 @@
 void StoreLink::watch(const std::string &prefix, platform::StoreRevision after,
                       std::chrono::milliseconds wait, Completion completion)
 {
-    send(m_format.watch(prefix, after, wait), wait + watchMargin,
-         [this, completion = std::move(completion)](const platform::StoreReply &reply) {
-             if (reply.outcome == platform::StoreOutcome::Unclear) {
-                 probe();
-             }
-             completion(reply);
-         },
-         true);
+    send(
+            m_format.watch(prefix, after, wait), wait + watchMargin,
+            [this, completion = std::move(completion)](const platform::StoreReply &reply) {
+                if (reply.outcome == platform::StoreOutcome::Unclear) {
+                    probe();
+                }
+                completion(reply);
+            },
+            true);
 }
 
 void StoreLink::change(const platform::StoreChange &change, Completion completion)
--- a/src/jobs/internal/jobcontroller.cpp
+++ b/src/jobs/internal/jobcontroller.cpp
@@ -457,8 +457,7 @@
     });
 }
 
-void JobController::sendCommands(store::TaskCommand command,
-                                 const std::vector<std::string> &tasks)
+void JobController::sendCommands(store::TaskCommand command, const std::vector<std::string> &tasks)
 {
     if (!tasks.empty()) {
         m_taskClient.command(command, tasks, [](const Result<void> &) {});
--- a/src/jobs/internal/jobmachine.cpp
+++ b/src/jobs/internal/jobmachine.cpp
@@ -62,10 +62,10 @@
     if (record.cancelRequested) {
         return entered(next, JobState::Cancelled, "cancelled by its caller", now);
     }
-    return entered(next, JobState::Submitted,
-                   fmt::format("{} on {}", store::taskStateNames.name(task.state),
-                               record.worker.value()),
-                   now);
+    return entered(
+            next, JobState::Submitted,
+            fmt::format("{} on {}", store::taskStateNames.name(task.state), record.worker.value()),
+            now);
 }
 
 JobRecord afterEnd(const JobRecord &record, const JobMoment &moment, Random &random)
--- a/src/jobs/jobbook.h
+++ b/src/jobs/jobbook.h
@@ -5,8 +5,8 @@
 
 #include "jobs/jobplan.h"
 #include "jobs/waitingmessage.h"
-#include "store/taskstatus.h"
 #include "quota/quotatable.h"
+#include "store/taskstatus.h"
 
 #include <optional>
 #include <string>
--- a/src/jobs/jobcontroller.h
+++ b/src/jobs/jobcontroller.h
@@ -44,9 +44,8 @@
 class JobController
 {
 public:
-    JobController(asio::io_context &context, store::StoreClient &store,
-                  store::TaskClient &tasks, quota::QuotaTable &quota,
-                  JobControllerSettings settings);
+    JobController(asio::io_context &context, store::StoreClient &store, store::TaskClient &tasks,
+                  quota::QuotaTable &quota, JobControllerSettings settings);
 
     void setFleet(const std::shared_ptr<const fleet::FleetDocument> &fleet);
     void start();
--- a/src/maintenance/draincoordinator.h
+++ b/src/maintenance/draincoordinator.h
@@ -38,7 +38,7 @@
     // The marks of a scope that every entry has lately confirmed, with nothing in flight and no
     // connection open. The records must be at least as new as the scope's marks.
     std::unordered_map<WorkerId, store::StoreRevision> quiet(const std::string &scope,
-                                                                const EntryRecords &records) const;
+                                                             const EntryRecords &records) const;
     // The entries that some mark of the scope waits for.
     std::vector<EntryId> waitingFor(const std::string &scope, const EntryRecords &records) const;
 
--- a/src/maintenance/internal/entryregistrar.cpp
+++ b/src/maintenance/internal/entryregistrar.cpp
@@ -79,27 +79,27 @@
         asio::post(m_strand, [written, good] { written(good); });
     };
     const auto key = entryKey(m_self.entry);
-    m_store.get(key, [this, key, presence,
-                      done](const Result<std::optional<store::StoreItem>> &found) {
-        if (!found) {
-            return done(false);
-        }
-        const auto &item = found.value();
-        auto record = m_self;
-        record.presence = presence;
-        record.since = wallNow().time_since_epoch().count();
-        if (item && presence == EntryPresence::Left) {
-            const auto known = readEntryRecord(item->value);
-            // A process that was started meanwhile speaks for itself.
-            if (known && known.value().incarnation != record.incarnation) {
-                return done(false);
-            }
-        }
-        m_store.compareAndSwap({key, writeRecord(record), item ? item->revision : 0, ""},
-                               [done](const Result<store::StoreRevision> &result) {
-                                   done(result.has_value());
-                               });
-    });
+    m_store.get(
+            key, [this, key, presence, done](const Result<std::optional<store::StoreItem>> &found) {
+                if (!found) {
+                    return done(false);
+                }
+                const auto &item = found.value();
+                auto record = m_self;
+                record.presence = presence;
+                record.since = wallNow().time_since_epoch().count();
+                if (item && presence == EntryPresence::Left) {
+                    const auto known = readEntryRecord(item->value);
+                    // A process that was started meanwhile speaks for itself.
+                    if (known && known.value().incarnation != record.incarnation) {
+                        return done(false);
+                    }
+                }
+                m_store.compareAndSwap({key, writeRecord(record), item ? item->revision : 0, ""},
+                                       [done](const Result<store::StoreRevision> &result) {
+                                           done(result.has_value());
+                                       });
+            });
 }
 
 void EntryRegistrar::tell(bool isRecorded)
--- a/src/maintenance/internal/maintenancecontroller.cpp
+++ b/src/maintenance/internal/maintenancecontroller.cpp
@@ -35,9 +35,8 @@
 
 MaintenanceController::MaintenanceController(asio::io_context &context,
                                              MaintenanceSettings settings,
-                                             store::StoreClient &store,
-                                             store::HostClient &hosts, DrainCoordinator &drains,
-                                             net::HttpClient &probes)
+                                             store::StoreClient &store, store::HostClient &hosts,
+                                             DrainCoordinator &drains, net::HttpClient &probes)
     : m_strand(asio::make_strand(context))
     , m_settings(std::move(settings))
     , m_store(store)
--- a/src/maintenance/quietcollector.h
+++ b/src/maintenance/quietcollector.h
@@ -22,9 +22,9 @@
 
     // The marks that every one of the entries, and every other that answers, has confirmed with
     // nothing in flight and no connection open.
-    std::unordered_map<WorkerId, store::StoreRevision> quiet(
-            const std::vector<LeavingMark> &marks, const std::vector<EntryId> &entries,
-            TimePoint now) const;
+    std::unordered_map<WorkerId, store::StoreRevision> quiet(const std::vector<LeavingMark> &marks,
+                                                             const std::vector<EntryId> &entries,
+                                                             TimePoint now) const;
     // The entries that have answered lately.
     std::vector<EntryId> heard(TimePoint now) const;
     // The entries that keep a mark from being quiet, for people.
--- a/src/platform/internal/callerwire.cpp
+++ b/src/platform/internal/callerwire.cpp
@@ -83,8 +83,7 @@
         }
         for (const auto &before : *after) {
             if (!before.is_number_unsigned() || before.get<std::uint64_t>() >= number) {
-                return malformed(
-                        fmt::format("phase {}: after names no earlier phase", number));
+                return malformed(fmt::format("phase {}: after names no earlier phase", number));
             }
             step.after.push_back(before.get<std::uint32_t>());
         }
@@ -134,8 +133,8 @@
         return malformed(fmt::format("repeat_count is not between 0 and {}", mostRepeats));
     }
     spec.repeats = static_cast<std::uint32_t>(repeats);
-    spec.firstDue = WallTime(
-            std::chrono::milliseconds(detail::numberOf(json, "start_at_ms").value_or(0)));
+    spec.firstDue =
+            WallTime(std::chrono::milliseconds(detail::numberOf(json, "start_at_ms").value_or(0)));
     spec.interval = std::chrono::milliseconds(detail::numberOf(json, "interval_ms").value_or(0));
     return spec;
 }
--- a/src/platform/internal/configwire.cpp
+++ b/src/platform/internal/configwire.cpp
@@ -100,14 +100,12 @@
                                        detail::flagOf(item, "standby")};
     });
     if (const auto *limits = detail::fieldOf(json, "limits"); limits != nullptr) {
-        rules.limits.mostBodyBytes =
-                static_cast<std::size_t>(detail::numberOf(*limits, "max_body_bytes")
-                                                 .value_or(static_cast<std::int64_t>(
-                                                         rules.limits.mostBodyBytes)));
-        rules.limits.mostHeaderBytes =
-                static_cast<std::size_t>(detail::numberOf(*limits, "max_header_bytes")
-                                                 .value_or(static_cast<std::int64_t>(
-                                                         rules.limits.mostHeaderBytes)));
+        rules.limits.mostBodyBytes = static_cast<std::size_t>(
+                detail::numberOf(*limits, "max_body_bytes")
+                        .value_or(static_cast<std::int64_t>(rules.limits.mostBodyBytes)));
+        rules.limits.mostHeaderBytes = static_cast<std::size_t>(
+                detail::numberOf(*limits, "max_header_bytes")
+                        .value_or(static_cast<std::int64_t>(rules.limits.mostHeaderBytes)));
     }
     return rules;
 }
--- a/src/platform/internal/entrysettings.cpp
+++ b/src/platform/internal/entrysettings.cpp
@@ -97,10 +97,10 @@
         return failure(ErrorKind::InvalidInput, "settings: listen_addrs is missing",
                        settingsRemedy);
     }
-    BOOST_OUTCOME_TRY(callerPort, portOf(addresses["frontend"].as<std::string>(""),
-                                         "listen_addrs.frontend"));
-    BOOST_OUTCOME_TRY(readinessPort, portOf(addresses["readiness"].as<std::string>(""),
-                                            "listen_addrs.readiness"));
+    BOOST_OUTCOME_TRY(callerPort,
+                      portOf(addresses["frontend"].as<std::string>(""), "listen_addrs.frontend"));
+    BOOST_OUTCOME_TRY(readinessPort,
+                      portOf(addresses["readiness"].as<std::string>(""), "listen_addrs.readiness"));
     settings.callerPort = callerPort;
     settings.readinessPort = readinessPort;
     if (root["cloud"] && root["cloud"].IsMap()) {
--- a/src/platform/internal/machinecalls.cpp
+++ b/src/platform/internal/machinecalls.cpp
@@ -32,9 +32,9 @@
 std::optional<HostInfo> hostOf(const nlohmann::json &json)
 {
     static constexpr NamedValue<HostState> entries[] = {{HostState::Up, "up"},
-                                                           {HostState::Moving, "moving"},
-                                                           {HostState::Upkeep, "upkeep"},
-                                                           {HostState::Down, "down"}};
+                                                        {HostState::Moving, "moving"},
+                                                        {HostState::Upkeep, "upkeep"},
+                                                        {HostState::Down, "down"}};
     static constexpr NameTable names{entries};
     HostInfo host;
     host.name = detail::textOf(json, "machine");
@@ -55,8 +55,8 @@
     }
     if (const auto *capacity = detail::fieldOf(json, "capacity"); capacity != nullptr) {
         host.capacity = {detail::numberOf(*capacity, "cpu").value_or(0),
-                            detail::numberOf(*capacity, "mem_mb").value_or(0),
-                            detail::numberOf(*capacity, "gpu").value_or(0)};
+                         detail::numberOf(*capacity, "mem_mb").value_or(0),
+                         detail::numberOf(*capacity, "gpu").value_or(0)};
     }
     return host;
 }
@@ -117,10 +117,9 @@
     case 400:
         return HostAnswer::Invalid;
     case 409: {
-        static constexpr NamedValue<HostAnswer> entries[] = {
-                {HostAnswer::Fenced, "fence"},
-                {HostAnswer::Busy, "busy"},
-                {HostAnswer::NotOfWave, "wave"}};
+        static constexpr NamedValue<HostAnswer> entries[] = {{HostAnswer::Fenced, "fence"},
+                                                             {HostAnswer::Busy, "busy"},
+                                                             {HostAnswer::NotOfWave, "wave"}};
         static constexpr NameTable names{entries};
         const auto reason = detail::textOf(detail::parseJson(result.reply->body), "reason");
         return names.value(reason).value_or(HostAnswer::Busy);
--- a/src/platform/internal/targetcalls.cpp
+++ b/src/platform/internal/targetcalls.cpp
@@ -137,8 +137,7 @@
     return id;
 }
 
-std::optional<scheduling::TargetInfo> decodeTarget(const std::string &key,
-                                                   const std::string &value)
+std::optional<scheduling::TargetInfo> decodeTarget(const std::string &key, const std::string &value)
 {
     const auto json = detail::parseJson(value);
     scheduling::TargetInfo target;
@@ -233,8 +232,8 @@
     }
     const auto reason = detail::textOf(detail::parseJson(result.reply->body), "reason");
     static constexpr NamedValue<OrderAnswer> entries[] = {
-            {OrderAnswer::Fenced, "fence"}, {OrderAnswer::Old, "old"},
-            {OrderAnswer::Late, "late"},    {OrderAnswer::NoRoom, "room"},
+            {OrderAnswer::Fenced, "fence"},    {OrderAnswer::Old, "old"},
+            {OrderAnswer::Late, "late"},       {OrderAnswer::NoRoom, "room"},
             {OrderAnswer::NoTicket, "ticket"},
     };
     static constexpr NameTable names{entries};
--- a/src/quota/hostwatch.h
+++ b/src/quota/hostwatch.h
@@ -3,8 +3,8 @@
 // Lock order: m_mutex guards the timer; the table's lock is never taken under it.
 #pragma once
 
-#include "store/hostclient.h"
 #include "quota/quotatable.h"
+#include "store/hostclient.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
--- a/src/quota/quotaagent.h
+++ b/src/quota/quotaagent.h
@@ -5,13 +5,13 @@
 
 #include "global/random.h"
 #include "global/result.h"
-#include "store/hoststatus.h"
-#include "store/storeitem.h"
-#include "store/storewrite.h"
 #include "quota/gonesubject.h"
 #include "quota/holderregistry.h"
 #include "quota/quotaledger.h"
 #include "quota/quotanode.h"
+#include "store/hoststatus.h"
+#include "store/storeitem.h"
+#include "store/storewrite.h"
 
 #include <map>
 #include <optional>
--- a/src/quota/quotatrader.h
+++ b/src/quota/quotatrader.h
@@ -5,8 +5,8 @@
 #include "fleet/fleetdocument.h"
 #include "membership/member.h"
 #include "membership/peerbus.h"
-#include "store/storeclient.h"
 #include "quota/quotatable.h"
+#include "store/storeclient.h"
 
 #include <asio/steady_timer.hpp>
 
--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -108,6 +108,8 @@
                    TimePoint now);
     bool isStandby(const std::string &service) const;
     bool hasDemandEnded(TimePoint now) const;
+    // Hosts that the list shows in the pool, in whatever state.
+    std::size_t hostsIn(const std::string &service) const;
     std::size_t leavingFrom(const std::string &service) const;
     void watchPeak(const std::string &service, const PoolDemand &demand, TimePoint now);
     // Whether the pool keeps enough for its next peak without so many hosts.
--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -61,11 +61,12 @@
     }
     for (auto &info : hosts) {
         auto &host = m_hosts[info.name];
-        const bool isOff = !host.movingTo.empty() && info.pool == host.movingTo
-                           && isStandby(host.movingTo);
+        const bool isOff =
+                !host.movingTo.empty() && info.pool == host.movingTo && isStandby(host.movingTo);
         const bool isBack = info.state == HostState::Up
-                            && (isOff || (!info.target.empty() && info.target != host.targetBefore
-                                          && m_core.target(info.target) != nullptr));
+                            && (isOff
+                                || (!info.target.empty() && info.target != host.targetBefore
+                                    && m_core.target(info.target) != nullptr));
         const bool isOverdue = host.awaySince && info.state == HostState::Up
                                && now - *host.awaySince > m_settings.upkeepTime * lostUpkeeps;
         host.info = std::move(info);
@@ -87,12 +88,11 @@
 
 std::chrono::milliseconds HostKeeper::listInterval() const
 {
-    const bool isBusy =
-            std::any_of(m_waves.begin(), m_waves.end(),
-                        [](const auto &item) { return !item.second.isCompleted; })
-            || std::any_of(m_hosts.begin(), m_hosts.end(), [](const auto &item) {
-                   return item.second.awaySince || item.second.wanted;
-               });
+    const bool isBusy = std::any_of(m_waves.begin(), m_waves.end(),
+                                    [](const auto &item) { return !item.second.isCompleted; })
+                        || std::any_of(m_hosts.begin(), m_hosts.end(), [](const auto &item) {
+                               return item.second.awaySince || item.second.wanted;
+                           });
     return isBusy ? busyList : quietList;
 }
 
@@ -174,8 +174,9 @@
     host.notBefore = now;
     m_core.setLeaving(host.info.target, true);
     const auto *move = std::get_if<MoveOrder>(&*host.wanted);
-    m_listener(host.info.name, move == nullptr ? "emptying for a wave"
-                                               : "to move from " + host.info.pool + " to " + move->pool);
+    m_listener(host.info.name, move == nullptr
+                                       ? "emptying for a wave"
+                                       : "to move from " + host.info.pool + " to " + move->pool);
 }
 
 void HostKeeper::release(Host &host)
@@ -221,15 +222,16 @@
 
 void HostKeeper::answered(const HostOrder &order, HostAnswer answer, TimePoint now)
 {
-    const auto &name = std::visit([](const auto &item) -> const std::string & { return item.host; },
-                                  order);
+    const auto &name =
+            std::visit([](const auto &item) -> const std::string & { return item.host; }, order);
     const auto found = m_hosts.find(name);
     if (found == m_hosts.end()) {
         return;
     }
     auto &host = found->second;
     host.isOrdered = false;
-    host.isUnclear = answer == HostAnswer::Unclear || (host.isUnclear && answer != HostAnswer::Accepted);
+    host.isUnclear =
+            answer == HostAnswer::Unclear || (host.isUnclear && answer != HostAnswer::Accepted);
     host.notBefore = now + orderRetry;
     const auto *upkeep = std::get_if<UpkeepOrder>(&order);
     switch (answer) {
--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -52,9 +52,8 @@
 
 bool HostKeeper::isStandby(const std::string &service) const
 {
-    return std::any_of(m_rules.services.begin(), m_rules.services.end(), [&](const auto &rule) {
-        return rule.name == service && rule.isStandby;
-    });
+    return std::any_of(m_rules.services.begin(), m_rules.services.end(),
+                       [&](const auto &rule) { return rule.name == service && rule.isStandby; });
 }
 
 std::size_t HostKeeper::comingTo(const std::string &service) const
@@ -88,11 +87,10 @@
     // After a time without demand pools first grow to what they began with.
     if (!hasDemandEnded(now)) {
         for (const auto &[service, base] : m_bases) {
-            const auto demand = demands.find(service);
-            if (isStandby(service) || demand == demands.end()) {
+            if (isStandby(service)) {
                 continue;
             }
-            for (auto have = demand->second.targets + comingTo(service); have < base; ++have) {
+            for (auto have = hostsIn(service) + comingTo(service); have < base; ++have) {
                 auto *donor = donorFor(service, demands, now);
                 if (donor == nullptr || !isStandby(donor->info.pool)) {
                     break;
@@ -111,8 +109,7 @@
                 continue;
             }
             const auto coming = comingTo(rule.name);
-            const double time =
-                    clearTime(demand->second, static_cast<double>(coming) * cores);
+            const double time = clearTime(demand->second, static_cast<double>(coming) * cores);
             if (time > longest && coming < mostComing) {
                 longest = time;
                 pressed = &rule.name;
@@ -127,6 +124,15 @@
     planReturns(demands, now);
 }
 
+std::size_t HostKeeper::hostsIn(const std::string &service) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &item) {
+                const auto &host = item.second;
+                return host.info.pool == service && (!host.awaySince || host.movingTo.empty());
+            }));
+}
+
 std::size_t HostKeeper::leavingFrom(const std::string &service) const
 {
     return static_cast<std::size_t>(
@@ -145,8 +151,8 @@
     }
     peak.cores *= std::exp2(-toSeconds(now - peak.updated) / toSeconds(peakHalfLife));
     peak.updated = now;
-    peak.cores = std::max(peak.cores, demand.used - demand.lasting
-                                              + demand.waitingWork / peakClearSeconds);
+    peak.cores = std::max(peak.cores,
+                          demand.used - demand.lasting + demand.waitingWork / peakClearSeconds);
 }
 
 bool HostKeeper::hasDemandEnded(TimePoint now) const
@@ -231,8 +237,8 @@
             const bool isIdle = host.idleSince && now - *host.idleSince >= idleBeforeReturn
                                 && host.info.pool == service && !host.wanted
                                 && !m_unfit.contains({name, standby->name});
-            if (!isIdle || !canSpare(service, demand, leavingFrom(service) + 1,
-                                     coresOf(host.info), now)) {
+            if (!isIdle
+                || !canSpare(service, demand, leavingFrom(service) + 1, coresOf(host.info), now)) {
                 continue;
             }
             empty(host, MoveOrder{name, standby->name}, now);
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -1,8 +1,8 @@
 // Jobs and their steps: what arrives, what opens, what ends.
 #include "scheduling/ownercore.h"
 
-#include "scheduling/internal/ownerstate.h"
 #include "scheduling/internal/jobchain.h"
+#include "scheduling/internal/ownerstate.h"
 
 #include <algorithm>
 #include <utility>
@@ -55,8 +55,7 @@
 }
 
 void OwnerCore::jobArrived(JobSubmission submission, JobProgress progress, std::uint64_t revision,
-                           std::uint64_t submittedAt, bool isNew, TimePoint now,
-                           WallTime wallNow)
+                           std::uint64_t submittedAt, bool isNew, TimePoint now, WallTime wallNow)
 {
     if (m_jobs.contains(submission.id) || isFinal(progress.phase)) {
         return;
@@ -149,25 +148,24 @@
     const auto &spec = job.submission.spec;
     OccurrenceState occurrence;
     occurrence.number = number;
-    const auto due = spec.isTimed() ? spec.firstDue + spec.interval * number
-                                    : job.submission.submitted;
+    const auto due =
+            spec.isTimed() ? spec.firstDue + spec.interval * number : job.submission.submitted;
     // The time of day may be off; more than a minute back is not believed.
     const auto age = std::clamp<WallTime::duration>(wallNow - due, {}, std::chrono::minutes(1));
     const auto *queue = queueRule(job.submission.queue);
     const double slack = queue == nullptr ? 1 : queue->slackFactor;
-    occurrence.objective = now - age
-                           + std::chrono::duration_cast<Duration>(
-                                   std::chrono::duration<double, std::milli>(
-                                           slack * detail::chainMilliseconds(spec)))
-                           + (queue == nullptr ? Duration{} : Duration{queue->targetLatency});
+    occurrence.objective =
+            now - age
+            + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
+                    slack * detail::chainMilliseconds(spec)))
+            + (queue == nullptr ? Duration{} : Duration{queue->targetLatency});
     occurrence.steps.resize(spec.steps.size());
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
         auto &step = occurrence.steps[index];
         step.spec = &spec.steps[index];
         step.tasks.resize(step.spec->count);
         step.waiting = step.spec->count;
-        const auto stored =
-                job.loaded.steps.find({number, static_cast<std::uint32_t>(index)});
+        const auto stored = job.loaded.steps.find({number, static_cast<std::uint32_t>(index)});
         if (stored == job.loaded.steps.end()) {
             continue;
         }
@@ -347,7 +345,8 @@
         // One more failure after the pause is enough to avoid it again.
         target.failuresInRow = suspiciousFailures - 1;
         target.lastFailedJob = 0;
-        tell(Decision::Kind::TargetAvoided, TaskRef{job}, 0, target.info.id, "fails what it starts");
+        tell(Decision::Kind::TargetAvoided, TaskRef{job}, 0, target.info.id,
+             "fails what it starts");
     }
 }
 
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -196,8 +196,7 @@
 {
     return target.isListed && target.isAdopted && target.isRecorded && !target.isLeaving
            && !target.info.isDraining && target.failedCalls < failedCallsBeforeRest
-           && target.strangers == 0
-           && target.avoidedUntil <= now;
+           && target.strangers == 0 && target.avoidedUntil <= now;
 }
 
 // A target whose runs this owner has not heard of may run any task of its service.
@@ -243,9 +242,9 @@
                 } else {
                     item.band = 2;
                     item.due = occurrence.objective;
-                    item.isBehind = job->isExcess
-                                    || now + Duration{step.spec->estimate} / 2
-                                               > occurrence.objective;
+                    item.isBehind =
+                            job->isExcess
+                            || now + Duration{step.spec->estimate} / 2 > occurrence.objective;
                 }
                 open.push_back(item);
             }
@@ -361,17 +360,17 @@
             continue;
         }
         if (spec.mostPerTarget > 0) {
-            const auto here = std::count_if(
-                    open.step->tasks.begin(), open.step->tasks.end(),
-                    [&](const auto &other) { return other.target == target; });
+            const auto here =
+                    std::count_if(open.step->tasks.begin(), open.step->tasks.end(),
+                                  [&](const auto &other) { return other.target == target; });
             if (static_cast<std::uint32_t>(here) >= spec.mostPerTarget) {
                 continue;
             }
         }
         const auto free = target->info.capacity - target->used;
-        const double freeShare = static_cast<double>(free.processors)
-                                 / static_cast<double>(std::max<std::int64_t>(
-                                         target->info.capacity.processors, 1));
+        const double freeShare =
+                static_cast<double>(free.processors)
+                / static_cast<double>(std::max<std::int64_t>(target->info.capacity.processors, 1));
         // Lower is better: tight, so that whole targets stay free for large tasks and other pools.
         double score = freeShare;
         if (spec.lasts) {
@@ -522,8 +521,8 @@
         for (std::uint32_t index = 0; index < step.spec->count; ++index) {
             step.tasks[index].starts = starts + 1;
             step.tasks[index].checkpoint = checkpoint;
-            start(open, index, *places[index],
-                  (m_settings.term - 1) * attemptsPerTerm + starts + 1, now);
+            start(open, index, *places[index], (m_settings.term - 1) * attemptsPerTerm + starts + 1,
+                  now);
         }
         return;
     }
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -145,8 +145,8 @@
         dropRun(target, task);
         JobState *job = nullptr;
         StepState *step = nullptr;
-        if (auto *state = findTask(task, &job, &step); state != nullptr
-                                                       && state->target == &target) {
+        if (auto *state = findTask(task, &job, &step);
+            state != nullptr && state->target == &target) {
             release(*job, *step, *state, now);
         }
     }
@@ -177,8 +177,7 @@
     if (!target.clock || !target.isAdopted) {
         // An earlier owner may have given the longest lease just before this one took over.
         const auto since = std::max(m_began, target.lastOrderAt);
-        return toSeconds(now - since) * slowestClock
-               > toSeconds(m_settings.longestLease + margin);
+        return toSeconds(now - since) * slowestClock > toSeconds(m_settings.longestLease + margin);
     }
     const auto clockNow = *target.clock
                           + std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -274,7 +273,9 @@
 void OwnerCore::takeEnd(TargetState &target, const EndRow &end, TimePoint now)
 {
     tell(Decision::Kind::Ended, end.task, end.attempt, target.info.id,
-         end.how == RunEnd::Done ? "done" : end.how == RunEnd::Failed ? "failed" : "cut short");
+         end.how == RunEnd::Done     ? "done"
+         : end.how == RunEnd::Failed ? "failed"
+                                     : "cut short");
     const auto run = target.runs.find(end.task);
     const bool isCurrent = run != target.runs.end() && run->second.attempt == end.attempt;
     const auto ranFor = isCurrent ? now - run->second.orderedAt : Duration{};
@@ -473,8 +474,8 @@
         dropRun(target, task);
         JobState *job = nullptr;
         StepState *step = nullptr;
-        if (auto *state = findTask(task, &job, &step); state != nullptr
-                                                       && state->target == &target) {
+        if (auto *state = findTask(task, &job, &step);
+            state != nullptr && state->target == &target) {
             release(*job, *step, *state, now);
         }
     }
@@ -594,9 +595,9 @@
         return load;
     }
     load.runs = target->runs.size();
-    load.usedShare = static_cast<double>(target->used.processors)
-                     / static_cast<double>(
-                             std::max<std::int64_t>(target->info.capacity.processors, 1));
+    load.usedShare =
+            static_cast<double>(target->used.processors)
+            / static_cast<double>(std::max<std::int64_t>(target->info.capacity.processors, 1));
     for (const auto &[task, run] : target->runs) {
         if (!run.lasts) {
             continue;
@@ -654,10 +655,10 @@
             for (const auto &step : occurrence.steps) {
                 if (step.spec->lasts) {
                     demand.lastingWaiting +=
-                            step.spec->fills ? 0
-                                             : milli * step.waiting
-                                                       * static_cast<double>(
-                                                               step.spec->need.processors);
+                            step.spec->fills
+                                    ? 0
+                                    : milli * step.waiting
+                                              * static_cast<double>(step.spec->need.processors);
                 } else if (occurrence.objective > now) {
                     demand.waitingWork += milli * milli * ratio * step.waiting
                                           * static_cast<double>(step.spec->need.processors)
--- a/src/scheduling/jobrecord.h
+++ b/src/scheduling/jobrecord.h
@@ -31,8 +31,8 @@
 {
     // Numbers of the tasks that ended as done.
     std::vector<std::uint32_t> done;
-    // Attempts that ended as failed, by task: numbers, not a count, since a target lists an end again
-    // until it knows that it was recorded. A gang's failures are those of its task 0.
+    // Attempts that ended as failed, by task: numbers, not a count, since a target lists an end
+    // again until it knows that it was recorded. A gang's failures are those of its task 0.
     std::map<std::uint32_t, std::vector<std::uint32_t>> failedAttempts;
     // The newest checkpoint of tasks that are not done.
     std::map<std::uint32_t, std::string> checkpoints;
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -93,7 +93,8 @@
 // What a service's pool has to do and to do it with.
 struct PoolDemand
 {
-    // Core-seconds of short tasks that have not begun, later steps of jobs that have arrived included.
+    // Core-seconds of short tasks that have not begun, later steps of jobs that have arrived
+    // included.
     double waitingWork = 0;
     // Cores of targets that take work, and of what lasts there.
     double processors = 0;
@@ -196,8 +197,8 @@
     void openSteps(OccurrenceState &occurrence, TimePoint now);
     StepState *findStep(const TaskRef &task, JobState **job, OccurrenceState **occurrence);
     TaskState *findTask(const TaskRef &task, JobState **job = nullptr, StepState **step = nullptr);
-    void markDone(JobState &job, OccurrenceState &occurrence, StepState &step,
-                  std::uint32_t index, TimePoint now);
+    void markDone(JobState &job, OccurrenceState &occurrence, StepState &step, std::uint32_t index,
+                  TimePoint now);
     void finishJob(JobState &job, JobPhase phase, TimePoint now);
     void makeDirty(JobState &job, bool isUrgent, TimePoint now);
     void release(JobState &job, StepState &step, TaskState &task, TimePoint now);
--- a/src/scheduling/tests/ownercore_tests.cpp
+++ b/src/scheduling/tests/ownercore_tests.cpp
@@ -13,9 +13,10 @@
     const auto starts = world.startAll();
     ASSERT_EQ(starts.size(), 3U);
     EXPECT_TRUE(world.planned<StartOrder>().empty());
-    world.report("t1", {}, {OwnerWorld::end(1, starts[0], RunEnd::Done),
-                            OwnerWorld::end(2, starts[1], RunEnd::Done),
-                            OwnerWorld::end(3, starts[2], RunEnd::Done)});
+    world.report("t1", {},
+                 {OwnerWorld::end(1, starts[0], RunEnd::Done),
+                  OwnerWorld::end(2, starts[1], RunEnd::Done),
+                  OwnerWorld::end(3, starts[2], RunEnd::Done)});
     const auto flush = world.flush();
     ASSERT_EQ(flush.writes.size(), 1U);
     EXPECT_EQ(flush.writes[0].progress.phase, JobPhase::Completed);
@@ -82,8 +83,9 @@
     earlier.attempt = 1;
     auto again = earlier;
     again.attempt = 2;
-    world.report("t1", {}, {OwnerWorld::end(1, earlier, RunEnd::Failed),
-                            OwnerWorld::end(2, again, RunEnd::Failed)});
+    world.report("t1", {},
+                 {OwnerWorld::end(1, earlier, RunEnd::Failed),
+                  OwnerWorld::end(2, again, RunEnd::Failed)});
     EXPECT_EQ(world.startAll().size(), 1U);
     for (const auto &write : world.flush().writes) {
         EXPECT_NE(write.progress.phase, JobPhase::Failed);
@@ -100,8 +102,7 @@
         const auto starts = world.startAll();
         ASSERT_EQ(starts.size(), 1U);
         EXPECT_EQ(starts[0].attempt, number);
-        world.report(starts[0].targetId, {},
-                     {OwnerWorld::end(number, starts[0], RunEnd::Failed)});
+        world.report(starts[0].targetId, {}, {OwnerWorld::end(number, starts[0], RunEnd::Failed)});
     }
     const auto flush = world.flush();
     ASSERT_EQ(flush.writes.size(), 1U);
@@ -265,8 +266,9 @@
     world.submit(7, {lasting});
     const auto starts = world.startAll();
     ASSERT_EQ(starts.size(), 3U);
-    world.report("t1", {OwnerWorld::running(starts[0], 100), OwnerWorld::running(starts[1], 100),
-                        OwnerWorld::running(starts[2], 100)},
+    world.report("t1",
+                 {OwnerWorld::running(starts[0], 100), OwnerWorld::running(starts[1], 100),
+                  OwnerWorld::running(starts[2], 100)},
                  {});
     world.core.setLeaving("t1", true);
     EXPECT_EQ(world.planned<StopOrder>().size(), 1U);
@@ -295,7 +297,8 @@
     world.submit(7, {serving, filling});
     const auto starts = world.startAll();
     ASSERT_EQ(starts.size(), 2U);
-    auto rows = std::vector{OwnerWorld::running(starts[0], 100), OwnerWorld::running(starts[1], 100)};
+    auto rows =
+            std::vector{OwnerWorld::running(starts[0], 100), OwnerWorld::running(starts[1], 100)};
     const auto served = starts[0].task.step == 0 ? 0U : 1U;
     rows[served].figure = 150;
     world.report("t1", rows, {});
--- a/src/scheduling/tests/ownerworld.h
+++ b/src/scheduling/tests/ownerworld.h
@@ -46,9 +46,8 @@
 {
 public:
     explicit OwnerWorld(std::uint64_t term = 1)
-        : core(OwnerSettings{term}, now, [this](const Decision &decision) {
-            decisions.push_back(decision);
-        })
+        : core(OwnerSettings{term}, now,
+               [this](const Decision &decision) { decisions.push_back(decision); })
     {
         core.setRules(makeRules(), now);
     }
--- a/standins/platform/storemodel.h
+++ b/standins/platform/storemodel.h
@@ -25,7 +25,7 @@
     // the lease does not exist.
     std::optional<store::StoreRevision> write(const store::StoreWrite &write);
     std::optional<store::StoreRevision> remove(const std::string &key,
-                                                  store::StoreRevision expected);
+                                               store::StoreRevision expected);
 
     std::string grantLease(Duration timeToLive, TimePoint now);
     // Returns false when the lease has lapsed; its keys are gone then.
--- a/standins/platform/taskmodel.h
+++ b/standins/platform/taskmodel.h
@@ -43,8 +43,7 @@
     static constexpr double throttledShare = 0.1;
 
     void start(const store::TaskStart &start, TimePoint now);
-    void command(store::TaskCommand command, const std::vector<std::string> &tasks,
-                 TimePoint now);
+    void command(store::TaskCommand command, const std::vector<std::string> &tasks, TimePoint now);
     // Lets time pass: completions, failures, lapses and usage reports.
     void advance(TimePoint now);
     store::TaskListing changes(store::TaskRevision after) const;
--- a/standins/platform/taskserver.cpp
+++ b/standins/platform/taskserver.cpp
@@ -1,9 +1,9 @@
 // Answers the platform's task protocol (docs/platform-protocol.md) from the state machine.
 #include "standins/platform/taskserver.h"
 
-#include "store/base64.h"
 #include "standins/jsonreply.h"
 #include "standins/queryfields.h"
+#include "store/base64.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/jobs/jobinterleavings_tests.cpp
+++ b/tests/jobs/jobinterleavings_tests.cpp
@@ -21,10 +21,10 @@
 namespace cyclamenlatch::jobs {
 namespace {
 
-using store::TaskCommand;
-using store::TaskStart;
 using standins::StoreModel;
 using standins::TaskModel;
+using store::TaskCommand;
+using store::TaskStart;
 
 constexpr std::size_t entryCount = 3;
 constexpr std::chrono::milliseconds lease{3000};
--- a/tests/platform/inprocessplatform.h
+++ b/tests/platform/inprocessplatform.h
@@ -4,8 +4,8 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/workerthreads.h"
-#include "store/storeclient.h"
 #include "standins/platform/platformserver.h"
+#include "store/storeclient.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -65,7 +65,7 @@
     }
 
     Result<store::StoreRevision> write(const std::string &key, const std::string &value,
-                                          store::StoreRevision expected)
+                                       store::StoreRevision expected)
     {
         return await<store::StoreRevision>([&](auto completion) {
             m_client->compareAndSwap({key, value, expected, ""}, completion);
--- a/tests/scenarios/world.cpp
+++ b/tests/scenarios/world.cpp
@@ -655,8 +655,7 @@
     }
 }
 
-store::StoreListing World::storeChanges(const std::string &prefix,
-                                           store::StoreRevision after) const
+store::StoreListing World::storeChanges(const std::string &prefix, store::StoreRevision after) const
 {
     const auto &store = m_oldStore ? *m_oldStore : m_store;
     return store.changes(prefix, after);
--- a/tests/scenarios/world.h
+++ b/tests/scenarios/world.h
@@ -112,7 +112,7 @@
     maintenance::DrainAnswer answerPoll(EntryNode &node, const maintenance::DrainPoll &poll);
     void receiveMaintenance(EntryNode &node, const Envelope &envelope);
     std::unordered_map<WorkerId, store::StoreRevision> quietOf(const EntryNode &node,
-                                                                  const std::string &scope) const;
+                                                               const std::string &scope) const;
     void writeFleetRecord(EntryNode &node, const store::StoreWrite &write);
     void askReboot(EntryNode &node, const maintenance::RebootRequest &request);
     Failure checkTaken(const maintenance::HostRecord &record) const;
@@ -136,8 +136,7 @@
     void readQuota(EntryNode &node);
     void readConfiguration(EntryNode &node, store::StoreRevision after);
     void storeWithdrawn(EntryNode &node, const std::vector<KeyId> &ids);
-    store::StoreListing storeChanges(const std::string &prefix,
-                                        store::StoreRevision after) const;
+    store::StoreListing storeChanges(const std::string &prefix, store::StoreRevision after) const;
     bool storeReachable(const EntryNode &node) const;
 
     void start(Slot &slot);
--- a/tests/scenarios/worldfleet.cpp
+++ b/tests/scenarios/worldfleet.cpp
@@ -108,7 +108,7 @@
     found.assignment.home = worker->pool;
     found.assignment.setBy = "operator";
     const store::StoreWrite write{capacity::assignmentKey(step.worker),
-                                     writeAssignment(found.assignment), found.revision, ""};
+                                  writeAssignment(found.assignment), found.revision, ""};
     callStore(
             *slot->node,
             [this, write] {
@@ -372,7 +372,7 @@
 }
 
 std::unordered_map<WorkerId, store::StoreRevision> World::quietOf(const EntryNode &node,
-                                                                     const std::string &scope) const
+                                                                  const std::string &scope) const
 {
     const auto collector = node.keeper.collectors.find(scope);
     if (collector == node.keeper.collectors.end()) {
