--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -91,6 +91,13 @@
         std::optional<TimePoint> awaySince;
         // Its target when the order was accepted: its end is not its return.
         std::string targetBefore;
+        // The list has shown that the order took it down. An answer alone does not tell: the same
+        // order may have been carried out long before, for an earlier owner.
+        bool isEndSeen = false;
+        // Its target when it was chosen for the order that is wanted. An order without an answer
+        // may have been carried out: then a later answer says nothing of the target that came
+        // after.
+        std::string wantedTarget;
         // Wave of the upkeep that it is down for.
         std::uint64_t downFor = 0;
         // Nothing has run there since.
@@ -99,6 +106,7 @@
         std::string movingTo;
     };
 
+    void takeAway(Host &host, TimePoint now);
     void planWaves(TimePoint now);
     void planWave(Wave &wave, TimePoint now);
     void orderIfEmpty(Host &host, TimePoint now, std::vector<HostOrder> &orders);
--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -22,6 +22,8 @@
 constexpr double usableShare = 0.85;
 // An upkeep that the platform does not list is over after this many times its usual time.
 constexpr int lostUpkeeps = 10;
+// The list may lag behind an order by this much.
+constexpr std::chrono::milliseconds listLag{2000};
 // Beyond the time in which holders may not take turns, for what was on its way.
 constexpr std::chrono::milliseconds holderMargin{150};
 
@@ -61,20 +63,10 @@
     }
     for (auto &info : hosts) {
         auto &host = m_hosts[info.name];
-        const bool isOff =
-                !host.movingTo.empty() && info.pool == host.movingTo && isStandby(host.movingTo);
-        const bool isBack = info.state == HostState::Up
-                            && (isOff
-                                || (!info.target.empty() && info.target != host.targetBefore
-                                    && m_core.target(info.target) != nullptr));
-        const bool isOverdue = host.awaySince && info.state == HostState::Up
-                               && now - *host.awaySince > m_settings.upkeepTime * lostUpkeeps;
         host.info = std::move(info);
         host.isListed = true;
-        if (host.awaySince && (isBack || isOverdue)) {
-            host.awaySince.reset();
-            host.downFor = 0;
-            host.movingTo.clear();
+        if (host.awaySince) {
+            takeAway(host, now);
         }
     }
     std::erase_if(m_hosts, [](const auto &item) { return !item.second.isListed; });
@@ -86,6 +78,36 @@
     }
 }
 
+// Follows a host that an accepted order has taken away, or not.
+void HostKeeper::takeAway(Host &host, TimePoint now)
+{
+    const auto &info = host.info;
+    const auto away = now - *host.awaySince;
+    const bool isUp = info.state == HostState::Up;
+    if (!host.isEndSeen && (!isUp || info.target != host.targetBefore)) {
+        host.isEndSeen = true;
+        m_core.targetTakenDown(host.targetBefore, now);
+    }
+    const bool isOff =
+            !host.movingTo.empty() && info.pool == host.movingTo && isStandby(host.movingTo);
+    const bool isBack = isUp
+                        && (isOff
+                            || (!info.target.empty() && info.target != host.targetBefore
+                                && m_core.target(info.target) != nullptr));
+    const bool wasDoneBefore = !host.isEndSeen && away > listLag;
+    const bool isOverdue = isUp && away > m_settings.upkeepTime * lostUpkeeps;
+    if (!isBack && !wasDoneBefore && !isOverdue) {
+        return;
+    }
+    if (wasDoneBefore) {
+        m_listener(info.name, "was done before");
+        m_core.setLeaving(host.targetBefore, false);
+    }
+    host.awaySince.reset();
+    host.downFor = 0;
+    host.movingTo.clear();
+}
+
 std::chrono::milliseconds HostKeeper::listInterval() const
 {
     const bool isBusy = std::any_of(m_waves.begin(), m_waves.end(),
@@ -170,6 +192,7 @@
 void HostKeeper::empty(Host &host, HostOrder order, TimePoint now)
 {
     host.wanted = std::move(order);
+    host.wantedTarget = host.info.target;
     host.emptyingSince = now;
     host.notBefore = now;
     m_core.setLeaving(host.info.target, true);
@@ -184,7 +207,7 @@
     host.wanted.reset();
     host.isOrdered = false;
     host.isUnclear = false;
-    m_core.setLeaving(host.info.target, false);
+    m_core.setLeaving(host.wantedTarget, false);
 }
 
 std::chrono::milliseconds HostKeeper::emptyingTime(const Host &host) const
@@ -210,7 +233,7 @@
     if (!host.wanted || host.isOrdered || now < host.notBefore) {
         return;
     }
-    const auto load = m_core.load(host.info.target);
+    const auto load = m_core.load(host.wantedTarget);
     const bool isDue = now - host.emptyingSince > emptyingTime(host);
     if (load.runs > 0 && (!isDue || load.lasting > 0) && !host.isUnclear) {
         return;
@@ -237,8 +260,8 @@
     switch (answer) {
     case HostAnswer::Accepted:
         m_listener(name, upkeep != nullptr ? "down" : "moving");
-        m_core.targetTakenDown(host.info.target, now);
-        host.targetBefore = host.info.target;
+        host.targetBefore = host.wantedTarget;
+        host.isEndSeen = false;
         host.awaySince = now;
         host.wanted.reset();
         if (const auto *move = std::get_if<MoveOrder>(&order)) {
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -62,6 +62,7 @@
     }
     auto job = std::make_unique<JobState>();
     job->submission = std::move(submission);
+    job->chains = detail::chainsFromSteps(job->submission.spec);
     job->phase = progress.phase;
     job->hasWaitingMark = progress.phase == JobPhase::Queued;
     job->loaded = std::move(progress);
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -62,6 +62,7 @@
         }
     }
     planTargets(now);
+    planPledged(now);
     planStarts(now);
     return std::exchange(m_orders, {});
 }
@@ -228,6 +229,7 @@
             continue;
         }
         const auto *queue = queueRule(job->submission.queue);
+        const double ratio = runTimeRatio(job->submission.queue);
         for (auto &[number, occurrence] : job->occurrences) {
             for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
                 auto &step = occurrence.steps[index];
@@ -241,10 +243,11 @@
                     item.due = job->arrived;
                 } else {
                     item.band = 2;
-                    item.due = occurrence.objective;
-                    item.isBehind =
-                            job->isExcess
-                            || now + Duration{step.spec->estimate} / 2 > occurrence.objective;
+                    // By the latest start that still meets the objective.
+                    const auto rest = std::chrono::duration_cast<Duration>(
+                            std::chrono::duration<double, std::milli>(ratio * job->chains[index]));
+                    item.due = occurrence.objective - rest;
+                    item.isBehind = job->isExcess || now > item.due;
                 }
                 open.push_back(item);
             }
@@ -317,9 +320,6 @@
             return;
         }
         auto *target = choose(open, task, ref, pool, now);
-        if (target != nullptr && !open.job->isBegunStored) {
-            return begin(*open.job, now);
-        }
         if (target != nullptr) {
             start(open, index, *target, (m_settings.term - 1) * attemptsPerTerm + ++task.starts,
                   now);
@@ -510,9 +510,6 @@
         if (places.size() != step.spec->count) {
             continue;
         }
-        if (!open.job->isBegunStored) {
-            return begin(*open.job, now);
-        }
         std::uint32_t starts = 0;
         for (const auto &task : step.tasks) {
             starts = std::max(starts, task.starts);
@@ -528,15 +525,6 @@
     }
 }
 
-// Its first tasks are started once this is stored.
-void OwnerCore::begin(JobState &job, TimePoint now)
-{
-    if (job.phase == JobPhase::Queued) {
-        job.phase = JobPhase::Running;
-        makeDirty(job, true, now);
-    }
-}
-
 void OwnerCore::start(const OpenStep &open, std::uint32_t index, TargetState &target,
                       std::uint32_t attempt, TimePoint now)
 {
@@ -567,16 +555,62 @@
     if (target.reservedFor == ref) {
         target.reservedFor.reset();
     }
+    if (open.job->phase == JobPhase::Queued) {
+        open.job->phase = JobPhase::Running;
+        makeDirty(*open.job, true, now);
+    }
+    if (open.job->isBegunStored) {
+        sendStart(target, ref, target.runs.at(ref), now);
+    }
+}
+
+void OwnerCore::sendStart(TargetState &target, const TaskRef &ref, RunState &run, TimePoint now)
+{
+    run.phase = RunPhase::Starting;
+    run.orderedAt = now;
+    run.progressAt = now;
+    run.paceOrderedAt = now;
     StartOrder order;
     order.targetId = target.info.id;
     order.task = ref;
-    order.attempt = attempt;
+    order.attempt = run.attempt;
     order.leaseUntil = leaseFrom(target, now);
-    order.checkpoint = task.checkpoint;
+    if (const auto *task = findTask(ref); task != nullptr) {
+        order.checkpoint = task->checkpoint;
+    }
     target.leaseUntil = std::max(target.leaseUntil, order.leaseUntil);
     target.lastOrderAt = now;
     m_orders.emplace_back(std::move(order));
-    tell(Decision::Kind::Started, ref, attempt, target.info.id);
+    tell(Decision::Kind::Started, ref, run.attempt, target.info.id);
+}
+
+// Sends the starts of jobs that are now stored as begun.
+void OwnerCore::planPledged(TimePoint now)
+{
+    for (const auto id : std::exchange(m_begun, {})) {
+        const auto job = m_jobs.find(id);
+        for (auto &[targetId, target] : m_targets) {
+            std::vector<TaskRef> dropped;
+            for (auto &[task, run] : target->runs) {
+                if (task.job != id || run.phase != RunPhase::Pledged) {
+                    continue;
+                }
+                if (job != m_jobs.end() && !isFinal(job->second->phase) && isUsable(*target, now)) {
+                    sendStart(*target, task, run, now);
+                } else {
+                    dropped.push_back(task);
+                }
+            }
+            for (const auto &task : dropped) {
+                dropRun(*target, task);
+                JobState *owner = nullptr;
+                StepState *step = nullptr;
+                if (auto *state = findTask(task, &owner, &step); state != nullptr) {
+                    release(*owner, *step, *state, now);
+                }
+            }
+        }
+    }
 }
 
 } // namespace cyclamenlatch::scheduling
--- a/src/scheduling/internal/ownerrecords.cpp
+++ b/src/scheduling/internal/ownerrecords.cpp
@@ -123,7 +123,10 @@
     }
     auto &job = *found->second;
     job.revision = *revision;
-    job.isBegunStored = job.isBegunStored || job.isBeginning;
+    if (!job.isBegunStored && job.isBeginning) {
+        job.isBegunStored = true;
+        m_begun.push_back(id);
+    }
     job.hasWaitingMark = job.hasWaitingMark && !job.isMarkLeaving;
     if (isFinal(job.phase) && !job.isDirty) {
         m_jobs.erase(found);
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -154,10 +154,10 @@
 
 void OwnerCore::stopRun(TargetState &target, const TaskRef &task, RunState &run, TimePoint now)
 {
-    if (run.phase != RunPhase::Starting && run.phase != RunPhase::Running) {
+    if (run.phase == RunPhase::Stopping || run.phase == RunPhase::Unclear) {
         return;
     }
-    run.phase = run.phase == RunPhase::Starting ? RunPhase::Unclear : RunPhase::Stopping;
+    run.phase = run.phase == RunPhase::Running ? RunPhase::Stopping : RunPhase::Unclear;
     if (auto *state = findTask(task); state != nullptr && state->target == &target) {
         state->isAtWork = false;
     }
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -63,6 +63,8 @@
 struct JobState
 {
     JobSubmission submission;
+    // Milliseconds from each step's start to the job's end, by the caller's guesses.
+    std::vector<double> chains;
     JobPhase phase = JobPhase::Queued;
     // Those that are due and not done.
     std::map<std::uint32_t, OccurrenceState> occurrences;
@@ -96,6 +98,8 @@
 };
 
 enum class RunPhase : std::uint8_t {
+    // Its room is taken; the start is sent once the job is stored as begun.
+    Pledged,
     // The start has been sent.
     Starting,
     Running,
@@ -107,7 +111,7 @@
 
 struct RunState
 {
-    RunPhase phase = RunPhase::Starting;
+    RunPhase phase = RunPhase::Pledged;
     std::uint32_t attempt = 0;
     Room room;
     std::string workspace;
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -237,7 +237,8 @@
                  const std::vector<TargetState *> &pool, TimePoint now);
     void start(const OpenStep &open, std::uint32_t index, TargetState &target,
                std::uint32_t attempt, TimePoint now);
-    void begin(JobState &job, TimePoint now);
+    void sendStart(TargetState &target, const TaskRef &ref, RunState &run, TimePoint now);
+    void planPledged(TimePoint now);
     bool isUsable(const TargetState &target, TimePoint now) const;
     bool mayUse(const std::string &workspace, const Room &need) const;
     bool isUncertain(const std::string &service, TimePoint now) const;
@@ -273,6 +274,8 @@
     std::vector<JobNumber> m_dirty;
     TimePoint m_dirtySince{};
     std::optional<TimePoint> m_urgentSince;
+    // Jobs that have just been stored as begun.
+    std::vector<JobNumber> m_begun;
     // Ends that no stored record has to follow, such as those of lapsed runs, and since when.
     std::optional<TimePoint> m_uncoveredSince;
 };
--- /dev/null
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -0,0 +1,158 @@
+// Waves and moves, each rule by itself.
+#include "scheduling/hostkeeper.h"
+#include "scheduling/tests/ownerworld.h"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenlatch::scheduling::tests {
+
+namespace {
+
+class HostWorld
+{
+public:
+    HostWorld()
+        : keeper({}, world.core, world.now, true, [](const auto &, const auto &) {})
+    {
+        auto rules = makeRules();
+        rules.services.push_back({"off", false, true});
+        keeper.setRules(rules);
+    }
+
+    void add(const std::string &name, const std::string &pool = "pool")
+    {
+        HostInfo host;
+        host.name = name;
+        host.pool = pool;
+        host.state = HostState::Up;
+        host.capacity = Room{16000, 64000, 0};
+        if (pool == "pool") {
+            host.target = "t-" + name;
+            world.join(host.target);
+        }
+        hosts.push_back(host);
+    }
+
+    HostInfo &host(const std::string &name)
+    {
+        return *std::find_if(hosts.begin(), hosts.end(),
+                             [&](const auto &host) { return host.name == name; });
+    }
+
+    std::vector<HostOrder> plan()
+    {
+        keeper.hostsListed(hosts, world.now);
+        return keeper.plan(world.now);
+    }
+
+    OwnerWorld world;
+    std::vector<HostInfo> hosts;
+    HostKeeper keeper;
+};
+
+} // namespace
+
+TEST(HostKeeper, takesNoMoreHostsDownThanAWaveAllows)
+{
+    HostWorld hosts;
+    for (const char *name : {"a", "b", "c", "d"}) {
+        hosts.add(name);
+    }
+    hosts.keeper.waveAsked({1, {"a", "b", "c", "d"}, 10s, 2}, {}, false, hosts.world.now);
+    const auto orders = hosts.plan();
+    ASSERT_EQ(orders.size(), 2U);
+    for (const auto &order : orders) {
+        hosts.keeper.answered(order, HostAnswer::Accepted, hosts.world.now);
+    }
+    EXPECT_TRUE(hosts.plan().empty());
+}
+
+TEST(HostKeeper, saysThatAWaveIsCompletedOnlyAfterEveryUpkeepWasAccepted)
+{
+    HostWorld hosts;
+    hosts.add("a");
+    hosts.keeper.waveAsked({1, {"a"}, 10s, 1}, {}, false, hosts.world.now);
+    const auto orders = hosts.plan();
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_FALSE(hosts.keeper.changedWave()->isCompleted);
+    hosts.keeper.answered(orders[0], HostAnswer::Unclear, hosts.world.now);
+    hosts.plan();
+    EXPECT_FALSE(hosts.keeper.changedWave().has_value());
+    hosts.keeper.answered(orders[0], HostAnswer::Accepted, hosts.world.now);
+    hosts.plan();
+    EXPECT_TRUE(hosts.keeper.changedWave()->isCompleted);
+}
+
+// TWICE on a drawn day: an upkeep that an earlier owner had ordered was accepted as done, and tasks
+// on the host's next target were started elsewhere while they ran on.
+TEST(HostKeeper, keepsTheRunsOfATargetThatAnAcceptedOrderDidNotTakeDown)
+{
+    HostWorld hosts;
+    hosts.add("a");
+    hosts.world.submit(7, {makeStep(1)});
+    ASSERT_EQ(hosts.world.startAll().size(), 1U);
+    hosts.keeper.waveAsked({1, {"a"}, 2s, 1}, {}, false, hosts.world.now);
+    hosts.plan();
+    hosts.world.advance(8s);
+    hosts.world.core.holdOrder("t-a", hosts.world.now);
+    hosts.world.report("t-a", {}, {});
+    const auto orders = hosts.plan();
+    hosts.world.join("t2");
+    for (const auto &order : orders) {
+        hosts.keeper.answered(order, HostAnswer::Accepted, hosts.world.now);
+    }
+    EXPECT_NE(hosts.world.core.target("t-a"), nullptr);
+    hosts.plan();
+    EXPECT_NE(hosts.world.core.target("t-a"), nullptr);
+    hosts.host("a").state = HostState::Upkeep;
+    hosts.plan();
+    EXPECT_EQ(hosts.world.core.target("t-a"), nullptr);
+}
+
+TEST(HostKeeper, waitsBeforeItOrdersAfterAnEarlierHolder)
+{
+    HostWorld hosts;
+    hosts.add("a");
+    HostKeeper later({}, hosts.world.core, hosts.world.now, false,
+                     [](const auto &, const auto &) {});
+    later.waveAsked({1, {"a"}, 10s, 1}, {}, false, hosts.world.now);
+    later.hostsListed(hosts.hosts, hosts.world.now);
+    EXPECT_TRUE(later.plan(hosts.world.now).empty());
+    hosts.world.advance(4s);
+    EXPECT_EQ(later.plan(hosts.world.now).size(), 1U);
+}
+
+// The load of a pool's turn: four times its mean for some seconds, more than its hosts clear.
+TEST(HostKeeper, bringsHostsThatAreOffToAPoolInItsTurn)
+{
+    HostWorld hosts;
+    for (const char *name : {"a", "b", "c"}) {
+        hosts.add(name);
+    }
+    hosts.add("x", "off");
+    hosts.add("y", "off");
+    EXPECT_TRUE(hosts.plan().empty());
+    for (JobNumber id = 1; id <= 40; ++id) {
+        hosts.world.submit(id, {makeStep(8, 900)});
+    }
+    hosts.world.startAll();
+    const auto orders = hosts.plan();
+    ASSERT_EQ(orders.size(), 2U);
+    EXPECT_EQ(std::get<MoveOrder>(orders[0]).pool, "pool");
+}
+
+TEST(HostKeeper, leavesAPoolTheHostsItBeganWith)
+{
+    HostWorld hosts;
+    for (const char *name : {"a", "b", "c", "d", "e"}) {
+        hosts.add(name);
+    }
+    hosts.add("x", "off");
+    hosts.world.submit(1, {makeStep(1)});
+    for (int second = 0; second < 3; ++second) {
+        EXPECT_TRUE(hosts.plan().empty());
+        hosts.world.advance(1s);
+    }
+}
+
+} // namespace cyclamenlatch::scheduling::tests
--- a/src/scheduling/tests/ownercore_tests.cpp
+++ b/src/scheduling/tests/ownercore_tests.cpp
@@ -219,6 +219,20 @@
     EXPECT_EQ(world.planned<StartOrder>().size(), 1U);
 }
 
+// MIXED on a drawn day: jobs that shared the same free room were all stored as begun.
+TEST(OwnerCore, beginsNoMoreJobsThanHaveRoom)
+{
+    OwnerWorld world;
+    world.join("t1", Room{2000, 64000, 0});
+    for (JobNumber id = 1; id <= 6; ++id) {
+        world.submit(id, {makeStep(1)});
+    }
+    EXPECT_TRUE(world.planned<StartOrder>().empty());
+    EXPECT_TRUE(world.planned<StartOrder>().empty());
+    EXPECT_EQ(world.flush().writes.size(), 2U);
+    EXPECT_EQ(world.planned<StartOrder>().size(), 2U);
+}
+
 TEST(OwnerCore, keepsAWorkspaceWithinItsCapOverAllTargets)
 {
     OwnerWorld world;
