--- a/src/control/frontdoor.h
+++ b/src/control/frontdoor.h
@@ -13,7 +13,6 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -24,7 +23,7 @@
 class FrontDoor
 {
 public:
-    explicit FrontDoor(StoreLink &store);
+    FrontDoor(StoreLink &store, Metrics &metrics);
 
     // Takes a configuration that is newer than the one in force.
     void setRules(scheduling::FleetRules rules);
@@ -35,8 +34,6 @@
 
     void handle(net::HttpRequest request, net::HttpResponder respond);
     std::size_t openRequests() const { return m_openRequests; }
-    // Answers given, by status.
-    const std::map<int, std::uint64_t> &answers() const { return m_answers; }
 
 private:
     // One request on its way to its answer.
@@ -79,12 +76,12 @@
     void remember(scheduling::JobNumber id, scheduling::JobPhase phase);
 
     StoreLink &m_store;
+    Metrics &m_metrics;
     std::optional<scheduling::FleetRules> m_rules;
     // By key, the number of its workspace in the rules.
     std::unordered_map<std::string, std::size_t> m_keys;
     bool m_isLeaving = false;
     std::size_t m_openRequests = 0;
-    std::map<int, std::uint64_t> m_answers;
     // Phases last seen, for answers while the store is away; the oldest are forgotten first.
     std::unordered_map<scheduling::JobNumber, scheduling::JobPhase> m_phases;
     std::deque<scheduling::JobNumber> m_phaseOrder;
--- a/src/control/internal/frontdoor.cpp
+++ b/src/control/internal/frontdoor.cpp
@@ -9,6 +9,8 @@
 #include "platform/callerwire.h"
 #include "platform/targetcalls.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cctype>
 #include <utility>
@@ -43,8 +45,9 @@
 
 } // namespace
 
-FrontDoor::FrontDoor(StoreLink &store)
+FrontDoor::FrontDoor(StoreLink &store, Metrics &metrics)
     : m_store(store)
+    , m_metrics(metrics)
 {}
 
 void FrontDoor::setRules(scheduling::FleetRules rules)
@@ -309,7 +312,9 @@
     }
     reply.body = std::move(body);
     reply.closeConnection = m_isLeaving;
-    ++m_answers[status];
+    m_metrics.count(
+            fmt::format(R"(answers_total{{method="{}",status="{}"}})", visit->method, status));
+    m_metrics.observe("answer_seconds", bootNow() - visit->arrived);
     --m_openRequests;
     visit->respond(std::move(reply));
 }
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -6,6 +6,8 @@
 #include "control/records.h"
 #include "control/storekeys.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -73,12 +75,14 @@
 };
 
 OwnerService::OwnerService(asio::io_context &context, StoreLink &store, net::HttpClient &http,
-                           Ownership &ownership, const platform::EntrySettings &settings)
+                           Ownership &ownership, const platform::EntrySettings &settings,
+                           Metrics &metrics)
     : m_context(context)
     , m_store(store)
     , m_http(http)
     , m_ownership(ownership)
     , m_settings(settings)
+    , m_metrics(metrics)
     , m_tenure(ownership.tenure())
     , m_core(makeSettings(settings, m_tenure), bootNow(),
              [this](const auto &decision) { logDecision(decision); })
@@ -506,6 +510,10 @@
             {Kind::Evacuated, "evacuated"},
     };
     static constexpr NameTable names{entries};
+    m_metrics.count(fmt::format(R"(decisions_total{{what="{}"}})", names.name(decision.kind)));
+    if (decision.waited) {
+        m_metrics.observe("start_wait_seconds", *decision.waited);
+    }
     if (decision.kind == Kind::JobEnded) {
         logEvent(jobEnded, "job={} how={} term={}", platform::jobIdText(decision.task.job),
                  decision.detail, m_tenure.term);
--- a/src/control/internal/platformentry.cpp
+++ b/src/control/internal/platformentry.cpp
@@ -6,6 +6,7 @@
 #include "control/eventlog.h"
 #include "control/frontdoor.h"
 #include "control/keyfollower.h"
+#include "control/metrics.h"
 #include "control/ownerservice.h"
 #include "control/ownership.h"
 #include "control/storelink.h"
@@ -18,6 +19,7 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <map>
 #include <optional>
@@ -54,8 +56,8 @@
         , m_log(m_context, m_settings.name)
         , m_storeHttp(std::make_unique<net::HttpClient>(m_context, storeConnections))
         , m_targetHttp(std::make_unique<net::HttpClient>(m_context, connectionsPerTarget))
-        , m_store(*m_storeHttp, m_settings.storeAddress)
-        , m_frontDoor(m_store)
+        , m_store(*m_storeHttp, m_settings.storeAddress, m_metrics)
+        , m_frontDoor(m_store, m_metrics)
         , m_ownership(
                   m_context, m_store, m_settings.name, [this](const auto &tenure) { gain(tenure); },
                   [this](const auto &reason) { lose(reason); })
@@ -70,6 +72,8 @@
                       [this](const auto &request, const auto &respond) {
                           respond(checkReadiness(request));
                       })
+        , m_metricsServer(m_context, serverSettings(m_settings.metricsPort),
+                          [this](const auto &, const auto &respond) { respond(showMetrics()); })
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_healthTimer(m_context)
     {}
@@ -79,6 +83,9 @@
         std::signal(SIGPIPE, SIG_IGN);
         BOOST_OUTCOME_TRY(m_callers.start());
         BOOST_OUTCOME_TRY(m_readiness.start());
+        if (m_settings.metricsPort != 0) {
+            BOOST_OUTCOME_TRY(m_metricsServer.start());
+        }
         logEvent(controlStarted, "callers={}:{} readiness={} store={}", m_settings.ownAddress,
                  m_settings.callerPort, m_settings.readinessPort, m_settings.storeAddress);
         m_configuration.start();
@@ -114,6 +121,22 @@
         return reply;
     }
 
+    net::HttpReply showMetrics()
+    {
+        m_metrics.set("is_owner", m_ownership.isHeld() ? 1 : 0);
+        m_metrics.set("term", static_cast<double>(m_ownership.tenure().term));
+        m_metrics.set("rules_version", m_frontDoor.hasRules()
+                                               ? static_cast<double>(m_frontDoor.rules()->version)
+                                               : 0);
+        m_metrics.set("open_requests", static_cast<double>(m_frontDoor.openRequests()));
+        m_metrics.set("store_silence_seconds", toSeconds(m_store.silence(bootNow())));
+        m_metrics.set("log_lines_dropped", static_cast<double>(m_log.dropped()));
+        net::HttpReply reply;
+        reply.headers.add("Content-Type", "text/plain; version=0.0.4");
+        reply.body = m_metrics.text();
+        return reply;
+    }
+
     void takeOperator(const std::vector<platform::StoreItem> &items)
     {
         for (const auto &item : items) {
@@ -162,7 +185,7 @@
     void startOwner()
     {
         m_owner = std::make_unique<OwnerService>(m_context, m_store, *m_targetHttp, m_ownership,
-                                                 m_settings);
+                                                 m_settings, m_metrics);
         m_owner->setWaves(m_waves);
         m_owner->start(*m_frontDoor.rules());
     }
@@ -226,8 +249,10 @@
             return m_context.stop();
         }
         m_healthTimer.expires_after(healthInterval);
-        m_healthTimer.async_wait([this](const auto &error) {
+        m_healthTimer.async_wait([this, due = now + healthInterval](const auto &error) {
             if (!error) {
+                m_metrics.observe("event_loop_delay_seconds",
+                                  std::max<Duration>(bootNow() - due, Duration{}));
                 watchHealth();
             }
         });
@@ -239,12 +264,14 @@
     EventLog m_log;
     std::unique_ptr<net::HttpClient> m_storeHttp;
     std::unique_ptr<net::HttpClient> m_targetHttp;
+    Metrics m_metrics;
     StoreLink m_store;
     FrontDoor m_frontDoor;
     Ownership m_ownership;
     KeyFollower m_configuration;
     net::HttpServer m_callers;
     net::HttpServer m_readiness;
+    net::HttpServer m_metricsServer;
     asio::signal_set m_signals;
     asio::steady_timer m_healthTimer;
     // Present while this entry owns the work and has a configuration.
--- a/src/control/internal/storelink.cpp
+++ b/src/control/internal/storelink.cpp
@@ -16,10 +16,30 @@
 // Beyond the time that a watch was asked to wait.
 constexpr std::chrono::milliseconds watchMargin{500};
 
+const char *counterOf(platform::StoreOutcome outcome)
+{
+    switch (outcome) {
+    case platform::StoreOutcome::Done:
+        return R"(store_calls_total{outcome="done"})";
+    case platform::StoreOutcome::Conflict:
+        return R"(store_calls_total{outcome="conflict"})";
+    case platform::StoreOutcome::Missing:
+        return R"(store_calls_total{outcome="missing"})";
+    case platform::StoreOutcome::HistoryGone:
+        return R"(store_calls_total{outcome="history-gone"})";
+    case platform::StoreOutcome::NotDone:
+        return R"(store_calls_total{outcome="not-done"})";
+    case platform::StoreOutcome::Unclear:
+        break;
+    }
+    return R"(store_calls_total{outcome="unclear"})";
+}
+
 } // namespace
 
-StoreLink::StoreLink(net::HttpClient &http, const std::string &address)
+StoreLink::StoreLink(net::HttpClient &http, const std::string &address, Metrics &metrics)
     : m_http(http)
+    , m_metrics(metrics)
     , m_format(address)
     , m_lastAnswer(bootNow())
 {}
@@ -30,20 +50,24 @@
     ++m_calls;
     call.timeout = timeout;
     call.connectTimeout = connectTimeout;
-    m_http.send(std::move(call), [this, isWatch, completion = std::move(completion)](
-                                         const net::HttpCallResult &result) {
-        const auto reply = platform::StoreCalls::judge(result);
-        ++m_outcomes[reply.outcome];
-        const bool isAnswer = reply.outcome != platform::StoreOutcome::NotDone
-                              && reply.outcome != platform::StoreOutcome::Unclear;
-        if (isAnswer) {
-            m_lastAnswer = bootNow();
-            m_isFailing = false;
-        } else if (!isWatch) {
-            m_isFailing = true;
-        }
-        completion(reply);
-    });
+    m_http.send(std::move(call),
+                [this, isWatch, sentAt = bootNow(),
+                 completion = std::move(completion)](const net::HttpCallResult &result) {
+                    const auto reply = platform::StoreCalls::judge(result);
+                    m_metrics.count(counterOf(reply.outcome));
+                    if (!isWatch) {
+                        m_metrics.observe("store_call_seconds", bootNow() - sentAt);
+                    }
+                    const bool isAnswer = reply.outcome != platform::StoreOutcome::NotDone
+                                          && reply.outcome != platform::StoreOutcome::Unclear;
+                    if (isAnswer) {
+                        m_lastAnswer = bootNow();
+                        m_isFailing = false;
+                    } else if (!isWatch) {
+                        m_isFailing = true;
+                    }
+                    completion(reply);
+                });
 }
 
 void StoreLink::probe()
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -30,7 +30,7 @@
 {
 public:
     OwnerService(asio::io_context &context, StoreLink &store, net::HttpClient &http,
-                 Ownership &ownership, const platform::EntrySettings &settings);
+                 Ownership &ownership, const platform::EntrySettings &settings, Metrics &metrics);
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
     OwnerService &operator=(const OwnerService &) = delete;
@@ -93,6 +93,7 @@
     net::HttpClient &m_http;
     Ownership &m_ownership;
     const platform::EntrySettings &m_settings;
+    Metrics &m_metrics;
     const Tenure m_tenure;
     scheduling::OwnerCore m_core;
     HostService m_hosts;
--- a/src/control/storelink.h
+++ b/src/control/storelink.h
@@ -2,6 +2,7 @@
 // of the store's health from how they end. Runs on the context's one thread.
 #pragma once
 
+#include "control/metrics.h"
 #include "global/time.h"
 #include "net/httpclient.h"
 #include "platform/storecalls.h"
@@ -9,7 +10,6 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -21,7 +21,7 @@
     using Completion = std::function<void(const platform::StoreReply &)>;
     using ListCompletion = std::function<void(const platform::StoreReply &)>;
 
-    StoreLink(net::HttpClient &http, const std::string &address);
+    StoreLink(net::HttpClient &http, const std::string &address, Metrics &metrics);
 
     void get(const std::string &key, Completion completion);
     // All pages; the revision is the store's at the first page, so that a watch from there misses
@@ -37,8 +37,6 @@
     // No call has been answered for this long, and one has failed since; zero: it answers.
     Duration silence(TimePoint now) const;
     std::uint64_t calls() const { return m_calls; }
-    // By the name of the outcome.
-    const std::map<platform::StoreOutcome, std::uint64_t> &outcomes() const { return m_outcomes; }
 
 private:
     // A watch that is not answered says little of the store: nothing may have changed.
@@ -50,9 +48,9 @@
                   ListCompletion completion);
 
     net::HttpClient &m_http;
+    Metrics &m_metrics;
     const platform::StoreCalls m_format;
     std::uint64_t m_calls = 0;
-    std::map<platform::StoreOutcome, std::uint64_t> m_outcomes;
     TimePoint m_lastAnswer{};
     // Set from the first failure after an answer.
     bool m_isFailing = false;
--- /dev/null
+++ b/src/control/tests/records_tests.cpp
@@ -0,0 +1,67 @@
+// Records in the store: what is written is read back, and what can't be read is an error.
+#include "control/metrics.h"
+#include "control/records.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace cyclamenlatch::control {
+
+TEST(Records, giveBackASubmission)
+{
+    scheduling::JobSubmission job;
+    job.id = 0x5c0e7a21d94b36f8;
+    job.queue = "q";
+    job.workspace = "w";
+    job.submitted = WallTime(std::chrono::milliseconds(5));
+    job.spec.text = "text";
+    job.spec.steps.resize(2);
+    job.spec.steps[1].after = {0};
+    job.spec.steps[1].tailTarget = std::chrono::milliseconds(80);
+    job.spec.steps[1].dataRack = "r1-3";
+    const auto read = decodeSubmission(encodeSubmission(job));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().id, job.id);
+    EXPECT_EQ(read.value().spec.steps[1].after, job.spec.steps[1].after);
+    EXPECT_EQ(read.value().spec.steps[1].tailTarget, job.spec.steps[1].tailTarget);
+    EXPECT_EQ(read.value().spec.steps[1].dataRack, "r1-3");
+}
+
+TEST(Records, giveBackProgress)
+{
+    rc::check([](const std::vector<std::uint32_t> &done, const std::string &checkpoint) {
+        scheduling::JobProgress progress;
+        progress.phase = scheduling::JobPhase::Running;
+        progress.steps[{1, 2}].done = done;
+        progress.steps[{1, 2}].failedAttempts[4] = {1, 4097};
+        progress.steps[{1, 2}].checkpoints[3] = checkpoint;
+        const auto read = decodeProgress(encodeProgress(progress));
+        RC_ASSERT(static_cast<bool>(read));
+        const auto &step = read.value().steps.at({1, 2});
+        RC_ASSERT(step.done == done);
+        RC_ASSERT(step.checkpoints.at(3) == checkpoint);
+        RC_ASSERT(step.failedAttempts.at(4).size() == 2U);
+    });
+}
+
+TEST(Records, ofOtherBytesAreErrors)
+{
+    EXPECT_FALSE(decodeProgress(""));
+    EXPECT_FALSE(decodeSubmission("x"));
+    const auto whole = encodeIds({"a", "b"});
+    EXPECT_FALSE(decodeIds(whole.substr(0, whole.size() - 1)));
+    rc::check([](const std::string &bytes) { static_cast<void>(decodeSubmission(bytes)); });
+}
+
+TEST(Metrics, countDurationsInEveryBucketAboveThem)
+{
+    Metrics metrics;
+    metrics.observe("wait_seconds", std::chrono::milliseconds(30));
+    metrics.count(R"(answers_total{status="200"})");
+    const auto text = metrics.text();
+    EXPECT_NE(text.find("wait_seconds_bucket{le=\"0.02\"} 0"), std::string::npos);
+    EXPECT_NE(text.find("wait_seconds_bucket{le=\"0.05\"} 1"), std::string::npos);
+    EXPECT_NE(text.find("answers_total{status=\"200\"} 1"), std::string::npos);
+}
+
+} // namespace cyclamenlatch::control
--- a/src/platform/entrysettings.h
+++ b/src/platform/entrysettings.h
@@ -18,6 +18,8 @@
     // Ports on ownAddress where callers and the platform's readiness checks connect.
     std::uint16_t callerPort = 0;
     std::uint16_t readinessPort = 0;
+    // First of the ports that are free for the entry's own use; 0: there is none.
+    std::uint16_t metricsPort = 0;
     // "address:port" of the platform's services; empty where there is none.
     std::string storeAddress;
     std::string machinesAddress;
--- a/src/platform/internal/entrysettings.cpp
+++ b/src/platform/internal/entrysettings.cpp
@@ -103,6 +103,10 @@
                       portOf(addresses["readiness"].as<std::string>(""), "listen_addrs.readiness"));
     settings.callerPort = callerPort;
     settings.readinessPort = readinessPort;
+    if (const auto ports = root["ephemeral_ports"];
+        ports && ports.IsSequence() && ports.size() > 0) {
+        settings.metricsPort = ports[0].as<std::uint16_t>(0);
+    }
     if (root["cloud"] && root["cloud"].IsMap()) {
         take(root["cloud"], "rate_per_s", settings.machineReadsPerSecond);
         take(root["cloud"], "duty_per_s", settings.machineOrdersPerSecond);
--- /dev/null
+++ b/src/platform/tests/codecs_tests.cpp
@@ -0,0 +1,171 @@
+// What the adapter makes of the users' messages, also of malformed ones.
+#include "platform/callerwire.h"
+#include "platform/configwire.h"
+#include "platform/entrysettings.h"
+#include "platform/machinecalls.h"
+#include "platform/storecalls.h"
+#include "platform/targetcalls.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace cyclamenlatch::platform {
+
+namespace {
+
+net::HttpCallResult answered(int status, const std::string &body)
+{
+    net::HttpCallResult result;
+    result.sendState = net::SendState::MaybeSent;
+    result.reply = net::HttpReply{status, {}, body, false};
+    return result;
+}
+
+const char *settingsText = R"(
+node_name: "edge-1"
+ip: "10.1.0.23"
+zone: "north"
+listen_addrs: {frontend: "10.1.0.23:8340", readiness: "10.1.0.23:8343"}
+ephemeral_ports: [7000, 7015]
+commands: "invocation"
+platform: {address: "10.200.1.7:8344"}
+cloud: {address: "10.200.0.82:8344", rate_per_s: 64.0}
+bounds: {grace_s: 6, hold_max_ms: 6000, remote_factor: 1.5, migrate_s: 1.5}
+unheard_of: [1, 2]
+)";
+
+} // namespace
+
+TEST(EntrySettings, areReadFromThePlatformsFile)
+{
+    const auto settings = parseEntrySettings(settingsText);
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings.value().callerPort, 8340);
+    EXPECT_EQ(settings.value().readinessPort, 8343);
+    EXPECT_EQ(settings.value().longestRunLease, std::chrono::milliseconds(6000));
+    EXPECT_EQ(settings.value().moveTime, std::chrono::milliseconds(1500));
+    EXPECT_EQ(settings.value().metricsPort, 7000);
+}
+
+TEST(EntrySettings, sayWhatIsMissingOrNotSupported)
+{
+    EXPECT_FALSE(parseEntrySettings("node_name: x"));
+    EXPECT_FALSE(parseEntrySettings("[1, 2"));
+    std::string heartbeat = settingsText;
+    heartbeat.replace(heartbeat.find("invocation"), 10, "heartbeat");
+    const auto settings = parseEntrySettings(heartbeat);
+    ASSERT_FALSE(settings);
+    EXPECT_NE(settings.error().message.find("heartbeat"), std::string::npos);
+}
+
+TEST(Jobs, areDecodedWithDefaultsForWhatIsLeftOut)
+{
+    const auto job = decodeJob(
+            R"({"spec":"text","phases":[{"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900},)"
+            R"({"count":2,"after":[0],"long_running":true,"target_ms":80,"may_skip":1}]})");
+    ASSERT_TRUE(job);
+    ASSERT_EQ(job.value().steps.size(), 2U);
+    EXPECT_EQ(job.value().steps[0].need.processors, 500);
+    EXPECT_FALSE(job.value().steps[0].lasts);
+    EXPECT_TRUE(job.value().steps[1].serves());
+    EXPECT_EQ(job.value().steps[1].after, std::vector<std::uint32_t>{0});
+}
+
+TEST(Jobs, withMistakesAreRefusedWithTheMistake)
+{
+    for (const char *body :
+         {"", "[]", "{}", R"({"phases":[]})", R"({"phases":[{"count":0}]})",
+          R"({"phases":[{"count":-1}]})", R"({"phases":[{"count":1e99}]})",
+          R"({"phases":[{"count":1,"after":[0]}]})", R"({"phases":[{"count":1,"cpu":"many"}]})",
+          R"({"spec":5,"phases":[{"count":1}]})",
+          R"({"repeat_count":-2,"phases":[{"count":1}]})"}) {
+        const auto job = decodeJob(body);
+        ASSERT_FALSE(job) << body;
+        EXPECT_FALSE(job.error().remedy.empty());
+    }
+}
+
+TEST(Jobs, ofAnyBytesNeverEndTheProcess)
+{
+    rc::check([](const std::string &bytes) {
+        static_cast<void>(decodeJob(bytes));
+        static_cast<void>(decodeRules(bytes));
+        static_cast<void>(decodeWave(bytes));
+        static_cast<void>(decodeTarget("servers/i-1", bytes));
+        static_cast<void>(judgeHold(answered(200, bytes)));
+        static_cast<void>(MachineCalls::judgeList(answered(200, bytes)));
+        static_cast<void>(StoreCalls::judge(answered(200, bytes)));
+        static_cast<void>(parseEntrySettings(bytes));
+    });
+}
+
+TEST(Targets, ofOtherWritersNameNoTarget)
+{
+    const std::string good =
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",)"
+            R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"born":5})";
+    const auto target = decodeTarget("servers/i-1", good);
+    ASSERT_TRUE(target);
+    EXPECT_EQ(target->id, "i-1");
+    EXPECT_EQ(target->rack(), "r1-3");
+    EXPECT_EQ(target->born, 5);
+    EXPECT_FALSE(decodeTarget("servers/", good));
+    EXPECT_FALSE(decodeTarget("servers/i-1", "\xff\xfe"));
+    EXPECT_FALSE(decodeTarget("servers/i-1", R"({"service":"s","address":"10.0.0.1:80"})"));
+    EXPECT_FALSE(decodeTarget("servers/i-1",
+                              R"({"service":7,"address":"10.0.0.1:80","state":"ready"})"));
+    EXPECT_FALSE(decodeTarget("servers/i-1", R"({"service":"s","address":"10.0.0.1:80",)"
+                                             R"("state":"asleep","capacity":{}})"));
+}
+
+TEST(Targets, listsOfRunsAndEndsAreDecoded)
+{
+    const auto answer = judgeHold(answered(
+            200,
+            R"({"clock_ms":482113,"born":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41,130]],)"
+            R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})"));
+    ASSERT_TRUE(answer.report);
+    ASSERT_EQ(answer.report->running.size(), 1U);
+    EXPECT_EQ(answer.report->running[0].task.index, 17U);
+    EXPECT_EQ(answer.report->running[0].figure, 130);
+    ASSERT_EQ(answer.report->ends.size(), 1U);
+    EXPECT_EQ(answer.report->ends[0].how, scheduling::RunEnd::Done);
+}
+
+TEST(Targets, answersToOrdersTellWhetherTheyMayHaveBeenDone)
+{
+    using scheduling::OrderAnswer;
+    EXPECT_EQ(judgeOrder(answered(200, "{}")), OrderAnswer::Accepted);
+    EXPECT_EQ(judgeOrder(answered(409, R"({"reason":"room"})")), OrderAnswer::NoRoom);
+    EXPECT_EQ(judgeOrder(answered(409, R"({"reason":"fence"})")), OrderAnswer::Fenced);
+    EXPECT_EQ(judgeOrder(answered(421, "")), OrderAnswer::Refused);
+    EXPECT_EQ(judgeOrder(answered(504, "")), OrderAnswer::Unclear);
+    net::HttpCallResult lost;
+    lost.sendState = net::SendState::MaybeSent;
+    EXPECT_EQ(judgeOrder(lost), OrderAnswer::Unclear);
+    lost.sendState = net::SendState::NotSent;
+    EXPECT_EQ(judgeOrder(lost), OrderAnswer::NotSent);
+}
+
+TEST(Store, answersTellWhetherAChangeMayHaveBeenDone)
+{
+    EXPECT_EQ(StoreCalls::judge(answered(200, R"({"revision":412})")).revision, 412U);
+    EXPECT_EQ(StoreCalls::judge(answered(503, "")).outcome, StoreOutcome::NotDone);
+    EXPECT_EQ(StoreCalls::judge(answered(429, "")).outcome, StoreOutcome::NotDone);
+    EXPECT_EQ(StoreCalls::judge(answered(410, "")).outcome, StoreOutcome::HistoryGone);
+    EXPECT_EQ(StoreCalls::judge(answered(200, "{cut")).outcome, StoreOutcome::Unclear);
+    const auto conflict = StoreCalls::judge(
+            answered(412, R"({"items":[{"key":"a","value":"bm9kZS0x","revision":7}]})"));
+    EXPECT_EQ(conflict.outcome, StoreOutcome::Conflict);
+    ASSERT_EQ(conflict.items.size(), 1U);
+    EXPECT_EQ(conflict.items[0].value, "node-1");
+}
+
+TEST(JobIds, keepTheirSixteenDigits)
+{
+    EXPECT_EQ(jobIdText(*parseJobId("00000000000000ff")), "00000000000000ff");
+    EXPECT_FALSE(parseJobId("ff"));
+    EXPECT_FALSE(parseJobId("zzzzzzzzzzzzzzzz"));
+}
+
+} // namespace cyclamenlatch::platform
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -50,7 +50,7 @@
                      const std::string &target, std::string detail)
 {
     if (m_listener) {
-        m_listener(Decision{kind, task, attempt, target, std::move(detail)});
+        m_listener(Decision{kind, task, attempt, target, std::move(detail), std::nullopt});
     }
 }
 
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -581,7 +581,12 @@
     target.leaseUntil = std::max(target.leaseUntil, order.leaseUntil);
     target.lastOrderAt = now;
     m_orders.emplace_back(std::move(order));
-    tell(Decision::Kind::Started, ref, run.attempt, target.info.id);
+    if (m_listener) {
+        const auto *task = findTask(ref);
+        Decision decision{Decision::Kind::Started, ref, run.attempt, target.info.id, {}, {}};
+        decision.waited = task == nullptr ? std::nullopt : std::optional(now - task->waitingSince);
+        m_listener(decision);
+    }
 }
 
 // Sends the starts of jobs that are now stored as begun.
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -77,6 +77,8 @@
     std::uint32_t attempt = 0;
     std::string target;
     std::string detail;
+    // Of a start: how long its task waited for it.
+    std::optional<Duration> waited;
 };
 
 // What would end if a target's host were taken away.
