Store a job's targets before its first start there; pace waves by their time

Now only jobs whose stored targets are among those not heard wait. Waves: idle hosts first, others by the wave's time.

--- a/src/control/hostservice.h
+++ b/src/control/hostservice.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "control/ownership.h"
+#include "control/records.h"
 #include "control/storelink.h"
 #include "net/httpclient.h"
 #include "platform/entrysettings.h"
@@ -66,7 +67,7 @@
     asio::steady_timer m_timer;
     std::map<std::uint64_t, scheduling::WavePlan> m_waves;
     // As stored when this owner began.
-    std::map<std::uint64_t, std::set<std::string>> m_storedDone;
+    std::map<std::uint64_t, WaveRecord> m_stored;
     bool m_hasStored = false;
     bool m_isListing = false;
     TimePoint m_listedAt{};
--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -7,6 +7,7 @@
 #include "control/storekeys.h"
 #include "platform/configwire.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -73,8 +74,8 @@
                          std::uint64_t number = 0;
                          const auto text = item.key.substr(waveRecordPrefix.size());
                          std::from_chars(text.data(), text.data() + text.size(), number);
-                         if (const auto done = decodeIds(item.value)) {
-                             m_storedDone[number] = {done.value().begin(), done.value().end()};
+                         if (auto wave = decodeWave(item.value)) {
+                             m_stored[number] = std::move(wave).value();
                          } else {
                              logEvent(recordUnreadable, "key={}", item.key);
                          }
@@ -140,7 +141,13 @@
         return;
     }
     for (const auto &[number, wave] : m_waves) {
-        m_keeper.waveAsked(wave, m_storedDone[number], false, bootNow());
+        auto &stored = m_stored[number];
+        if (stored.began == WallTime{}) {
+            stored.began = wallNow();
+        }
+        // The time of day may have jumped in between.
+        const auto elapsed = std::clamp<Duration>(wallNow() - stored.began, {}, wave.duration);
+        m_keeper.waveAsked(wave, {stored.done.begin(), stored.done.end()}, elapsed, bootNow());
     }
 }
 
@@ -269,7 +276,9 @@
     platform::StoreChange change;
     change.expected = {{std::string(ownerKey), m_ownerRevision}};
     change.writes = {{waveRecordKey(progress.number),
-                      encodeIds({progress.done.begin(), progress.done.end()}), 0},
+                      encodeWave({m_stored[progress.number].began,
+                                  {progress.done.begin(), progress.done.end()}}),
+                      0},
                      {platform::waveStatusKey(progress.number),
                       platform::waveStatusText(progress.isCompleted), 0}};
     m_store.change(change, [this, progress, alive = std::weak_ptr(m_alive)](const auto &reply) {
--- a/src/control/internal/records.cpp
+++ b/src/control/internal/records.cpp
@@ -70,7 +70,7 @@
 template<typename Archive>
 void serialize(Archive &archive, JobProgress &progress)
 {
-    archive(progress.phase, progress.steps);
+    archive(progress.phase, progress.targets, progress.steps);
 }
 // NOLINTEND(readability-identifier-naming)
 
@@ -80,7 +80,7 @@
 
 namespace {
 
-constexpr std::uint8_t recordVersion = 1;
+constexpr std::uint8_t recordVersion = 2;
 
 template<typename Value>
 std::string encode(const Value &value)
@@ -146,6 +146,17 @@
     return std::map<std::string, std::size_t>(counts.begin(), counts.end());
 }
 
+std::string encodeWave(const WaveRecord &wave)
+{
+    return encode(std::pair(std::int64_t{wave.began.time_since_epoch().count()}, wave.done));
+}
+
+Result<WaveRecord> decodeWave(const std::string &record)
+{
+    BOOST_OUTCOME_TRY(pair, (decode<std::pair<std::int64_t, std::vector<std::string>>>(record)));
+    return WaveRecord{WallTime(std::chrono::milliseconds(pair.first)), std::move(pair.second)};
+}
+
 std::string encodeIds(const std::vector<std::string> &ids)
 {
     return encode(ids);
--- a/src/control/records.h
+++ b/src/control/records.h
@@ -17,6 +17,18 @@
 Result<scheduling::JobProgress> decodeProgress(const std::string &record);
 std::string encodeCounts(const std::map<std::string, std::size_t> &counts);
 Result<std::map<std::string, std::size_t>> decodeCounts(const std::string &record);
+
+// How far a wave has come.
+struct WaveRecord
+{
+    // When it was first seen.
+    WallTime began{};
+    // Hosts whose upkeep was accepted.
+    std::vector<std::string> done;
+};
+
+std::string encodeWave(const WaveRecord &wave);
+Result<WaveRecord> decodeWave(const std::string &record);
 std::string encodeIds(const std::vector<std::string> &ids);
 Result<std::vector<std::string>> decodeIds(const std::string &record);
 
--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -41,8 +41,8 @@
                Listener listener);
 
     void setRules(const FleetRules &rules);
-    // done: hosts whose upkeep was accepted before this owner.
-    void waveAsked(const WavePlan &plan, const std::set<std::string> &done, bool isCompleted,
+    // done: hosts whose upkeep was accepted before; elapsed: of the wave's time.
+    void waveAsked(const WavePlan &plan, const std::set<std::string> &done, Duration elapsed,
                    TimePoint now);
     void hostsListed(std::vector<HostInfo> hosts, TimePoint now);
     // Hosts that each pool began with, as an earlier owner stored them.
@@ -111,10 +111,11 @@
     void planWave(Wave &wave, TimePoint now);
     void orderIfEmpty(Host &host, TimePoint now, std::vector<HostOrder> &orders);
     void planMoves(TimePoint now);
-    void planReturns(const std::map<std::string, PoolDemand> &demands, TimePoint now);
-    Host *donorFor(const std::string &service, const std::map<std::string, PoolDemand> &demands,
-                   TimePoint now);
+    void planReturns(TimePoint now);
+    Host *donorFor(const std::string &service, TimePoint now);
     bool isStandby(const std::string &service) const;
+    // The pool has more waiting than it clears at once.
+    bool isPressed(const std::string &service) const;
     bool hasDemandEnded(TimePoint now) const;
     // Hosts that the list shows in the pool, in whatever state.
     std::size_t hostsIn(const std::string &service) const;
@@ -137,6 +138,8 @@
     bool m_hasList = false;
     // Host and pool that the platform would not bring together.
     std::set<std::pair<std::string, std::string>> m_unfit;
+    // As of the plan that is being made.
+    std::map<std::string, PoolDemand> m_demands;
     std::map<std::string, std::size_t> m_bases;
     // The most cores that a pool's short work needed lately.
     struct Peak
--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/hostkeeper.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -19,7 +20,7 @@
 constexpr std::chrono::milliseconds leastEmptying{1500};
 constexpr std::chrono::milliseconds mostEmptying{6000};
 // Of a wave's time, what is kept for hosts that are hard to empty.
-constexpr double usableShare = 0.85;
+constexpr double usableShare = 0.55;
 // An upkeep that the platform does not list is over after this many times its usual time.
 constexpr int lostUpkeeps = 10;
 // The list may lag behind an order by this much.
@@ -43,16 +44,14 @@
 }
 
 void HostKeeper::waveAsked(const WavePlan &plan, const std::set<std::string> &done,
-                           bool isCompleted, TimePoint now)
+                           Duration elapsed, TimePoint now)
 {
     auto [found, isNew] = m_waves.try_emplace(plan.number);
     auto &wave = found->second;
     wave.plan = plan;
     wave.done.insert(done.begin(), done.end());
     if (isNew) {
-        wave.began = now;
-        wave.isCompleted = isCompleted;
-        wave.isChanged = !isCompleted;
+        wave.began = now - elapsed;
     }
 }
 
@@ -124,6 +123,7 @@
     if (!m_hasList || now < m_notBefore) {
         return orders;
     }
+    m_demands = m_core.demands(now);
     planWaves(now);
     planMoves(now);
     for (auto &[name, host] : m_hosts) {
@@ -174,18 +174,21 @@
         return std::tie(left.first, left.second->info.name)
                < std::tie(right.first, right.second->info.name);
     });
-    // No more at once than the time asks for, so that the pools keep what they can.
-    const double rounds = usableShare * toSeconds(wave.plan.duration)
-                          / std::max(0.1, toSeconds(mostEmptying + m_settings.upkeepTime));
-    const auto wanted = static_cast<std::uint32_t>(std::max(
-            1.0, static_cast<double>(wave.plan.hosts.size()) / std::max(1.0, rounds) + 0.999));
-    const auto most = std::min(wave.plan.mostAtOnce, wanted);
+    // Hosts on which nothing runs go first, out of pools that have no more to do than they can.
+    // Others are emptied only as far as the wave is behind its time.
+    const double elapsed = toSeconds(now - wave.began)
+                           / std::max(0.1, usableShare * toSeconds(wave.plan.duration));
+    const auto dueByNow = static_cast<std::size_t>(
+            std::ceil(elapsed * static_cast<double>(wave.plan.hosts.size())));
     for (const auto &[load, host] : next) {
-        if (taken >= most) {
+        if (taken >= wave.plan.mostAtOnce) {
             break;
         }
-        ++taken;
-        empty(*host, UpkeepOrder{host->info.name, wave.plan.number}, now);
+        const bool isFree = std::get<2>(load) == 0 && !isPressed(host->info.pool);
+        if (isFree || wave.done.size() + taken < dueByNow) {
+            ++taken;
+            empty(*host, UpkeepOrder{host->info.name, wave.plan.number}, now);
+        }
     }
 }
 
--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -69,7 +69,6 @@
 
 void HostKeeper::planMoves(TimePoint now)
 {
-    const auto demands = m_core.demands(now);
     double cores = 1;
     for (auto &[name, host] : m_hosts) {
         cores = std::max(cores, coresOf(host.info));
@@ -81,7 +80,7 @@
             host.idleSince = now;
         }
     }
-    for (const auto &[service, demand] : demands) {
+    for (const auto &[service, demand] : m_demands) {
         watchPeak(service, demand, now);
     }
     // After a time without demand pools first grow to what they began with.
@@ -91,7 +90,7 @@
                 continue;
             }
             for (auto have = hostsIn(service) + comingTo(service); have < base; ++have) {
-                auto *donor = donorFor(service, demands, now);
+                auto *donor = donorFor(service, now);
                 if (donor == nullptr || !isStandby(donor->info.pool)) {
                     break;
                 }
@@ -104,8 +103,8 @@
         const std::string *pressed = nullptr;
         double longest = clearSeconds;
         for (const auto &rule : m_rules.services) {
-            const auto demand = demands.find(rule.name);
-            if (rule.isStandby || demand == demands.end()) {
+            const auto demand = m_demands.find(rule.name);
+            if (rule.isStandby || demand == m_demands.end()) {
                 continue;
             }
             const auto coming = comingTo(rule.name);
@@ -115,13 +114,13 @@
                 pressed = &rule.name;
             }
         }
-        auto *donor = pressed == nullptr ? nullptr : donorFor(*pressed, demands, now);
+        auto *donor = pressed == nullptr ? nullptr : donorFor(*pressed, now);
         if (donor == nullptr) {
             break;
         }
         empty(*donor, MoveOrder{donor->info.name, *pressed}, now);
     }
-    planReturns(demands, now);
+    planReturns(now);
 }
 
 std::size_t HostKeeper::hostsIn(const std::string &service) const
@@ -155,6 +154,12 @@
                           demand.used - demand.lasting + demand.waitingWork / peakClearSeconds);
 }
 
+bool HostKeeper::isPressed(const std::string &service) const
+{
+    const auto demand = m_demands.find(service);
+    return demand != m_demands.end() && clearTime(demand->second, 0) > calmSeconds;
+}
+
 bool HostKeeper::hasDemandEnded(TimePoint now) const
 {
     const auto last = m_core.lastShortJob();
@@ -184,9 +189,7 @@
 }
 
 // Hosts that are off come at once; those of calm pools may be needed there again soon.
-HostKeeper::Host *HostKeeper::donorFor(const std::string &service,
-                                       const std::map<std::string, PoolDemand> &demands,
-                                       TimePoint now)
+HostKeeper::Host *HostKeeper::donorFor(const std::string &service, TimePoint now)
 {
     Host *best = nullptr;
     double bestScore = 0;
@@ -197,8 +200,8 @@
         }
         double score = 4;
         if (!isStandby(host.info.pool)) {
-            const auto own = demands.find(host.info.pool);
-            if (own == demands.end() || now - *host.idleSince < idleBeforeLending
+            const auto own = m_demands.find(host.info.pool);
+            if (own == m_demands.end() || now - *host.idleSince < idleBeforeLending
                 || clearTime(own->second, 0) > calmSeconds
                 || !canSpare(host.info.pool, own->second, leavingFrom(host.info.pool) + 1,
                              coresOf(host.info), now)) {
@@ -214,14 +217,14 @@
     return best;
 }
 
-void HostKeeper::planReturns(const std::map<std::string, PoolDemand> &demands, TimePoint now)
+void HostKeeper::planReturns(TimePoint now)
 {
     const auto standby = std::find_if(m_rules.services.begin(), m_rules.services.end(),
                                       [](const auto &rule) { return rule.isStandby; });
     if (standby == m_rules.services.end()) {
         return;
     }
-    for (const auto &[service, demand] : demands) {
+    for (const auto &[service, demand] : m_demands) {
         if (isStandby(service)) {
             continue;
         }
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -66,9 +66,9 @@
     job->phase = progress.phase;
     job->hasWaitingMark = progress.phase == JobPhase::Queued;
     job->loaded = std::move(progress);
-    // What is stored as waiting has not been started by an earlier owner either.
-    job->isNew = isNew || job->phase == JobPhase::Queued;
-    job->isBegunStored = job->phase != JobPhase::Queued;
+    job->isNew = isNew;
+    job->targets = job->loaded.targets;
+    job->storedTargets = job->targets.size();
     job->revision = revision;
     job->submittedAt = submittedAt;
     job->arrived = now;
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -200,14 +200,14 @@
            && target.strangers == 0 && target.avoidedUntil <= now;
 }
 
-// A target whose runs this owner has not heard of may run any task of its service.
-bool OwnerCore::isUncertain(const std::string &service, TimePoint now) const
+// A target that this owner has not heard yet may run tasks of the job.
+bool OwnerCore::isUncertain(const JobState &job, TimePoint now) const
 {
-    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &item) {
-        const auto &target = *item.second;
-        return !target.isAdopted && (target.info.service.empty() || target.info.service == service)
-               && !hasLapsed(target, now);
-    });
+    return !job.isNew
+           && std::any_of(job.targets.begin(), job.targets.end(), [&](const std::string &id) {
+                  const auto *target = findTarget(id);
+                  return target != nullptr && !target->isAdopted && !hasLapsed(*target, now);
+              });
 }
 
 bool OwnerCore::mayUse(const std::string &workspace, const Room &need) const
@@ -266,7 +266,6 @@
 {
     m_uncertainUse = Room{};
     std::unordered_map<std::string, std::vector<TargetState *>> pools;
-    std::unordered_map<std::string, bool> uncertain;
     Room largest;
     for (auto &[id, target] : m_targets) {
         largest.processors = std::max(largest.processors, target->info.capacity.processors);
@@ -287,12 +286,11 @@
         std::sort(pool.begin(), pool.end(), [](const auto *left, const auto *right) {
             return left->info.id < right->info.id;
         });
-        uncertain[service] = isUncertain(service, now);
     }
     for (const auto &open : openSteps(now)) {
         const auto &service = open.job->submission.service;
         const auto pool = pools.find(service);
-        if (pool == pools.end() || (!open.job->isNew && uncertain[service])) {
+        if (pool == pools.end() || isUncertain(*open.job, now)) {
             continue;
         }
         if (open.step->spec->isGang) {
@@ -557,13 +555,26 @@
     }
     if (open.job->phase == JobPhase::Queued) {
         open.job->phase = JobPhase::Running;
-        makeDirty(*open.job, true, now);
     }
-    if (open.job->isBegunStored) {
+    auto &targets = open.job->targets;
+    const auto known = std::find(targets.begin(), targets.end(), target.info.id);
+    const auto place = static_cast<std::size_t>(known - targets.begin());
+    if (known == targets.end()) {
+        targets.push_back(target.info.id);
+    }
+    if (place < open.job->storedTargets) {
         sendStart(target, ref, target.runs.at(ref), now);
+    } else {
+        makeDirty(*open.job, true, now);
     }
 }
 
+bool OwnerCore::isStored(const JobState &job, const TargetState &target)
+{
+    const auto stored = job.targets.begin() + static_cast<std::ptrdiff_t>(job.storedTargets);
+    return std::find(job.targets.begin(), stored, target.info.id) != stored;
+}
+
 void OwnerCore::sendStart(TargetState &target, const TaskRef &ref, RunState &run, TimePoint now)
 {
     run.phase = RunPhase::Starting;
@@ -589,7 +600,7 @@
     }
 }
 
-// Sends the starts of jobs that are now stored as begun.
+// Sends the starts on targets that are now stored for their jobs.
 void OwnerCore::planPledged(TimePoint now)
 {
     for (const auto id : std::exchange(m_begun, {})) {
--- a/src/scheduling/internal/ownerrecords.cpp
+++ b/src/scheduling/internal/ownerrecords.cpp
@@ -81,10 +81,11 @@
         write.expected = job.revision;
         write.progress.phase = job.phase;
         write.removesWaitingMark = job.hasWaitingMark && job.phase != JobPhase::Queued;
-        job.isBeginning = job.phase != JobPhase::Queued;
+        job.targetsLeaving = job.targets.size();
         job.isMarkLeaving = write.removesWaitingMark;
         write.removesSubmission = isFinal(job.phase);
         if (!isFinal(job.phase)) {
+            write.progress.targets = job.targets;
             write.progress.steps = job.loaded.steps;
             for (const auto &[number, occurrence] : job.occurrences) {
                 for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -123,8 +124,8 @@
     }
     auto &job = *found->second;
     job.revision = *revision;
-    if (!job.isBegunStored && job.isBeginning) {
-        job.isBegunStored = true;
+    if (job.targetsLeaving > job.storedTargets) {
+        job.storedTargets = job.targetsLeaving;
         m_begun.push_back(id);
     }
     job.hasWaitingMark = job.hasWaitingMark && !job.isMarkLeaving;
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -81,17 +81,18 @@
     // Revision of the stored progress, and of the submission.
     std::uint64_t revision = 0;
     std::uint64_t submittedAt = 0;
-    // It is stored as begun. Only then is anything of it started, so that a job which is stored as
-    // waiting runs nowhere.
-    bool isBegunStored = false;
+    // Targets that may run a task of it, and how many of them are stored so. Nothing is started on
+    // a target before that, so that a later owner knows which targets it has to hear first.
+    std::vector<std::string> targets;
+    std::size_t storedTargets = 0;
     // The stored mark of a job that has not begun is still there.
     bool hasWaitingMark = true;
     // Stored progress is behind.
     bool isDirty = false;
     // A caller waits for what is to be stored.
     bool isUrgent = false;
-    // The flush that is under way stores it as begun.
-    bool isBeginning = false;
+    // Targets that the flush that is under way stores.
+    std::size_t targetsLeaving = 0;
     // The flush that is under way removes the mark.
     bool isMarkLeaving = false;
     TimePoint arrived{};
--- a/src/scheduling/jobrecord.h
+++ b/src/scheduling/jobrecord.h
@@ -41,6 +41,8 @@
 struct JobProgress
 {
     JobPhase phase = JobPhase::Queued;
+    // Ids of all targets that may run a task of the job; stored before the first start there.
+    std::vector<std::string> targets;
     // By occurrence and step; what is not there has no progress.
     std::map<std::pair<std::uint32_t, std::uint32_t>, StepProgress> steps;
 };
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -243,7 +243,8 @@
     void planPledged(TimePoint now);
     bool isUsable(const TargetState &target, TimePoint now) const;
     bool mayUse(const std::string &workspace, const Room &need) const;
-    bool isUncertain(const std::string &service, TimePoint now) const;
+    bool isUncertain(const JobState &job, TimePoint now) const;
+    static bool isStored(const JobState &job, const TargetState &target);
 
     const OwnerSettings m_settings;
     const TimePoint m_began;
@@ -276,7 +277,7 @@
     std::vector<JobNumber> m_dirty;
     TimePoint m_dirtySince{};
     std::optional<TimePoint> m_urgentSince;
-    // Jobs that have just been stored as begun.
+    // Jobs for which more targets have just been stored.
     std::vector<JobNumber> m_begun;
     // Ends that no stored record has to follow, such as those of lapsed runs, and since when.
     std::optional<TimePoint> m_uncoveredSince;
--- a/src/scheduling/tests/hostkeeper_tests.cpp
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -58,7 +58,7 @@
     for (const char *name : {"a", "b", "c", "d"}) {
         hosts.add(name);
     }
-    hosts.keeper.waveAsked({1, {"a", "b", "c", "d"}, 10s, 2}, {}, false, hosts.world.now);
+    hosts.keeper.waveAsked({1, {"a", "b", "c", "d"}, 10s, 2}, {}, {}, hosts.world.now);
     const auto orders = hosts.plan();
     ASSERT_EQ(orders.size(), 2U);
     for (const auto &order : orders) {
@@ -71,7 +71,7 @@
 {
     HostWorld hosts;
     hosts.add("a");
-    hosts.keeper.waveAsked({1, {"a"}, 10s, 1}, {}, false, hosts.world.now);
+    hosts.keeper.waveAsked({1, {"a"}, 10s, 1}, {}, {}, hosts.world.now);
     const auto orders = hosts.plan();
     ASSERT_EQ(orders.size(), 1U);
     EXPECT_FALSE(hosts.keeper.changedWave()->isCompleted);
@@ -91,7 +91,7 @@
     hosts.add("a");
     hosts.world.submit(7, {makeStep(1)});
     ASSERT_EQ(hosts.world.startAll().size(), 1U);
-    hosts.keeper.waveAsked({1, {"a"}, 2s, 1}, {}, false, hosts.world.now);
+    hosts.keeper.waveAsked({1, {"a"}, 2s, 1}, {}, {}, hosts.world.now);
     hosts.plan();
     hosts.world.advance(8s);
     hosts.world.core.holdOrder("t-a", hosts.world.now);
@@ -115,7 +115,7 @@
     hosts.add("a");
     HostKeeper later({}, hosts.world.core, hosts.world.now, false,
                      [](const auto &, const auto &) {});
-    later.waveAsked({1, {"a"}, 10s, 1}, {}, false, hosts.world.now);
+    later.waveAsked({1, {"a"}, 10s, 1}, {}, {}, hosts.world.now);
     later.hostsListed(hosts.hosts, hosts.world.now);
     EXPECT_TRUE(later.plan(hosts.world.now).empty());
     hosts.world.advance(4s);
--- a/src/scheduling/tests/ownercore_tests.cpp
+++ b/src/scheduling/tests/ownercore_tests.cpp
@@ -187,6 +187,7 @@
     world.join("t2");
     JobProgress begun;
     begun.phase = JobPhase::Running;
+    begun.targets = {"t1"};
     world.submit(7, {makeStep(1)}, "space", begun, false);
     EXPECT_TRUE(world.startAll().empty());
     world.submit(8, {makeStep(1)}, "space", {}, true);
@@ -207,7 +208,20 @@
     EXPECT_EQ(world.startAll().size(), 1U);
 }
 
-TEST(OwnerCore, storesAJobAsBegunBeforeItsFirstStart)
+// With a third of the targets cut off, begun jobs whose targets all answer go on.
+TEST(OwnerCore, waitsOnlyForTargetsThatMayRunTheJob)
+{
+    OwnerWorld world(2);
+    world.list("t1");
+    world.join("t2");
+    JobProgress begun;
+    begun.phase = JobPhase::Running;
+    begun.targets = {"t2"};
+    world.submit(7, {makeStep(1)}, "space", begun, false);
+    EXPECT_EQ(world.startAll().size(), 1U);
+}
+
+TEST(OwnerCore, storesATargetBeforeItsFirstStartThere)
 {
     OwnerWorld world;
     world.join("t1");
@@ -216,6 +230,7 @@
     const auto flush = world.flush();
     ASSERT_EQ(flush.writes.size(), 1U);
     EXPECT_EQ(flush.writes[0].progress.phase, JobPhase::Running);
+    EXPECT_EQ(flush.writes[0].progress.targets, std::vector<std::string>{"t1"});
     EXPECT_EQ(world.planned<StartOrder>().size(), 1U);
 }
 
