--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -30,6 +30,7 @@
 // Targets answer within some milliseconds.
 constexpr std::chrono::milliseconds orderTimeout{800};
 constexpr std::chrono::milliseconds connectTimeout{500};
+constexpr int advicePatience = 5;
 // Beyond the time that a target was asked to wait.
 constexpr std::chrono::milliseconds holdMargin{700};
 constexpr std::chrono::milliseconds holdRetry{150};
@@ -449,10 +450,28 @@
                                   &scheduling::OwnerCore::paceAnswered);
             }
         }
+        void operator()(const scheduling::AdviseOrder &advise) const { service.advise(advise); }
     };
     std::visit(Sender{*this}, order);
 }
 
+void OwnerService::advise(const scheduling::AdviseOrder &order)
+{
+    auto call = platform::adviceCall(m_settings.adviceAddress, order);
+    // Calls of this entry are answered one after the other.
+    call.timeout = order.patience * advicePatience + orderTimeout;
+    call.connectTimeout = connectTimeout;
+    m_http.send(std::move(call), [this, order, alive = std::weak_ptr(m_alive)](const auto &result) {
+        if (alive.expired()) {
+            return;
+        }
+        const auto answer = platform::judgeAdvice(result);
+        m_core.adviceAnswered(order, answer ? std::optional(answer->approved) : std::nullopt,
+                              answer ? answer->validity : std::chrono::milliseconds{}, bootNow());
+        planSoon();
+    });
+}
+
 void OwnerService::planSoon()
 {
     if (std::exchange(m_isPlanDue, true)) {
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -70,6 +70,7 @@
                                                      TimePoint);
     template<typename Kind>
     void sendOrder(net::HttpCall call, const Kind &order, Answered<Kind> answered);
+    void advise(const scheduling::AdviseOrder &order);
     void recordTargets();
 
     // Planning and storing.
--- a/src/platform/internal/targetcalls.cpp
+++ b/src/platform/internal/targetcalls.cpp
@@ -216,6 +216,39 @@
     return orderCall(target, "/v1/hold", body + "}");
 }
 
+net::HttpCall adviceCall(const std::string &address, const scheduling::AdviseOrder &order)
+{
+    net::HttpCall call;
+    call.method = "POST";
+    call.url = fmt::format("http://{}/v1/advise", address);
+    call.headers.add("Content-Type", "application/json");
+    call.body = nlohmann::json{{"phase", fmt::format("{}.{}.{}", jobIdText(order.step.job),
+                                                     order.step.occurrence, order.step.step)},
+                               {"workers", order.targets}}
+                        .dump();
+    return call;
+}
+
+std::optional<AdviceAnswer> judgeAdvice(const net::HttpCallResult &result)
+{
+    if (!result.reply || result.reply->status != 200) {
+        return std::nullopt;
+    }
+    const auto json = detail::parseJson(result.reply->body);
+    const auto *approved = detail::fieldOf(json, "approved");
+    if (approved == nullptr || !approved->is_array()) {
+        return std::nullopt;
+    }
+    AdviceAnswer answer;
+    answer.validity = std::chrono::milliseconds(detail::numberOf(json, "valid_ms").value_or(0));
+    for (const auto &row : *approved) {
+        if (row.is_array() && row.size() >= 2 && row[0].is_string() && row[1].is_string()) {
+            answer.approved.push_back({row[0].get<std::string>(), row[1].get<std::string>()});
+        }
+    }
+    return answer;
+}
+
 OrderAnswer judgeOrder(const net::HttpCallResult &result)
 {
     if (!result.reply) {
--- a/src/platform/targetcalls.h
+++ b/src/platform/targetcalls.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cyclamenlatch::platform {
 
@@ -36,6 +37,18 @@
 net::HttpCall holdCall(const scheduling::TargetInfo &target, std::uint64_t token,
                        const scheduling::HoldOrder &order);
 
+// address: of the advice service.
+net::HttpCall adviceCall(const std::string &address, const scheduling::AdviseOrder &order);
+
+struct AdviceAnswer
+{
+    std::vector<scheduling::Advice> approved;
+    std::chrono::milliseconds validity{};
+};
+
+// Nothing when the service gave no advice.
+std::optional<AdviceAnswer> judgeAdvice(const net::HttpCallResult &result);
+
 scheduling::OrderAnswer judgeOrder(const net::HttpCallResult &result);
 
 struct HoldAnswer
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -37,6 +37,14 @@
 constexpr double haltAbove = 1.0;
 constexpr double raiseBelow = 0.6;
 constexpr std::uint32_t attemptsPerTerm = 4096;
+// A ticket is used no later than this before it ends, for the start's way.
+constexpr std::chrono::milliseconds ticketMargin{300};
+// The advice service takes one call after the other and refuses when 32 wait.
+constexpr std::uint32_t mostAdviceCalls = 4;
+constexpr std::chrono::milliseconds adviceRetry{200};
+constexpr std::size_t mostAdvised = 100;
+constexpr std::uint32_t advisedPerTask = 3;
+constexpr std::chrono::seconds refusedAdvice{60};
 
 } // namespace
 
@@ -51,6 +59,8 @@
     int priority = 0;
     // More than is owed, or too late to count in full.
     bool isBehind = false;
+    // Null unless the queue has advice.
+    const AdviceRule *advice = nullptr;
     TimePoint due{};
 };
 
@@ -238,6 +248,7 @@
                 }
                 OpenStep item{job.get(), &occurrence, &step, index};
                 item.priority = queue == nullptr ? 0 : queue->priority;
+                item.advice = queue != nullptr && queue->advice ? &*queue->advice : nullptr;
                 if (step.spec->lasts) {
                     item.band = step.spec->fills ? 1 : 0;
                     item.due = job->arrived;
@@ -293,6 +304,9 @@
         if (pool == pools.end() || isUncertain(*open.job, now)) {
             continue;
         }
+        if (open.advice != nullptr) {
+            askAdvice(open, pool->second, now);
+        }
         if (open.step->spec->isGang) {
             startGang(open, pool->second, now);
         } else {
@@ -354,7 +368,8 @@
         if (target->avoidedUntil > now
             || (target->reservedFor && *target->reservedFor != ref && target->reservedUntil > now)
             || (!spec.requiredLabel.empty() && !target->info.hasLabel(spec.requiredLabel))
-            || !room.fitsIn(target->info.capacity - target->used)) {
+            || !room.fitsIn(target->info.capacity - target->used)
+            || !isAdvised(open, *target, now)) {
             continue;
         }
         if (spec.mostPerTarget > 0) {
@@ -392,6 +407,81 @@
     return best;
 }
 
+bool OwnerCore::isAdvised(const OpenStep &open, const TargetState &target, TimePoint now)
+{
+    if (open.advice == nullptr) {
+        return true;
+    }
+    const auto ticket = open.step->tickets.find(target.info.id);
+    return ticket != open.step->tickets.end() && !ticket->second.text.empty()
+           && ticket->second.validUntil > now + ticketMargin;
+}
+
+// Asks for targets of which nothing valid is known, those with the most room first, a few more than
+// the step needs. One call for a step at a time.
+void OwnerCore::askAdvice(const OpenStep &open, const std::vector<TargetState *> &pool,
+                          TimePoint now)
+{
+    auto &step = *open.step;
+    if (step.isAdviceAsked || now < step.adviceAfter || m_adviceCalls >= mostAdviceCalls) {
+        return;
+    }
+    std::uint32_t usable = 0;
+    std::vector<TargetState *> unknown;
+    for (auto *target : pool) {
+        const auto ticket = step.tickets.find(target->info.id);
+        const bool isKnown =
+                ticket != step.tickets.end() && ticket->second.validUntil > now + ticketMargin;
+        if (!isKnown) {
+            unknown.push_back(target);
+        } else if (isAdvised(open, *target, now)) {
+            ++usable;
+        }
+    }
+    if (unknown.empty() || usable >= step.waiting) {
+        return;
+    }
+    std::sort(unknown.begin(), unknown.end(), [](const auto *left, const auto *right) {
+        return std::pair(left->used.processors - left->info.capacity.processors, left->info.id)
+               < std::pair(right->used.processors - right->info.capacity.processors,
+                           right->info.id);
+    });
+    const auto wanted = std::min<std::size_t>(
+            {unknown.size(), mostAdvised, std::size_t{advisedPerTask} * step.waiting});
+    AdviseOrder order;
+    order.step = TaskRef{open.job->submission.id, open.occurrence->number, open.stepIndex, 0};
+    for (std::size_t index = 0; index < wanted; ++index) {
+        order.targets.push_back(unknown[index]->info.id);
+    }
+    order.patience = open.advice->decision + open.advice->perTarget * wanted;
+    step.isAdviceAsked = true;
+    ++m_adviceCalls;
+    m_orders.emplace_back(std::move(order));
+}
+
+void OwnerCore::adviceAnswered(const AdviseOrder &order,
+                               const std::optional<std::vector<Advice>> &approved,
+                               std::chrono::milliseconds validity, TimePoint now)
+{
+    --m_adviceCalls;
+    auto *step = findStep(order.step, nullptr, nullptr);
+    if (step == nullptr) {
+        return;
+    }
+    step->isAdviceAsked = false;
+    if (!approved) {
+        step->adviceAfter = now + adviceRetry;
+        return;
+    }
+    // The advice for a step does not change: refused targets are not asked about again soon.
+    for (const auto &target : order.targets) {
+        step->tickets[target] = {{}, now + refusedAdvice};
+    }
+    for (const auto &advice : *approved) {
+        step->tickets[advice.target] = {advice.ticket, now + validity};
+    }
+}
+
 // Keeps one target free for a lasting task, and in the end makes room there.
 void OwnerCore::reserve(const OpenStep &open, const TaskState &task, const TaskRef &ref,
                         const std::vector<TargetState *> &pool, TimePoint now)
@@ -589,6 +679,10 @@
     if (const auto *task = findTask(ref); task != nullptr) {
         order.checkpoint = task->checkpoint;
     }
+    if (const auto *step = findStep(ref, nullptr, nullptr); step != nullptr) {
+        const auto ticket = step->tickets.find(target.info.id);
+        order.ticket = ticket == step->tickets.end() ? std::string{} : ticket->second.text;
+    }
     target.leaseUntil = std::max(target.leaseUntil, order.leaseUntil);
     target.lastOrderAt = now;
     m_orders.emplace_back(std::move(order));
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -518,9 +518,13 @@
     tell(Decision::Kind::StartRefused, order.task, order.attempt, order.targetId,
          std::to_string(static_cast<int>(answer)));
     dropRun(*target, order.task);
-    // The same target is not asked again at once.
-    constexpr std::chrono::milliseconds refusalPause{500};
-    target->avoidedUntil = std::max(target->avoidedUntil, now + refusalPause);
+    if (answer == OrderAnswer::NoTicket && step != nullptr) {
+        step->tickets.erase(order.targetId);
+    } else {
+        // The same target is not asked again at once.
+        constexpr std::chrono::milliseconds refusalPause{500};
+        target->avoidedUntil = std::max(target->avoidedUntil, now + refusalPause);
+    }
     if (task == nullptr || task->target != target) {
         return;
     }
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -37,9 +37,20 @@
     TimePoint waitingSince{};
 };
 
+struct Ticket
+{
+    std::string text;
+    TimePoint validUntil{};
+};
+
 struct StepState
 {
     const StepSpec *spec = nullptr;
+    // Of queues with advice: by target id; a target that was refused has an empty ticket.
+    std::unordered_map<std::string, Ticket> tickets;
+    bool isAdviceAsked = false;
+    // After a call without advice the next one waits until then.
+    TimePoint adviceAfter{};
     std::vector<TaskState> tasks;
     // Add up to the number of tasks.
     std::uint32_t waiting = 0;
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace cyclamenlatch::scheduling {
 
@@ -38,7 +39,24 @@
     int percent = 100;
 };
 
-using Order = std::variant<StartOrder, StopOrder, PaceOrder>;
+// Asks the advice service which of these targets may run a step; the answer may take a while.
+struct AdviseOrder
+{
+    // Of the step; the task's own number has no meaning.
+    TaskRef step;
+    std::vector<std::string> targets;
+    // That the service takes at most, as its rule says.
+    std::chrono::milliseconds patience{};
+};
+
+// A target that may run a step, and the ticket that its start carries.
+struct Advice
+{
+    std::string target;
+    std::string ticket;
+};
+
+using Order = std::variant<StartOrder, StopOrder, PaceOrder, AdviseOrder>;
 
 // What the next call to a target that keeps its runs alive says.
 struct HoldOrder
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -151,6 +151,10 @@
     void startAnswered(const StartOrder &order, OrderAnswer answer, TimePoint now);
     void stopAnswered(const StopOrder &order, OrderAnswer answer, TimePoint now);
     void paceAnswered(const PaceOrder &order, OrderAnswer answer, TimePoint now);
+    // Nothing as approved: there was no answer.
+    void adviceAnswered(const AdviseOrder &order,
+                        const std::optional<std::vector<Advice>> &approved,
+                        std::chrono::milliseconds validity, TimePoint now);
 
     // Decides all that can be decided now.
     std::vector<Order> plan(TimePoint now, WallTime wallNow);
@@ -235,6 +239,9 @@
     void startGang(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     TargetState *choose(const OpenStep &open, const TaskState &task, const TaskRef &ref,
                         const std::vector<TargetState *> &pool, TimePoint now) const;
+    // Whether a step may be started on the target as far as advice goes.
+    static bool isAdvised(const OpenStep &open, const TargetState &target, TimePoint now);
+    void askAdvice(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     void reserve(const OpenStep &open, const TaskState &task, const TaskRef &ref,
                  const std::vector<TargetState *> &pool, TimePoint now);
     void start(const OpenStep &open, std::uint32_t index, TargetState &target,
@@ -271,6 +278,8 @@
     double runTimeRatio(const std::string &queue) const;
     std::optional<TimePoint> m_lastShortJob;
     std::vector<Order> m_orders;
+    // Calls for advice that have not been answered.
+    std::uint32_t m_adviceCalls = 0;
     // The most that may run on targets whose runs are not known, for the length of one plan.
     Room m_uncertainUse;
     // Jobs whose stored progress is behind, and since when.
--- a/src/scheduling/tests/ownercore_tests.cpp
+++ b/src/scheduling/tests/ownercore_tests.cpp
@@ -304,6 +304,46 @@
     EXPECT_TRUE(world.planned<StopOrder>().empty());
 }
 
+TEST(OwnerCore, startsAStepOfAnAdvisedQueueOnlyWithATicketThatIsValid)
+{
+    OwnerWorld world;
+    auto rules = makeRules();
+    rules.queues[0].advice = AdviceRule{50ms, 5ms, 3000ms};
+    world.core.setRules(rules, world.now);
+    world.join("t1");
+    world.join("t2");
+    world.submit(7, {makeStep(1)});
+    const auto asked = world.planned<AdviseOrder>();
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_EQ(asked[0].targets.size(), 2U);
+    EXPECT_TRUE(world.startAll().empty());
+    world.core.adviceAnswered(asked[0], std::vector<Advice>{{"t2", "pass"}}, 3000ms, world.now);
+    const auto starts = world.startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].targetId, "t2");
+    EXPECT_EQ(starts[0].ticket, "pass");
+}
+
+TEST(OwnerCore, asksForAdviceAgainOnceATicketHasEnded)
+{
+    OwnerWorld world;
+    auto rules = makeRules();
+    rules.queues[0].advice = AdviceRule{50ms, 5ms, 3000ms};
+    world.core.setRules(rules, world.now);
+    world.join("t1");
+    world.submit(7, {makeStep(1)});
+    const auto asked = world.planned<AdviseOrder>();
+    ASSERT_EQ(asked.size(), 1U);
+    world.core.adviceAnswered(asked[0], std::nullopt, 0ms, world.now);
+    EXPECT_TRUE(world.planned<AdviseOrder>().empty());
+    world.advance(250ms);
+    ASSERT_EQ(world.planned<AdviseOrder>().size(), 1U);
+    world.core.adviceAnswered(asked[0], std::vector<Advice>{{"t1", "pass"}}, 400ms, world.now);
+    world.advance(200ms);
+    EXPECT_EQ(world.planned<AdviseOrder>().size(), 1U);
+    EXPECT_TRUE(world.startAll().empty());
+}
+
 TEST(OwnerCore, startsNothingOnADrainingTarget)
 {
     OwnerWorld world;
