Split the owner's core by what it decides; keep the stand-in of the store beside the adapter

By moving only: plan, starts, advice, targets and runs each have a file. The names of the users' wire in a test of control went to the adapter's tests.

--- a/src/control/tests/platformentry_tests.cpp
+++ b/src/control/tests/platformentry_tests.cpp
@@ -1,10 +1,8 @@
 // A whole entry against a store that answers only what a test lets it answer.
 #include "control/platformentry.h"
 #include "net/httpclient.h"
-#include "net/httpserver.h"
-#include "store/base64.h"
+#include "platform/tests/hangingstore.h"
 
-#include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <fmt/format.h>
@@ -12,58 +10,12 @@
 
 #include <csignal>
 #include <future>
-#include <mutex>
 #include <thread>
-#include <vector>
 
 namespace cyclamenlatch::control {
 
 namespace {
 
-// Gives the configuration to whoever lists it and leaves every other call without an answer.
-class HangingStore
-{
-public:
-    HangingStore()
-        : m_work(asio::make_work_guard(m_context))
-        , m_server(m_context, {},
-                   [this](const auto &request, const auto &respond) { answer(request, respond); })
-    {
-        EXPECT_TRUE(m_server.start());
-        m_thread = std::thread([this] { m_context.run(); });
-    }
-
-    ~HangingStore()
-    {
-        m_context.stop();
-        m_thread.join();
-    }
-
-    std::uint16_t port() const { return m_server.port(); }
-
-private:
-    void answer(const net::HttpRequest &request, const net::HttpResponder &respond)
-    {
-        if (request.path != "/v1/kv-range" || request.query.find("prefix=op/") != 0) {
-            m_waiting.push_back(respond);
-            return;
-        }
-        const auto rules = store::toBase64(
-                R"({"version":3,"routes":[{"name":"r","host":"h.example","prefix":"/q/",)"
-                R"("service":"s","public":true}],"services":[],"tenants":[]})");
-        net::HttpReply reply;
-        reply.body = fmt::format(
-                R"({{"items":[{{"key":"op/config","value":"{}","revision":2}}],"at":2}})", rules);
-        respond(std::move(reply));
-    }
-
-    asio::io_context m_context;
-    asio::executor_work_guard<asio::io_context::executor_type> m_work;
-    std::vector<net::HttpResponder> m_waiting;
-    net::HttpServer m_server;
-    std::thread m_thread;
-};
-
 std::uint16_t freePort()
 {
     asio::io_context context;
@@ -102,7 +54,7 @@
 
 TEST(PlatformEntry, answersThatAJobIsUnclearWhenTheStoreFallsSilentAndStopsWithCallsOnTheirWay)
 {
-    HangingStore store;
+    platform::tests::HangingStore store;
     const auto settings = makeSettings(store.port());
     net::HttpClient client;
     PlatformEntry entry(settings, "");
@@ -110,7 +62,7 @@
         net::HttpCallResult early;
         for (int tries = 0; tries < 100; ++tries) {
             early = call(client, settings, "POST", "/q/5c0e7a21d94b36f8",
-                         R"({"spec":"","phases":[{"count":1}]})");
+                         platform::tests::smallestJob);
             if (early.reply && early.reply->status != 503) {
                 break;
             }
--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -126,7 +126,6 @@
                   double cores, TimePoint now) const;
     void empty(Host &host, HostOrder order, TimePoint now);
     void release(Host &host);
-    bool isFree(const Host &host) const;
     std::chrono::milliseconds emptyingTime(const Host &host) const;
 
     const HostKeeperSettings m_settings;
--- /dev/null
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -0,0 +1,446 @@
+// Starts: who goes first and where each task goes.
+#include "scheduling/ownercore.h"
+
+#include "scheduling/internal/jobchain.h"
+#include "scheduling/internal/openstep.h"
+#include "scheduling/internal/ownerstate.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cyclamenlatch::scheduling {
+
+using detail::RunPhase;
+using detail::TaskPhase;
+
+namespace {
+
+// A lasting task that finds no room has a target kept free for it after this, and work of others
+// stopped there after this. The platform wants it back within nine seconds.
+constexpr std::chrono::milliseconds reserveAfter{300};
+constexpr std::chrono::milliseconds preemptAfter{2500};
+constexpr std::chrono::seconds reserveTime{4};
+// Starts of one task by one owner; attempts of the next owner are higher.
+constexpr std::uint32_t attemptsPerTerm = 4096;
+
+} // namespace
+
+std::vector<OwnerCore::OpenStep> OwnerCore::openSteps(TimePoint now)
+{
+    std::vector<OpenStep> open;
+    for (auto &[id, job] : m_jobs) {
+        if (isFinal(job->phase)) {
+            continue;
+        }
+        const auto *queue = queueRule(job->submission.queue);
+        const double ratio = runTimeRatio(job->submission.queue);
+        for (auto &[number, occurrence] : job->occurrences) {
+            for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
+                auto &step = occurrence.steps[index];
+                if (!step.isOpen || step.waiting == 0) {
+                    continue;
+                }
+                OpenStep item{job.get(), &occurrence, &step, index};
+                item.priority = queue == nullptr ? 0 : queue->priority;
+                item.advice = queue != nullptr && queue->advice ? &*queue->advice : nullptr;
+                if (step.spec->lasts) {
+                    item.band = step.spec->fills ? 1 : 0;
+                    item.due = job->arrived;
+                } else {
+                    item.band = 2;
+                    // By the latest start that still meets the objective.
+                    const auto rest = std::chrono::duration_cast<Duration>(
+                            std::chrono::duration<double, std::milli>(ratio * job->chains[index]));
+                    item.due = occurrence.objective - rest;
+                    item.isBehind = job->isExcess || now > item.due;
+                }
+                open.push_back(item);
+            }
+        }
+    }
+    std::sort(open.begin(), open.end(), [](const OpenStep &left, const OpenStep &right) {
+        return std::tuple(left.band, left.isBehind, left.priority, left.due,
+                          left.job->submission.id, left.occurrence->number, left.stepIndex)
+               < std::tuple(right.band, right.isBehind, right.priority, right.due,
+                            right.job->submission.id, right.occurrence->number, right.stepIndex);
+    });
+    return open;
+}
+
+void OwnerCore::planStarts(TimePoint now)
+{
+    m_uncertainUse = Room{};
+    std::unordered_map<std::string, std::vector<TargetState *>> pools;
+    Room largest;
+    for (auto &[id, target] : m_targets) {
+        largest.processors = std::max(largest.processors, target->info.capacity.processors);
+        largest.memoryMib = std::max(largest.memoryMib, target->info.capacity.memoryMib);
+        largest.accelerators = std::max(largest.accelerators, target->info.capacity.accelerators);
+        if (isUsable(*target, now)) {
+            pools[target->info.service].push_back(target.get());
+        }
+    }
+    for (auto &[id, target] : m_targets) {
+        if (!target->isAdopted && !hasLapsed(*target, now)) {
+            m_uncertainUse += target->info.capacity == Room{} ? largest : target->info.capacity;
+        } else if (target->strangers > 0) {
+            m_uncertainUse += target->info.capacity - target->used;
+        }
+    }
+    for (auto &[service, pool] : pools) {
+        std::sort(pool.begin(), pool.end(), [](const auto *left, const auto *right) {
+            return left->info.id < right->info.id;
+        });
+    }
+    for (const auto &open : openSteps(now)) {
+        const auto &service = open.job->submission.service;
+        const auto pool = pools.find(service);
+        if (pool == pools.end() || isUncertain(*open.job, now)) {
+            continue;
+        }
+        if (open.advice != nullptr) {
+            askAdvice(open, pool->second, now);
+        }
+        if (open.step->spec->isGang) {
+            startGang(open, pool->second, now);
+        } else {
+            startStep(open, pool->second, now);
+        }
+    }
+}
+
+void OwnerCore::startStep(const OpenStep &open, const std::vector<TargetState *> &pool,
+                          TimePoint now)
+{
+    auto room = open.step->spec->need;
+    if (open.step->spec->fills) {
+        room.processors = 0;
+    }
+    for (std::uint32_t index = 0; index < open.step->tasks.size(); ++index) {
+        auto &task = open.step->tasks[index];
+        if (task.phase != TaskPhase::Waiting) {
+            continue;
+        }
+        const TaskRef ref{open.job->submission.id, open.occurrence->number, open.stepIndex, index};
+        if (!mayUse(open.job->submission.workspace, room)) {
+            return;
+        }
+        auto *target = choose(open, task, ref, pool, now);
+        if (target != nullptr) {
+            start(open, index, *target, (m_settings.term - 1) * attemptsPerTerm + ++task.starts,
+                  now);
+        } else if (open.step->spec->lasts && now - task.waitingSince > reserveAfter) {
+            return reserve(open, task, ref, pool, now);
+        } else {
+            return;
+        }
+    }
+}
+
+OwnerCore::TargetState *OwnerCore::choose(const OpenStep &open, const TaskState &task,
+                                          const TaskRef &ref,
+                                          const std::vector<TargetState *> &pool,
+                                          TimePoint now) const
+{
+    const auto &spec = *open.step->spec;
+    auto room = spec.need;
+    if (spec.fills) {
+        room.processors = 0;
+    }
+    const std::string *rackOfOthers = nullptr;
+    if (spec.wantsOneRack) {
+        for (const auto &other : open.step->tasks) {
+            if (other.target != nullptr) {
+                rackOfOthers = &other.target->info.rack();
+                break;
+            }
+        }
+    }
+    TargetState *best = nullptr;
+    double bestScore = 0;
+    for (auto *target : pool) {
+        if (target->avoidedUntil > now
+            || (target->reservedFor && *target->reservedFor != ref && target->reservedUntil > now)
+            || (!spec.requiredLabel.empty() && !target->info.hasLabel(spec.requiredLabel))
+            || !room.fitsIn(target->info.capacity - target->used)
+            || !isAdvised(open, *target, now)) {
+            continue;
+        }
+        if (spec.mostPerTarget > 0) {
+            const auto here =
+                    std::count_if(open.step->tasks.begin(), open.step->tasks.end(),
+                                  [&](const auto &other) { return other.target == target; });
+            if (static_cast<std::uint32_t>(here) >= spec.mostPerTarget) {
+                continue;
+            }
+        }
+        const auto free = target->info.capacity - target->used;
+        const double freeShare =
+                static_cast<double>(free.processors)
+                / static_cast<double>(std::max<std::int64_t>(target->info.capacity.processors, 1));
+        // Lower is better: tight, so that whole targets stay free for large tasks and other pools.
+        double score = freeShare;
+        if (spec.lasts) {
+            for (const auto &[other, run] : target->runs) {
+                score += (spec.fills && run.serves) || (spec.serves() && run.fills) ? 2 : 0;
+            }
+        }
+        score += !spec.dataRack.empty() && !target->info.hasLabel(spec.dataRack)
+                         ? 4 * (m_settings.remoteFactor - 1)
+                         : 0;
+        score += rackOfOthers != nullptr && target->info.rack() != *rackOfOthers
+                         ? 4 * (m_settings.remoteFactor - 1)
+                         : 0;
+        score += target->info.id == task.failedOn ? 8 : 0;
+        score += target->failuresInRow;
+        if (best == nullptr || score < bestScore) {
+            best = target;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+// Keeps one target free for a lasting task, and in the end makes room there.
+void OwnerCore::reserve(const OpenStep &open, const TaskState &task, const TaskRef &ref,
+                        const std::vector<TargetState *> &pool, TimePoint now)
+{
+    const auto &spec = *open.step->spec;
+    auto room = spec.need;
+    if (spec.fills) {
+        room.processors = 0;
+    }
+    TargetState *best = nullptr;
+    for (auto *target : pool) {
+        if (!spec.requiredLabel.empty() && !target->info.hasLabel(spec.requiredLabel)) {
+            continue;
+        }
+        if (spec.mostPerTarget > 0
+            && std::count_if(open.step->tasks.begin(), open.step->tasks.end(),
+                             [&](const auto &other) { return other.target == target; })
+                       >= spec.mostPerTarget) {
+            continue;
+        }
+        if (target->reservedFor && *target->reservedFor != ref && target->reservedUntil > now) {
+            continue;
+        }
+        if (target->reservedFor == ref && target->reservedUntil > now) {
+            best = target;
+            break;
+        }
+        Room lasting;
+        for (const auto &[other, run] : target->runs) {
+            if (run.lasts) {
+                lasting += run.room;
+            }
+        }
+        if (!room.fitsIn(target->info.capacity - lasting)) {
+            continue;
+        }
+        if (best == nullptr || target->used.processors < best->used.processors) {
+            best = target;
+        }
+    }
+    if (best == nullptr) {
+        return;
+    }
+    best->reservedFor = ref;
+    best->reservedUntil = now + reserveTime;
+    if (now - task.waitingSince < preemptAfter) {
+        return;
+    }
+    Room coming;
+    std::vector<std::pair<int, TaskRef>> candidates;
+    for (const auto &[other, run] : best->runs) {
+        if (run.phase == RunPhase::Stopping || run.phase == RunPhase::Unclear) {
+            coming += run.room;
+        } else if (!run.lasts && run.phase == RunPhase::Running) {
+            candidates.emplace_back(run.percent, other);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    for (const auto &[percent, other] : candidates) {
+        if (room.fitsIn(best->info.capacity - best->used + coming)) {
+            return;
+        }
+        auto &run = best->runs.at(other);
+        coming += run.room;
+        tell(Decision::Kind::Preempted, other, run.attempt, best->info.id, "for a lasting task");
+        stopRun(*best, other, run, now);
+    }
+}
+
+void OwnerCore::startGang(const OpenStep &open, const std::vector<TargetState *> &pool,
+                          TimePoint now)
+{
+    auto &step = *open.step;
+    if (step.waiting != step.spec->count) {
+        return;
+    }
+    Room all;
+    for (std::uint32_t index = 0; index < step.spec->count; ++index) {
+        all += step.spec->need;
+    }
+    if (!mayUse(open.job->submission.workspace, all)) {
+        return;
+    }
+    // Racks one by one where the gang wants one, then all together.
+    std::vector<std::vector<TargetState *>> groups;
+    if (step.spec->wantsOneRack) {
+        std::map<std::string, std::vector<TargetState *>> racks;
+        for (auto *target : pool) {
+            racks[target->info.rack()].push_back(target);
+        }
+        for (auto &[rack, group] : racks) {
+            groups.push_back(std::move(group));
+        }
+    }
+    groups.push_back(pool);
+    for (const auto &group : groups) {
+        std::vector<TargetState *> places;
+        for (std::uint32_t index = 0; index < step.spec->count; ++index) {
+            const TaskRef ref{open.job->submission.id, open.occurrence->number, open.stepIndex,
+                              index};
+            auto *target = choose(open, step.tasks[index], ref, group, now);
+            if (target == nullptr) {
+                break;
+            }
+            // Taken for the time of the search, so that the next member sees it.
+            step.tasks[index].target = target;
+            target->used += step.spec->need;
+            places.push_back(target);
+        }
+        for (std::size_t index = 0; index < places.size(); ++index) {
+            step.tasks[index].target = nullptr;
+            places[index]->used -= step.spec->need;
+        }
+        if (places.size() != step.spec->count) {
+            continue;
+        }
+        std::uint32_t starts = 0;
+        for (const auto &task : step.tasks) {
+            starts = std::max(starts, task.starts);
+        }
+        const std::string checkpoint = step.tasks.front().checkpoint;
+        for (std::uint32_t index = 0; index < step.spec->count; ++index) {
+            step.tasks[index].starts = starts + 1;
+            step.tasks[index].checkpoint = checkpoint;
+            start(open, index, *places[index], (m_settings.term - 1) * attemptsPerTerm + starts + 1,
+                  now);
+        }
+        return;
+    }
+}
+
+void OwnerCore::start(const OpenStep &open, std::uint32_t index, TargetState &target,
+                      std::uint32_t attempt, TimePoint now)
+{
+    auto &task = open.step->tasks[index];
+    const auto &spec = *open.step->spec;
+    const TaskRef ref{open.job->submission.id, open.occurrence->number, open.stepIndex, index};
+    task.phase = TaskPhase::Ordered;
+    task.target = &target;
+    --open.step->waiting;
+    ++open.step->ordered;
+    RunState run;
+    run.attempt = attempt;
+    run.room = spec.need;
+    if (spec.fills) {
+        run.room.processors = 0;
+    }
+    run.workspace = open.job->submission.workspace;
+    run.fills = spec.fills;
+    run.serves = spec.serves();
+    run.lasts = spec.lasts;
+    run.tailTarget = spec.tailTarget;
+    run.orderedAt = now;
+    run.progressAt = now;
+    run.paceOrderedAt = now;
+    target.used += run.room;
+    m_used[run.workspace] += run.room;
+    target.runs.emplace(ref, std::move(run));
+    if (target.reservedFor == ref) {
+        target.reservedFor.reset();
+    }
+    if (open.job->phase == JobPhase::Queued) {
+        open.job->phase = JobPhase::Running;
+    }
+    auto &targets = open.job->targets;
+    const auto known = std::find(targets.begin(), targets.end(), target.info.id);
+    const auto place = static_cast<std::size_t>(known - targets.begin());
+    if (known == targets.end()) {
+        targets.push_back(target.info.id);
+    }
+    if (place < open.job->storedTargets) {
+        sendStart(target, ref, target.runs.at(ref), now);
+    } else {
+        makeDirty(*open.job, true, now);
+    }
+}
+
+bool OwnerCore::isStored(const JobState &job, const TargetState &target)
+{
+    const auto stored = job.targets.begin() + static_cast<std::ptrdiff_t>(job.storedTargets);
+    return std::find(job.targets.begin(), stored, target.info.id) != stored;
+}
+
+void OwnerCore::sendStart(TargetState &target, const TaskRef &ref, RunState &run, TimePoint now)
+{
+    run.phase = RunPhase::Starting;
+    run.orderedAt = now;
+    run.progressAt = now;
+    run.paceOrderedAt = now;
+    StartOrder order;
+    order.targetId = target.info.id;
+    order.task = ref;
+    order.attempt = run.attempt;
+    order.leaseUntil = leaseFrom(target, now);
+    if (const auto *task = findTask(ref); task != nullptr) {
+        order.checkpoint = task->checkpoint;
+    }
+    if (const auto *step = findStep(ref, nullptr, nullptr); step != nullptr) {
+        const auto ticket = step->tickets.find(target.info.id);
+        order.ticket = ticket == step->tickets.end() ? std::string{} : ticket->second.text;
+    }
+    target.leaseUntil = std::max(target.leaseUntil, order.leaseUntil);
+    target.lastOrderAt = now;
+    m_orders.emplace_back(std::move(order));
+    if (m_listener) {
+        const auto *task = findTask(ref);
+        Decision decision{Decision::Kind::Started, ref, run.attempt, target.info.id, {}, {}};
+        decision.waited = task == nullptr ? std::nullopt : std::optional(now - task->waitingSince);
+        m_listener(decision);
+    }
+}
+
+// Sends the starts on targets that are now stored for their jobs.
+void OwnerCore::planPledged(TimePoint now)
+{
+    for (const auto id : std::exchange(m_begun, {})) {
+        const auto job = m_jobs.find(id);
+        for (auto &[targetId, target] : m_targets) {
+            std::vector<TaskRef> dropped;
+            for (auto &[task, run] : target->runs) {
+                if (task.job != id || run.phase != RunPhase::Pledged) {
+                    continue;
+                }
+                if (job != m_jobs.end() && !isFinal(job->second->phase) && isUsable(*target, now)) {
+                    sendStart(*target, task, run, now);
+                } else {
+                    dropped.push_back(task);
+                }
+            }
+            for (const auto &task : dropped) {
+                dropRun(*target, task);
+                JobState *owner = nullptr;
+                StepState *step = nullptr;
+                if (auto *state = findTask(task, &owner, &step); state != nullptr) {
+                    release(*owner, *step, *state, now);
+                }
+            }
+        }
+    }
+}
+
+} // namespace cyclamenlatch::scheduling
--- /dev/null
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -0,0 +1,332 @@
+// Targets: who is there, what they may hold for how long, what pools have to do.
+#include "scheduling/ownercore.h"
+
+#include "scheduling/internal/ownerstate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenlatch::scheduling {
+
+using detail::RunPhase;
+
+namespace {
+
+// A target's clock may run this much slower than ours.
+constexpr double slowestClock = 0.98;
+// For what is on its way when a lease runs out.
+constexpr std::chrono::milliseconds lapseMargin{150};
+// How long a call waits for an end; what also bounds the time until a silent target is noticed.
+constexpr std::chrono::milliseconds holdWait{1500};
+// Where serving tasks share a target with tasks that fill, their figures are read this often.
+constexpr std::chrono::milliseconds watchfulWait{500};
+
+} // namespace
+
+OwnerCore::TargetState &OwnerCore::targetState(const std::string &id)
+{
+    auto &target = m_targets[id];
+    if (!target) {
+        target = std::make_unique<TargetState>();
+        target->info.id = id;
+    }
+    return *target;
+}
+
+OwnerCore::TargetState *OwnerCore::findTarget(const std::string &id) const
+{
+    const auto found = m_targets.find(id);
+    return found == m_targets.end() ? nullptr : found->second.get();
+}
+
+const TargetInfo *OwnerCore::target(const std::string &id) const
+{
+    const auto *found = findTarget(id);
+    return found == nullptr ? nullptr : &found->info;
+}
+
+void OwnerCore::targetListed(const TargetInfo &info, TimePoint now)
+{
+    auto &target = targetState(info.id);
+    const bool isReborn = info.born != 0 && target.born != 0 && info.born > target.born;
+    if (!target.isListed) {
+        target.lastAnswer = now;
+    }
+    target.isListed = true;
+    target.info = info;
+    if (isReborn) {
+        tell(Decision::Kind::TargetReborn, {}, 0, info.id);
+        loseRuns(target, Decision::Kind::TargetReborn, now);
+        target.born = info.born;
+        target.endsSeen = 0;
+        target.endsRecorded = 0;
+        target.isAdopted = false;
+    }
+}
+
+void OwnerCore::targetUnlisted(const std::string &id, TimePoint)
+{
+    if (auto *target = findTarget(id)) {
+        target->isListed = false;
+    }
+}
+
+void OwnerCore::targetRemembered(const std::string &id, TimePoint)
+{
+    targetState(id).isRecorded = true;
+}
+
+void OwnerCore::targetRecorded(const std::string &id)
+{
+    if (auto *target = findTarget(id)) {
+        target->isRecorded = true;
+    }
+}
+
+std::vector<std::string> OwnerCore::targetsToRecord() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, target] : m_targets) {
+        ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+bool OwnerCore::hasUnrecordedTargets() const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [](const auto &item) {
+        return item.second->isListed && !item.second->isRecorded;
+    });
+}
+
+std::vector<std::string> OwnerCore::targetsToHold() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, target] : m_targets) {
+        if (!target->info.address.empty()) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::chrono::milliseconds OwnerCore::leaseFrom(const TargetState &target, TimePoint now) const
+{
+    return *target.clock + toMilliseconds(now - target.clockAt) + m_settings.runLease;
+}
+
+bool OwnerCore::hasLapsed(const TargetState &target, TimePoint now) const
+{
+    const auto margin = m_settings.stopTime + lapseMargin;
+    if (!target.clock || !target.isAdopted) {
+        // An earlier owner may have given the longest lease just before this one took over.
+        const auto since = std::max(m_began, target.lastOrderAt);
+        return toSeconds(now - since) * slowestClock > toSeconds(m_settings.longestLease + margin);
+    }
+    const auto clockNow = *target.clock
+                          + std::chrono::duration_cast<std::chrono::milliseconds>(
+                                  (now - target.clockAt) * slowestClock);
+    return clockNow > target.leaseUntil + margin;
+}
+
+std::optional<HoldOrder> OwnerCore::holdOrder(const std::string &id, TimePoint now)
+{
+    auto *target = findTarget(id);
+    if (target == nullptr || target->info.address.empty()) {
+        return std::nullopt;
+    }
+    HoldOrder order;
+    order.endsRecorded = target->endsRecorded;
+    if (!target->isAdopted || !target->clock) {
+        // The first call only reads, so that the clock is known before a lease is given.
+        return order;
+    }
+    if (target->failedCalls > 0) {
+        // A call without an answer may still be carried out: while the target is silent no longer
+        // leases are sent, so that its last one can run out.
+        return order;
+    }
+    order.leaseUntil = leaseFrom(*target, now);
+    target->leaseUntil = std::max(target->leaseUntil, order.leaseUntil);
+    target->lastOrderAt = now;
+    order.wait = holdWait;
+    bool hasFill = false;
+    bool hasServing = false;
+    for (const auto &[task, run] : target->runs) {
+        hasFill = hasFill || run.fills;
+        hasServing = hasServing || run.serves;
+        if (run.phase == RunPhase::Unclear || run.phase == RunPhase::Stopping) {
+            order.wait = std::min(order.wait, m_settings.stopTime);
+        }
+    }
+    if (hasFill && hasServing) {
+        order.wait = std::min(order.wait, watchfulWait);
+    }
+    if (target->endsSeen > target->endsRecorded) {
+        // A call that waits answers at once while unrecorded ends are listed.
+        order.wait = std::chrono::milliseconds{0};
+    }
+    return order;
+}
+
+void OwnerCore::holdFailed(const std::string &id, TimePoint)
+{
+    if (auto *target = findTarget(id)) {
+        ++target->failedCalls;
+    }
+}
+
+void OwnerCore::holdAnswered(const std::string &id, const HoldReport &report, TimePoint sentAt,
+                             TimePoint now)
+{
+    auto *target = findTarget(id);
+    if (target == nullptr) {
+        return;
+    }
+    const bool isOtherLife = target->born != 0 && report.born != 0 && report.born != target->born;
+    if (isOtherLife) {
+        tell(Decision::Kind::TargetReborn, {}, 0, id);
+        loseRuns(*target, Decision::Kind::TargetReborn, now);
+    }
+    if (isOtherLife || !target->isAdopted) {
+        target->endsSeen = 0;
+        target->endsRecorded = 0;
+        target->leaseUntil = report.clock + m_settings.longestLease;
+    }
+    target->born = report.born == 0 ? target->born : report.born;
+    target->clock = report.clock;
+    target->clockAt = now;
+    target->lastAnswer = now;
+    target->failedCalls = 0;
+    target->isAdopted = true;
+    for (const auto &end : report.ends) {
+        if (end.number > target->endsSeen) {
+            target->endsSeen = end.number;
+            if (!m_uncoveredSince) {
+                m_uncoveredSince = now;
+            }
+            takeEnd(*target, end, now);
+        }
+    }
+    for (const auto &row : report.running) {
+        takeRunning(*target, row, sentAt, now);
+    }
+    dropVanished(*target, report, sentAt, now);
+}
+
+void OwnerCore::setLeaving(const std::string &id, bool isLeaving)
+{
+    if (auto *target = findTarget(id)) {
+        target->isLeaving = isLeaving;
+    }
+}
+
+void OwnerCore::targetTakenDown(const std::string &id, TimePoint now)
+{
+    if (auto *target = findTarget(id)) {
+        loseRuns(*target, Decision::Kind::Vanished, now);
+        m_targets.erase(id);
+    }
+}
+
+TargetLoad OwnerCore::load(const std::string &id) const
+{
+    TargetLoad load;
+    const auto *target = findTarget(id);
+    if (target == nullptr) {
+        return load;
+    }
+    load.runs = target->runs.size();
+    load.usedShare =
+            static_cast<double>(target->used.processors)
+            / static_cast<double>(std::max<std::int64_t>(target->info.capacity.processors, 1));
+    for (const auto &[task, run] : target->runs) {
+        if (!run.lasts) {
+            continue;
+        }
+        ++load.lasting;
+        const auto job = m_jobs.find(task.job);
+        if (job == m_jobs.end()) {
+            continue;
+        }
+        const auto occurrence = job->second->occurrences.find(task.occurrence);
+        if (occurrence == job->second->occurrences.end()) {
+            continue;
+        }
+        const auto &step = occurrence->second.steps[task.step];
+        if (isNeeded(step)) {
+            ++load.needed;
+        }
+    }
+    return load;
+}
+
+double OwnerCore::runTimeRatio(const std::string &queue) const
+{
+    // Before some runs have ended the guess stands.
+    constexpr double enoughSeconds = 5;
+    const auto found = m_runTimes.find(queue);
+    return found == m_runTimes.end() || found->second.guessed < enoughSeconds
+                   ? 1
+                   : found->second.real / found->second.guessed;
+}
+
+std::map<std::string, PoolDemand> OwnerCore::demands(TimePoint now) const
+{
+    std::map<std::string, PoolDemand> demands;
+    constexpr double milli = 0.001;
+    for (const auto &[id, target] : m_targets) {
+        if (!target->isListed || target->info.isDraining || target->failedCalls > 0) {
+            continue;
+        }
+        auto &demand = demands[target->info.service];
+        demand.processors += milli * static_cast<double>(target->info.capacity.processors);
+        demand.used += milli * static_cast<double>(target->used.processors);
+        ++demand.targets;
+        for (const auto &[task, run] : target->runs) {
+            demand.lasting += run.lasts ? milli * static_cast<double>(run.room.processors) : 0;
+        }
+    }
+    for (const auto &[id, job] : m_jobs) {
+        if (isFinal(job->phase)) {
+            continue;
+        }
+        auto &demand = demands[job->submission.service];
+        const double ratio = runTimeRatio(job->submission.queue);
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (const auto &step : occurrence.steps) {
+                if (step.spec->lasts) {
+                    demand.lastingWaiting +=
+                            step.spec->fills
+                                    ? 0
+                                    : milli * step.waiting
+                                              * static_cast<double>(step.spec->need.processors);
+                } else if (occurrence.objective > now) {
+                    demand.waitingWork += milli * milli * ratio * step.waiting
+                                          * static_cast<double>(step.spec->need.processors)
+                                          * static_cast<double>(step.spec->estimate.count());
+                }
+            }
+        }
+    }
+    return demands;
+}
+
+// Tasks of a lasting step that are not at work, whatever the cause.
+std::uint32_t OwnerCore::tasksAway(const StepState &step) const
+{
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        const auto &task = step.tasks[index];
+        away += task.target == nullptr || !task.isAtWork || task.target->failedCalls > 0 ? 1 : 0;
+    }
+    return away;
+}
+
+bool OwnerCore::isNeeded(const StepState &step) const
+{
+    return step.spec->mayBeAway > 0 && tasksAway(step) >= step.spec->mayBeAway;
+}
+
+} // namespace cyclamenlatch::scheduling
