--- a/src/control/internal/records.cpp
+++ b/src/control/internal/records.cpp
@@ -1,6 +1,8 @@
 // Encodes and decodes records; a record that can't be read is an error, never an exception.
 #include "control/records.h"
 
+#include "membership/boundedinputarchive.h"
+
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
@@ -97,8 +99,7 @@
 Result<Value> decode(const std::string &record)
 {
     try {
-        std::istringstream stream(record);
-        cereal::PortableBinaryInputArchive archive(stream);
+        membership::BoundedInputArchive archive(record);
         std::uint8_t version = 0;
         Value value;
         archive(version);
