Say once what a task takes of its target, and once how a run is given back

Found reading the whole change: five copies of a filling task's room, three of ending a run and letting its task wait again, two names for one completion type.

--- a/src/control/internal/storelink.cpp
+++ b/src/control/internal/storelink.cpp
@@ -82,13 +82,13 @@
     send(m_format.get(key), callTimeout, std::move(completion));
 }
 
-void StoreLink::list(const std::string &prefix, ListCompletion completion)
+void StoreLink::list(const std::string &prefix, Completion completion)
 {
     listPage(prefix, {}, std::move(completion));
 }
 
 void StoreLink::listPage(const std::string &prefix, platform::StoreReply gathered,
-                         ListCompletion completion)
+                         Completion completion)
 {
     const auto after = gathered.items.empty() ? std::string{} : gathered.items.back().key;
     send(m_format.range(prefix, after), callTimeout * 2,
--- a/src/control/storelink.h
+++ b/src/control/storelink.h
@@ -19,14 +19,13 @@
 {
 public:
     using Completion = std::function<void(const platform::StoreReply &)>;
-    using ListCompletion = std::function<void(const platform::StoreReply &)>;
 
     StoreLink(net::HttpClient &http, const std::string &address, Metrics &metrics);
 
     void get(const std::string &key, Completion completion);
     // All pages; the revision is the store's at the first page, so that a watch from there misses
     // nothing that a later page is too old for.
-    void list(const std::string &prefix, ListCompletion completion);
+    void list(const std::string &prefix, Completion completion);
     void watch(const std::string &prefix, platform::StoreRevision after,
                std::chrono::milliseconds wait, Completion completion);
     void change(const platform::StoreChange &change, Completion completion);
@@ -44,8 +43,7 @@
               bool isWatch = false);
     // Tells a silent watch from a silent store.
     void probe();
-    void listPage(const std::string &prefix, platform::StoreReply gathered,
-                  ListCompletion completion);
+    void listPage(const std::string &prefix, platform::StoreReply gathered, Completion completion);
 
     net::HttpClient &m_http;
     Metrics &m_metrics;
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -31,6 +31,17 @@
     target.runs.erase(found);
 }
 
+// Ends a run without a result: its task waits for another start.
+void OwnerCore::giveBack(TargetState &target, const TaskRef &task, TimePoint now)
+{
+    dropRun(target, task);
+    JobState *job = nullptr;
+    StepState *step = nullptr;
+    if (auto *state = findTask(task, &job, &step); state != nullptr && state->target == &target) {
+        release(*job, *step, *state, now);
+    }
+}
+
 void OwnerCore::loseRuns(TargetState &target, Decision::Kind kind, TimePoint now)
 {
     std::vector<TaskRef> lost;
@@ -46,13 +57,7 @@
     }
     for (const auto &task : lost) {
         tell(kind, task, target.runs.at(task).attempt, target.info.id);
-        dropRun(target, task);
-        JobState *job = nullptr;
-        StepState *step = nullptr;
-        if (auto *state = findTask(task, &job, &step);
-            state != nullptr && state->target == &target) {
-            release(*job, *step, *state, now);
-        }
+        giveBack(target, task, now);
     }
 }
 
@@ -217,10 +222,7 @@
     run.serves = step->spec->serves();
     run.lasts = step->spec->lasts;
     run.tailTarget = step->spec->tailTarget;
-    run.room = step->spec->need;
-    if (run.fills) {
-        run.room.processors = 0;
-    }
+    run.room = step->spec->roomTaken();
     target.used += run.room;
     m_used[run.workspace] += run.room;
     auto &kept = target.runs.emplace(row.task, std::move(run)).first->second;
@@ -271,13 +273,7 @@
     }
     for (const auto &task : vanished) {
         tell(Decision::Kind::Vanished, task, target.runs.at(task).attempt, target.info.id);
-        dropRun(target, task);
-        JobState *job = nullptr;
-        StepState *step = nullptr;
-        if (auto *state = findTask(task, &job, &step);
-            state != nullptr && state->target == &target) {
-            release(*job, *step, *state, now);
-        }
+        giveBack(target, task, now);
     }
 }
 
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -113,10 +113,7 @@
 void OwnerCore::startStep(const OpenStep &open, const std::vector<TargetState *> &pool,
                           TimePoint now)
 {
-    auto room = open.step->spec->need;
-    if (open.step->spec->fills) {
-        room.processors = 0;
-    }
+    const auto room = open.step->spec->roomTaken();
     for (std::uint32_t index = 0; index < open.step->tasks.size(); ++index) {
         auto &task = open.step->tasks[index];
         if (task.phase != TaskPhase::Waiting) {
@@ -144,10 +141,7 @@
                                           TimePoint now) const
 {
     const auto &spec = *open.step->spec;
-    auto room = spec.need;
-    if (spec.fills) {
-        room.processors = 0;
-    }
+    const auto room = spec.roomTaken();
     const std::string *rackOfOthers = nullptr;
     if (spec.wantsOneRack) {
         for (const auto &other : open.step->tasks) {
@@ -207,10 +201,7 @@
                         const std::vector<TargetState *> &pool, TimePoint now)
 {
     const auto &spec = *open.step->spec;
-    auto room = spec.need;
-    if (spec.fills) {
-        room.processors = 0;
-    }
+    const auto room = spec.roomTaken();
     TargetState *best = nullptr;
     for (auto *target : pool) {
         if (!spec.requiredLabel.empty() && !target->info.hasLabel(spec.requiredLabel)) {
@@ -345,10 +336,7 @@
     ++open.step->ordered;
     RunState run;
     run.attempt = attempt;
-    run.room = spec.need;
-    if (spec.fills) {
-        run.room.processors = 0;
-    }
+    run.room = spec.roomTaken();
     run.workspace = open.job->submission.workspace;
     run.fills = spec.fills;
     run.serves = spec.serves();
@@ -432,12 +420,7 @@
                 }
             }
             for (const auto &task : dropped) {
-                dropRun(*target, task);
-                JobState *owner = nullptr;
-                StepState *step = nullptr;
-                if (auto *state = findTask(task, &owner, &step); state != nullptr) {
-                    release(*owner, *step, *state, now);
-                }
+                giveBack(*target, task, now);
             }
         }
     }
--- a/src/scheduling/jobspec.h
+++ b/src/scheduling/jobspec.h
@@ -44,6 +44,15 @@
     // Tasks of a lasting step that may be away at the same time by the system's own doing.
     std::uint32_t mayBeAway = 0;
 
+    // What a task takes of its target: one that fills takes the processors that others leave.
+    Room roomTaken() const
+    {
+        auto room = need;
+        if (fills) {
+            room.processors = 0;
+        }
+        return room;
+    }
     bool serves() const { return tailTarget.count() > 0; }
 };
 
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -211,6 +211,7 @@
 
     // Runs.
     void dropRun(TargetState &target, const TaskRef &task);
+    void giveBack(TargetState &target, const TaskRef &task, TimePoint now);
     void loseRuns(TargetState &target, Decision::Kind kind, TimePoint now);
     void takeEnd(TargetState &target, const EndRow &end, TimePoint now);
     void takeFailure(TargetState &target, JobState &job, StepState &step, const EndRow &end,
