--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -13,6 +13,8 @@
 // Waiting work that a pool clears within this time needs no more hosts: about the time that a move
 // takes, so that a host that comes still finds work.
 constexpr double clearSeconds = 1.5;
+// A host is fetched when at least this part of it is missing.
+constexpr double worthMoving = 0.5;
 // A pool is calm when it clears what waits within this time, and gives hosts away after having been
 // calm for the other.
 constexpr double calmSeconds = 0.1;
@@ -41,6 +43,13 @@
     return std::max(1.0, milli * static_cast<double>(host.capacity.processors));
 }
 
+// Cores that a pool misses to serve what comes and to clear what waits in time.
+double missingCores(const PoolDemand &demand, double coming)
+{
+    return demand.lasting + demand.lastingWaiting + demand.arriving
+           + demand.waitingWork / clearSeconds - demand.processors - coming;
+}
+
 // Seconds until what waits has begun, with the processors that are not taken for good.
 double clearTime(const PoolDemand &demand, double coming)
 {
@@ -101,16 +110,17 @@
     // The most pressed pool gets the next host, one by one.
     while (true) {
         const std::string *pressed = nullptr;
-        double longest = clearSeconds;
+        double most = worthMoving * cores;
         for (const auto &rule : m_rules.services) {
             const auto demand = m_demands.find(rule.name);
             if (rule.isStandby || demand == m_demands.end()) {
                 continue;
             }
             const auto coming = comingTo(rule.name);
-            const double time = clearTime(demand->second, static_cast<double>(coming) * cores);
-            if (time > longest && coming < mostComing) {
-                longest = time;
+            const double missing =
+                    missingCores(demand->second, static_cast<double>(coming) * cores);
+            if (missing > most && coming < mostComing) {
+                most = missing;
                 pressed = &rule.name;
             }
         }
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -74,6 +74,9 @@
     job->arrived = now;
     if (!job->submission.spec.lasts()) {
         m_lastShortJob = now;
+        if (isNew) {
+            countArrival(*job, now);
+        }
     }
     job->occurrenceDone.assign(job->submission.spec.occurrenceCount(), false);
     if (const auto *workspace = workspaceRule(job->submission.workspace)) {
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/internal/ownerstate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cyclamenlatch::scheduling {
@@ -20,6 +21,13 @@
 constexpr std::chrono::milliseconds holdWait{1500};
 // Where serving tasks share a target with tasks that fill, their figures are read this often.
 constexpr std::chrono::milliseconds watchfulWait{500};
+// Over which arrivals of work are averaged: long enough for some jobs, short against a turn.
+constexpr std::chrono::milliseconds arrivalMemory{1000};
+
+double remembered(Duration age)
+{
+    return std::exp(-toSeconds(age) / toSeconds(arrivalMemory));
+}
 
 } // namespace
 
@@ -272,6 +280,19 @@
                    : found->second.real / found->second.guessed;
 }
 
+void OwnerCore::countArrival(const JobState &job, TimePoint now)
+{
+    constexpr double milli = 0.001;
+    auto &arrivals = m_arrivals[job.submission.service];
+    arrivals.work *= remembered(now - arrivals.updated);
+    arrivals.updated = now;
+    for (const auto &step : job.submission.spec.steps) {
+        arrivals.work += milli * milli * step.count * static_cast<double>(step.need.processors)
+                         * static_cast<double>(step.estimate.count())
+                         * runTimeRatio(job.submission.queue);
+    }
+}
+
 std::map<std::string, PoolDemand> OwnerCore::demands(TimePoint now) const
 {
     std::map<std::string, PoolDemand> demands;
@@ -288,6 +309,10 @@
             demand.lasting += run.lasts ? milli * static_cast<double>(run.room.processors) : 0;
         }
     }
+    for (const auto &[service, arrivals] : m_arrivals) {
+        demands[service].arriving =
+                arrivals.work * remembered(now - arrivals.updated) / toSeconds(arrivalMemory);
+    }
     for (const auto &[id, job] : m_jobs) {
         if (isFinal(job->phase)) {
             continue;
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -106,6 +106,8 @@
     std::size_t targets = 0;
     // Cores of lasting tasks that wait for a place.
     double lastingWaiting = 0;
+    // Core-seconds of short tasks that came in a second, as the last seconds tell.
+    double arriving = 0;
 };
 
 class OwnerCore
@@ -277,7 +279,15 @@
     };
     std::unordered_map<std::string, RunTimes> m_runTimes;
     double runTimeRatio(const std::string &queue) const;
+    void countArrival(const JobState &job, TimePoint now);
     std::optional<TimePoint> m_lastShortJob;
+    // By service, core-seconds of short tasks that came, older ones counting less.
+    struct Arrivals
+    {
+        double work = 0;
+        TimePoint updated{};
+    };
+    std::unordered_map<std::string, Arrivals> m_arrivals;
     std::vector<Order> m_orders;
     // Calls for advice that have not been answered.
     std::uint32_t m_adviceCalls = 0;
--- a/src/scheduling/tests/hostkeeper_tests.cpp
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -141,6 +141,23 @@
     EXPECT_EQ(std::get<MoveOrder>(orders[0]).pool, "pool");
 }
 
+// The first second of a turn: work comes faster than the pool's cores can do it, while what waits
+// would still be cleared within the time that a move takes.
+TEST(HostKeeper, fetchesHostsByTheRateOfWorkBeforeItPilesUp)
+{
+    HostWorld hosts;
+    for (const char *name : {"a", "b", "c"}) {
+        hosts.add(name);
+    }
+    hosts.add("x", "off");
+    for (JobNumber id = 1; id <= 8; ++id) {
+        hosts.world.submit(id, {makeStep(8)});
+    }
+    hosts.world.startAll();
+    EXPECT_LT(hosts.world.core.demands(hosts.world.now).at("pool").waitingWork, 1.5 * 3 * 16);
+    ASSERT_EQ(hosts.plan().size(), 1U);
+}
+
 TEST(HostKeeper, leavesAPoolTheHostsItBeganWith)
 {
     HostWorld hosts;
