Wait after a change of owners only with hosts that the earlier one may have ordered

Change: an owner stores which hosts it is about to order; its successor holds back with just these. Waves still wait, since an upkeep of the earlier owner may not be listed yet. A target that was not heard counts as busy. Tests: waitsOnlyWithHostsThatAnEarlierHolderMayHaveOrdered, ordersNoHostBeforeItIsStoredAsOrdered, takesATargetThatWasNotHeardForBusy.

--- a/src/control/hostservice.h
+++ b/src/control/hostservice.h
@@ -42,6 +42,8 @@
     void loadWaves();
     void loadBases();
     void storeBases();
+    void loadOrderedHosts();
+    void recordHosts();
     void again(std::function<void()> action);
     void takeWaves();
     void tick();
@@ -74,6 +76,7 @@
     TimePoint m_poolsLoggedAt{};
     bool m_isStoring = false;
     bool m_areBasesStored = false;
+    bool m_isRecordingHosts = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -103,10 +103,60 @@
                     } else if (reply.outcome != StoreOutcome::Missing) {
                         return again([this] { loadBases(); });
                     }
+                    loadOrderedHosts();
+                });
+}
+
+void HostService::loadOrderedHosts()
+{
+    m_store.get(std::string(orderedHostsKey),
+                [this, alive = std::weak_ptr(m_alive)](const auto &reply) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                        const auto hosts = decodeIds(reply.items.front().value);
+                        if (!hosts) {
+                            logEvent(recordUnreadable, "key={}", orderedHostsKey);
+                        } else {
+                            m_keeper.setOrderedBefore({hosts.value().begin(), hosts.value().end()});
+                        }
+                    } else if (reply.outcome != StoreOutcome::Missing) {
+                        return again([this] { loadOrderedHosts(); });
+                    }
                     tick();
                 });
 }
 
+void HostService::recordHosts()
+{
+    if (m_isRecordingHosts || !m_ownership.isHeld()) {
+        return;
+    }
+    const auto hosts = m_keeper.hostsToRecord(bootNow());
+    if (!hosts) {
+        return;
+    }
+    m_isRecordingHosts = true;
+    platform::StoreChange change;
+    change.expected = {{std::string(ownerKey), m_ownerRevision}};
+    change.writes = {{std::string(orderedHostsKey), encodeIds({hosts->begin(), hosts->end()}), 0}};
+    m_store.change(change, [this, hosts, alive = std::weak_ptr(m_alive)](const auto &reply) {
+        if (alive.expired()) {
+            return;
+        }
+        m_isRecordingHosts = false;
+        if (reply.outcome == StoreOutcome::Done) {
+            m_keeper.hostsRecorded(*hosts);
+            return plan();
+        }
+        if (reply.outcome == StoreOutcome::Conflict) {
+            return m_ownership.resign("another entry has taken over");
+        }
+        again([this] { recordHosts(); });
+    });
+}
+
 void HostService::storeBases()
 {
     if (m_areBasesStored || m_keeper.bases().empty() || !m_ownership.isHeld()) {
@@ -211,6 +261,7 @@
     for (const auto &order : m_keeper.plan(bootNow())) {
         send(order);
     }
+    recordHosts();
     m_planned();
 }
 
--- a/src/control/storekeys.h
+++ b/src/control/storekeys.h
@@ -36,6 +36,9 @@
 // Hosts that each pool began with.
 inline constexpr std::string_view poolBasesKey = "pool-bases";
 
+// Hosts that an owner may have ordered lately.
+inline constexpr std::string_view orderedHostsKey = "ordered-hosts";
+
 inline std::string waveRecordKey(std::uint64_t number)
 {
     return std::string(waveRecordPrefix) + std::to_string(number);
--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -24,7 +24,8 @@
 
 struct HostKeeperSettings
 {
-    // No order before this time after taking over: holders may not take turns sooner.
+    // No order for a host that an earlier holder ordered within this time: holders may not take
+    // turns sooner.
     std::chrono::milliseconds holderPause{3000};
     std::chrono::milliseconds upkeepTime{2000};
     std::chrono::milliseconds moveTime{1500};
@@ -52,6 +53,13 @@
     // How soon the list is to be read again.
     std::chrono::milliseconds listInterval() const;
 
+    // Hosts that earlier holders may have ordered lately, as the last one stored them.
+    void setOrderedBefore(std::set<std::string> hosts) { m_orderedBefore = std::move(hosts); }
+    // Hosts to be stored as ordered, when one that is not stored yet is wanted. No host is ordered
+    // before it is stored, so that a later holder knows which ones it has to wait with.
+    std::optional<std::set<std::string>> hostsToRecord(TimePoint now) const;
+    void hostsRecorded(std::set<std::string> hosts) { m_recorded = std::move(hosts); }
+
     std::vector<HostOrder> plan(TimePoint now);
     void answered(const HostOrder &order, HostAnswer answer, TimePoint now);
 
@@ -102,6 +110,8 @@
         std::uint64_t downFor = 0;
         // Nothing has run there since.
         std::optional<TimePoint> idleSince;
+        // An order was last sent or answered.
+        std::optional<TimePoint> orderedAt;
         // Pool it is on its way to.
         std::string movingTo;
     };
@@ -114,6 +124,8 @@
     void planReturns(TimePoint now);
     Host *donorFor(const std::string &service, TimePoint now);
     bool isStandby(const std::string &service) const;
+    // An earlier holder may have ordered it too short a time ago.
+    bool isHeldBack(const std::string &host, TimePoint now) const;
     // The pool has more waiting than it clears at once.
     bool isPressed(const std::string &service) const;
     bool hasDemandEnded(TimePoint now) const;
@@ -131,7 +143,13 @@
     const HostKeeperSettings m_settings;
     OwnerCore &m_core;
     const Listener m_listener;
+    // The first time at which this holder may order what an earlier one has just ordered.
     const TimePoint m_notBefore;
+    // No plan before this time, so that targets have told what they run.
+    const TimePoint m_settled;
+    std::set<std::string> m_orderedBefore;
+    // Stored as ordered.
+    std::set<std::string> m_recorded;
     FleetRules m_rules;
     std::map<std::string, Host> m_hosts;
     bool m_hasList = false;
--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds listLag{2000};
 // Beyond the time in which holders may not take turns, for what was on its way.
 constexpr std::chrono::milliseconds holderMargin{150};
+// Targets that answer at all have told what they run this long after a change of owners.
+constexpr std::chrono::milliseconds settleTime{1000};
 
 } // namespace
 
@@ -36,6 +38,7 @@
     , m_core(core)
     , m_listener(std::move(listener))
     , m_notBefore(isFirstTerm ? now : now + settings.holderPause + holderMargin)
+    , m_settled(isFirstTerm ? now : now + settleTime)
 {}
 
 void HostKeeper::setRules(const FleetRules &rules)
@@ -120,11 +123,14 @@
 std::vector<HostOrder> HostKeeper::plan(TimePoint now)
 {
     std::vector<HostOrder> orders;
-    if (!m_hasList || now < m_notBefore) {
+    if (!m_hasList || now < m_settled) {
         return orders;
     }
     m_demands = m_core.demands(now);
-    planWaves(now);
+    if (now >= m_notBefore) {
+        // Sooner, an upkeep that an earlier holder ordered might not be listed yet.
+        planWaves(now);
+    }
     planMoves(now);
     for (auto &[name, host] : m_hosts) {
         orderIfEmpty(host, now, orders);
@@ -231,9 +237,30 @@
     return std::clamp(perHost - m_settings.upkeepTime, leastEmptying, mostEmptying);
 }
 
+bool HostKeeper::isHeldBack(const std::string &host, TimePoint now) const
+{
+    return now < m_notBefore && m_orderedBefore.contains(host);
+}
+
+std::optional<std::set<std::string>> HostKeeper::hostsToRecord(TimePoint now) const
+{
+    std::set<std::string> hosts;
+    bool isNew = false;
+    for (const auto &[name, host] : m_hosts) {
+        const bool isRecent =
+                host.orderedAt && now - *host.orderedAt < m_settings.holderPause + holderMargin;
+        if (host.wanted || isRecent) {
+            hosts.insert(name);
+            isNew = isNew || !m_recorded.contains(name);
+        }
+    }
+    return isNew ? std::optional(std::move(hosts)) : std::nullopt;
+}
+
 void HostKeeper::orderIfEmpty(Host &host, TimePoint now, std::vector<HostOrder> &orders)
 {
-    if (!host.wanted || host.isOrdered || now < host.notBefore) {
+    if (!host.wanted || host.isOrdered || now < host.notBefore || isHeldBack(host.info.name, now)
+        || !m_recorded.contains(host.info.name)) {
         return;
     }
     const auto load = m_core.load(host.wantedTarget);
@@ -242,6 +269,7 @@
         return;
     }
     host.isOrdered = true;
+    host.orderedAt = now;
     m_listener(host.info.name, "ordered");
     orders.push_back(*host.wanted);
 }
@@ -256,6 +284,7 @@
     }
     auto &host = found->second;
     host.isOrdered = false;
+    host.orderedAt = now;
     host.isUnclear =
             answer == HostAnswer::Unclear || (host.isUnclear && answer != HostAnswer::Accepted);
     host.notBefore = now + orderRetry;
--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -71,7 +71,9 @@
             std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &item) {
                 const auto &host = item.second;
                 const auto *move = host.wanted ? std::get_if<MoveOrder>(&*host.wanted) : nullptr;
-                return (host.awaySince && host.movingTo == service)
+                const bool isListedOnItsWay = !host.awaySince && host.info.pool == service
+                                              && host.info.state == HostState::Moving;
+                return isListedOnItsWay || (host.awaySince && host.movingTo == service)
                        || (move != nullptr && move->pool == service);
             }));
 }
@@ -205,7 +207,7 @@
     double bestScore = 0;
     for (auto &[name, host] : m_hosts) {
         if (!host.idleSince || host.wanted || host.awaySince || host.info.pool == service
-            || m_unfit.contains({name, service})) {
+            || isHeldBack(name, now) || m_unfit.contains({name, service})) {
             continue;
         }
         double score = 4;
@@ -249,6 +251,7 @@
         for (auto &[name, host] : m_hosts) {
             const bool isIdle = host.idleSince && now - *host.idleSince >= idleBeforeReturn
                                 && host.info.pool == service && !host.wanted
+                                && !isHeldBack(name, now)
                                 && !m_unfit.contains({name, standby->name});
             if (!isIdle
                 || !canSpare(service, demand, leavingFrom(service) + 1, coresOf(host.info), now)) {
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -245,7 +245,9 @@
     if (target == nullptr) {
         return load;
     }
-    load.runs = target->runs.size();
+    // What was not heard may run something.
+    load.runs =
+            target->isAdopted ? target->runs.size() : std::max<std::size_t>(target->runs.size(), 1);
     load.usedShare =
             static_cast<double>(target->used.processors)
             / static_cast<double>(std::max<std::int64_t>(target->info.capacity.processors, 1));
--- a/src/scheduling/tests/hostkeeper_tests.cpp
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -39,10 +39,19 @@
                              [&](const auto &host) { return host.name == name; });
     }
 
-    std::vector<HostOrder> plan()
+    // Plans, stores which hosts are to be ordered, and plans again, as the shell does.
+    std::vector<HostOrder> plan() { return plan(keeper); }
+
+    std::vector<HostOrder> plan(HostKeeper &holder)
     {
-        keeper.hostsListed(hosts, world.now);
-        return keeper.plan(world.now);
+        holder.hostsListed(hosts, world.now);
+        auto orders = holder.plan(world.now);
+        if (auto ordered = holder.hostsToRecord(world.now)) {
+            holder.hostsRecorded(std::move(*ordered));
+            const auto more = holder.plan(world.now);
+            orders.insert(orders.end(), more.begin(), more.end());
+        }
+        return orders;
     }
 
     OwnerWorld world;
@@ -116,10 +125,67 @@
     HostKeeper later({}, hosts.world.core, hosts.world.now, false,
                      [](const auto &, const auto &) {});
     later.waveAsked({1, {"a"}, 10s, 1}, {}, {}, hosts.world.now);
-    later.hostsListed(hosts.hosts, hosts.world.now);
-    EXPECT_TRUE(later.plan(hosts.world.now).empty());
+    EXPECT_TRUE(hosts.plan(later).empty());
     hosts.world.advance(4s);
-    EXPECT_EQ(later.plan(hosts.world.now).size(), 1U);
+    EXPECT_EQ(hosts.plan(later).size(), 1U);
+}
+
+// A change of owners in a pool's turn: three seconds without moves cost most of the turn.
+TEST(HostKeeper, waitsOnlyWithHostsThatAnEarlierHolderMayHaveOrdered)
+{
+    HostWorld hosts;
+    for (const char *name : {"a", "b", "c"}) {
+        hosts.add(name);
+    }
+    hosts.add("x", "off");
+    hosts.add("y", "off");
+    HostKeeper later({}, hosts.world.core, hosts.world.now, false,
+                     [](const auto &, const auto &) {});
+    auto rules = makeRules();
+    rules.services.push_back({"off", false, true});
+    later.setRules(rules);
+    later.setOrderedBefore({"x"});
+    for (JobNumber id = 1; id <= 40; ++id) {
+        hosts.world.submit(id, {makeStep(8, 900)});
+    }
+    hosts.world.startAll();
+    EXPECT_TRUE(hosts.plan(later).empty());
+    hosts.world.advance(1s);
+    const auto orders = hosts.plan(later);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(std::get<MoveOrder>(orders[0]).host, "y");
+    hosts.world.advance(3s);
+    for (JobNumber id = 41; id <= 80; ++id) {
+        hosts.world.submit(id, {makeStep(8, 900)});
+    }
+    const auto rest = hosts.plan(later);
+    ASSERT_EQ(rest.size(), 1U);
+    EXPECT_EQ(std::get<MoveOrder>(rest[0]).host, "x");
+}
+
+TEST(HostKeeper, ordersNoHostBeforeItIsStoredAsOrdered)
+{
+    HostWorld hosts;
+    hosts.add("a");
+    hosts.keeper.waveAsked({1, {"a"}, 10s, 1}, {}, {}, hosts.world.now);
+    hosts.keeper.hostsListed(hosts.hosts, hosts.world.now);
+    EXPECT_TRUE(hosts.keeper.plan(hosts.world.now).empty());
+    const auto ordered = hosts.keeper.hostsToRecord(hosts.world.now);
+    ASSERT_TRUE(ordered.has_value());
+    EXPECT_TRUE(hosts.keeper.plan(hosts.world.now).empty());
+    hosts.keeper.hostsRecorded(*ordered);
+    EXPECT_EQ(hosts.keeper.plan(hosts.world.now).size(), 1U);
+    EXPECT_FALSE(hosts.keeper.hostsToRecord(hosts.world.now).has_value());
+}
+
+TEST(HostKeeper, takesATargetThatWasNotHeardForBusy)
+{
+    HostWorld hosts;
+    hosts.add("a");
+    hosts.world.list("t2");
+    hosts.host("a").target = "t2";
+    hosts.keeper.waveAsked({1, {"a"}, 10s, 1}, {}, {}, hosts.world.now);
+    EXPECT_TRUE(hosts.plan().empty());
 }
 
 // The load of a pool's turn: four times its mean for some seconds, more than its hosts clear.
