Let pools that had their peak lend idle hosts to the pressed one, and give them back when it is calm

Change: the pressed pool gets hosts that are off, then those that pools have beyond what they began with, then idle ones of pools that had their peak, the latest first, down to half of what they began with. Hosts beyond that number go home to such a pool before they go off. Tests: lendsIdleHostsOfAPoolThatHadItsTurn, givesLentHostsBackWhenThePoolIsCalm.

--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -122,7 +122,13 @@
     void orderIfEmpty(Host &host, TimePoint now, std::vector<HostOrder> &orders);
     void planMoves(TimePoint now);
     void planReturns(TimePoint now);
+    void fetchForPressed(double cores, TimePoint now);
     Host *donorFor(const std::string &service, TimePoint now);
+    // When the pool last had a peak, if it can do without so many hosts now; the latest of times
+    // if it has as many beyond those it began with.
+    std::optional<TimePoint> lendsSince(const std::string &service, const PoolDemand &demand,
+                                        std::size_t hosts, double cores) const;
+    std::string lenderFor(const std::string &host) const;
     bool isStandby(const std::string &service) const;
     // An earlier holder may have ordered it too short a time ago.
     bool isHeldBack(const std::string &host, TimePoint now) const;
@@ -164,6 +170,8 @@
         double cores = 0;
         TimePoint since{};
         TimePoint updated{};
+        // Nothing before the first time.
+        std::optional<TimePoint> lastPressed;
     };
     std::map<std::string, Peak> m_peaks;
     // Since when a pool has had nothing waiting.
--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -35,7 +35,9 @@
 constexpr std::chrono::seconds demandEnd{4};
 constexpr std::size_t idleSpare = 1;
 // Hosts that may be on their way into one pool at the same time.
-constexpr std::size_t mostComing = 8;
+constexpr std::size_t mostComing = 16;
+// A pool that had its peak lends idle hosts, but keeps this part of those that it began with.
+constexpr double keptWhenLending = 0.5;
 constexpr double milli = 0.001;
 
 double coresOf(const HostInfo &host)
@@ -94,22 +96,13 @@
     for (const auto &[service, demand] : m_demands) {
         watchPeak(service, demand, now);
     }
-    // After a time without demand pools first grow to what they began with.
-    if (!hasDemandEnded(now)) {
-        for (const auto &[service, base] : m_bases) {
-            if (isStandby(service)) {
-                continue;
-            }
-            for (auto have = hostsIn(service) + comingTo(service); have < base; ++have) {
-                auto *donor = donorFor(service, now);
-                if (donor == nullptr || !isStandby(donor->info.pool)) {
-                    break;
-                }
-                empty(*donor, MoveOrder{donor->info.name, service}, now);
-            }
-        }
-    }
-    // The most pressed pool gets the next host, one by one.
+    fetchForPressed(cores, now);
+    planReturns(now);
+}
+
+// The most pressed pool gets the next host, one by one; then those that lent some get theirs back.
+void HostKeeper::fetchForPressed(double cores, TimePoint now)
+{
     while (true) {
         const std::string *pressed = nullptr;
         double most = worthMoving * cores;
@@ -126,13 +119,27 @@
                 pressed = &rule.name;
             }
         }
-        auto *donor = pressed == nullptr ? nullptr : donorFor(*pressed, now);
-        if (donor == nullptr) {
+        if (pressed == nullptr) {
             break;
         }
+        auto *donor = donorFor(*pressed, now);
+        if (donor == nullptr) {
+            return;
+        }
         empty(*donor, MoveOrder{donor->info.name, *pressed}, now);
     }
-    planReturns(now);
+    if (hasDemandEnded(now)) {
+        return;
+    }
+    for (const auto &[service, base] : m_bases) {
+        while (!isStandby(service) && hostsIn(service) + comingTo(service) < base) {
+            auto *donor = donorFor(service, now);
+            if (donor == nullptr || !isStandby(donor->info.pool)) {
+                break;
+            }
+            empty(*donor, MoveOrder{donor->info.name, service}, now);
+        }
+    }
 }
 
 std::size_t HostKeeper::hostsIn(const std::string &service) const
@@ -164,6 +171,9 @@
     peak.updated = now;
     peak.cores = std::max(peak.cores,
                           demand.used - demand.lasting + demand.waitingWork / peakClearSeconds);
+    if (missingCores(demand, 0) > 0) {
+        peak.lastPressed = now;
+    }
 }
 
 bool HostKeeper::isPressed(const std::string &service) const
@@ -200,35 +210,66 @@
            >= demand.lasting + demand.lastingWaiting + peakKept * peak->second.cores;
 }
 
-// Hosts that are off come at once; those of calm pools may be needed there again soon.
+// Demand goes round: a pool that had its peak last will have its next one last.
+std::optional<TimePoint> HostKeeper::lendsSince(const std::string &service,
+                                                const PoolDemand &demand, std::size_t hosts,
+                                                double cores) const
+{
+    const auto peak = m_peaks.find(service);
+    const auto base = m_bases.find(service);
+    const auto kept = demand.targets - std::min(demand.targets, hosts);
+    const double taken = static_cast<double>(hosts + idleSpare) * cores;
+    if (peak == m_peaks.end() || base == m_bases.end() || kept < fewestHosts
+        || missingCores(demand, -taken) > 0) {
+        return std::nullopt;
+    }
+    if (kept >= base->second) {
+        return TimePoint::max();
+    }
+    const bool hasEnough =
+            static_cast<double>(kept) >= keptWhenLending * static_cast<double>(base->second);
+    return hasEnough ? peak->second.lastPressed : std::nullopt;
+}
+
+// Hosts that are off come at once, then those that a pool has beyond what it began with.
 HostKeeper::Host *HostKeeper::donorFor(const std::string &service, TimePoint now)
 {
     Host *best = nullptr;
-    double bestScore = 0;
+    auto bestSince = TimePoint::min();
     for (auto &[name, host] : m_hosts) {
         if (!host.idleSince || host.wanted || host.awaySince || host.info.pool == service
             || isHeldBack(name, now) || m_unfit.contains({name, service})) {
             continue;
         }
-        double score = 4;
-        if (!isStandby(host.info.pool)) {
-            const auto own = m_demands.find(host.info.pool);
-            if (own == m_demands.end() || now - *host.idleSince < idleBeforeLending
-                || clearTime(own->second, 0) > calmSeconds
-                || !canSpare(host.info.pool, own->second, leavingFrom(host.info.pool) + 1,
-                             coresOf(host.info), now)) {
-                continue;
-            }
-            score = 2;
+        if (isStandby(host.info.pool)) {
+            return &host;
         }
-        if (best == nullptr || score > bestScore) {
+        const auto own = m_demands.find(host.info.pool);
+        if (own == m_demands.end() || now - *host.idleSince < idleBeforeLending) {
+            continue;
+        }
+        const auto since = lendsSince(host.info.pool, own->second, leavingFrom(host.info.pool) + 1,
+                                      coresOf(host.info));
+        if (since && *since > bestSince) {
             best = &host;
-            bestScore = score;
+            bestSince = *since;
         }
     }
     return best;
 }
 
+// A pool that has less than it began with and takes the host; empty: none.
+std::string HostKeeper::lenderFor(const std::string &host) const
+{
+    for (const auto &[service, base] : m_bases) {
+        if (!isStandby(service) && hostsIn(service) + comingTo(service) < base
+            && !m_unfit.contains({host, service})) {
+            return service;
+        }
+    }
+    return {};
+}
+
 void HostKeeper::planReturns(TimePoint now)
 {
     const auto standby = std::find_if(m_rules.services.begin(), m_rules.services.end(),
@@ -257,7 +298,8 @@
                 || !canSpare(service, demand, leavingFrom(service) + 1, coresOf(host.info), now)) {
                 continue;
             }
-            empty(host, MoveOrder{name, standby->name}, now);
+            const auto lender = lenderFor(name);
+            empty(host, MoveOrder{name, lender.empty() ? standby->name : lender}, now);
         }
     }
 }
--- a/src/scheduling/tests/hostkeeper_tests.cpp
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -16,6 +16,7 @@
     {
         auto rules = makeRules();
         rules.services.push_back({"off", false, true});
+        rules.services.push_back({"other", false, false});
         keeper.setRules(rules);
     }
 
@@ -26,8 +27,9 @@
         host.pool = pool;
         host.state = HostState::Up;
         host.capacity = Room{16000, 64000, 0};
-        if (pool == "pool") {
+        if (pool != "off") {
             host.target = "t-" + name;
+            world.service = pool;
             world.join(host.target);
         }
         hosts.push_back(host);
@@ -224,6 +226,76 @@
     ASSERT_EQ(hosts.plan().size(), 1U);
 }
 
+// Demand goes round: a pool with more work than hosts, beside one whose turn has just ended.
+class HostWorldInTurns : public HostWorld
+{
+public:
+    HostWorldInTurns()
+    {
+        for (const char *name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+            add(name, "other");
+        }
+        for (const char *name : {"i", "j", "k", "l"}) {
+            add(name, "pool");
+        }
+        plan();
+    }
+
+    void press(const std::string &pool, JobNumber first)
+    {
+        world.service = pool;
+        for (JobNumber id = first; id < first + 40; ++id) {
+            world.submit(id, {makeStep(16, 900)});
+        }
+    }
+
+    void endTurn(JobNumber first)
+    {
+        for (JobNumber id = first; id < first + 40; ++id) {
+            world.core.jobCancelled(id, world.now);
+        }
+        world.advance(8s);
+    }
+};
+
+TEST(HostKeeper, lendsIdleHostsOfAPoolThatHadItsTurn)
+{
+    HostWorldInTurns hosts;
+    hosts.press("other", 1);
+    hosts.plan();
+    hosts.endTurn(1);
+    hosts.press("pool", 101);
+    const auto orders = hosts.plan();
+    // Half of the hosts that it began with stay.
+    ASSERT_EQ(orders.size(), 4U);
+    EXPECT_EQ(std::get<MoveOrder>(orders[0]).pool, "pool");
+}
+
+TEST(HostKeeper, givesLentHostsBackWhenThePoolIsCalm)
+{
+    HostWorldInTurns hosts;
+    hosts.host("a").pool = "pool";
+    hosts.host("b").pool = "pool";
+    for (int tick = 0; tick < 3; ++tick) {
+        for (const char *target : {"t-a", "t-b"}) {
+            auto info = *hosts.world.core.target(target);
+            info.service = "pool";
+            hosts.world.core.targetListed(info, hosts.world.now);
+        }
+        hosts.world.service = "pool";
+        hosts.world.submit(500 + tick, {makeStep(1)});
+        hosts.world.core.jobCancelled(500 + tick, hosts.world.now);
+        const auto orders = hosts.plan();
+        if (!orders.empty()) {
+            ASSERT_EQ(orders.size(), 2U);
+            EXPECT_EQ(std::get<MoveOrder>(orders[0]).pool, "other");
+            return;
+        }
+        hosts.world.advance(1100ms);
+    }
+    FAIL() << "no host was given back";
+}
+
 TEST(HostKeeper, leavesAPoolTheHostsItBeganWith)
 {
     HostWorld hosts;
--- a/src/scheduling/tests/ownerworld.h
+++ b/src/scheduling/tests/ownerworld.h
@@ -58,7 +58,7 @@
     {
         TargetInfo info;
         info.id = id;
-        info.service = "pool";
+        info.service = service;
         info.address = "10.0.0.1:80";
         info.labels = {"a", "r1"};
         info.capacity = capacity;
@@ -90,7 +90,7 @@
         JobSubmission submission;
         submission.id = id;
         submission.queue = "queue";
-        submission.service = "pool";
+        submission.service = service;
         submission.workspace = workspace;
         submission.submitted = wall();
         submission.spec.steps = std::move(steps);
@@ -154,6 +154,8 @@
     WallTime wall() const { return WallTime(clock()); }
 
     TimePoint now = TimePoint(1000s);
+    // Of the targets that are listed and the jobs that are submitted next.
+    std::string service = "pool";
     std::vector<Decision> decisions;
     OwnerCore core;
 };
