--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -307,7 +307,7 @@
                  "pool={} hosts={} coming={} cores={:.0f} lasting={:.0f} used={:.0f} "
                  "lasting_waiting={:.0f} waiting_core_seconds={:.0f}",
                  service, demand.targets, m_keeper.comingTo(service), demand.processors,
-                 demand.lasting, demand.used, demand.lastingWaiting, demand.waitingWork);
+                 demand.lasting, demand.used, demand.lastingWaiting, demand.openWork);
     }
 }
 
--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -45,18 +45,19 @@
     return std::max(1.0, milli * static_cast<double>(host.capacity.processors));
 }
 
-// Cores that a pool misses to serve what comes and to clear what waits in time.
+// Cores that a pool misses to serve what runs and comes and to clear what waits in time.
 double missingCores(const PoolDemand &demand, double coming)
 {
-    return demand.lasting + demand.lastingWaiting + demand.arriving
-           + demand.waitingWork / clearSeconds - demand.processors - coming;
+    const double shortWork = std::max(demand.arriving, demand.used - demand.lasting);
+    return demand.lasting + demand.lastingWaiting + shortWork + demand.openWork / clearSeconds
+           - demand.processors - coming;
 }
 
 // Seconds until what waits has begun, with the processors that are not taken for good.
 double clearTime(const PoolDemand &demand, double coming)
 {
     const double free = demand.processors - demand.lasting - demand.lastingWaiting + coming;
-    return (demand.waitingWork + demand.lastingWaiting) / std::max(free, 1.0);
+    return (demand.openWork + demand.lastingWaiting) / std::max(free, 1.0);
 }
 
 } // namespace
@@ -169,8 +170,8 @@
     }
     peak.cores *= std::exp2(-toSeconds(now - peak.updated) / toSeconds(peakHalfLife));
     peak.updated = now;
-    peak.cores = std::max(peak.cores,
-                          demand.used - demand.lasting + demand.waitingWork / peakClearSeconds);
+    peak.cores =
+            std::max(peak.cores, demand.used - demand.lasting + demand.openWork / peakClearSeconds);
     if (missingCores(demand, 0) > 0) {
         peak.lastPressed = now;
     }
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -1,6 +1,7 @@
 // Targets: who is there, what they may hold for how long, what pools have to do.
 #include "scheduling/ownercore.h"
 
+#include "scheduling/internal/jobchain.h"
 #include "scheduling/internal/ownerstate.h"
 
 #include <algorithm>
@@ -21,13 +22,10 @@
 constexpr std::chrono::milliseconds holdWait{1500};
 // Where serving tasks share a target with tasks that fill, their figures are read this often.
 constexpr std::chrono::milliseconds watchfulWait{500};
-// Over which arrivals of work are averaged: long enough for some jobs, short against a turn.
-constexpr std::chrono::milliseconds arrivalMemory{1000};
-
-double remembered(Duration age)
-{
-    return std::exp(-toSeconds(age) / toSeconds(arrivalMemory));
-}
+// Arrivals of work are averaged over at least this: some jobs, short against a pool's turn.
+constexpr double leastArrivalSeconds = 1;
+// Weight of the last job in the mean length of a queue's jobs.
+constexpr double lengthWeight = 0.1;
 
 } // namespace
 
@@ -282,16 +280,27 @@
                    : found->second.real / found->second.guessed;
 }
 
+double OwnerCore::Arrivals::workAt(TimePoint now) const
+{
+    return work * std::exp(-toSeconds(now - updated) / seconds);
+}
+
 void OwnerCore::countArrival(const JobState &job, TimePoint now)
 {
     constexpr double milli = 0.001;
-    auto &arrivals = m_arrivals[job.submission.service];
-    arrivals.work *= remembered(now - arrivals.updated);
+    const auto &spec = job.submission.spec;
+    const double ratio = runTimeRatio(job.submission.queue);
+    auto &arrivals = m_arrivals[job.submission.queue];
+    arrivals.work = arrivals.workAt(now);
+    arrivals.service = job.submission.service;
     arrivals.updated = now;
-    for (const auto &step : job.submission.spec.steps) {
-        arrivals.work += milli * milli * step.count * static_cast<double>(step.need.processors)
-                         * static_cast<double>(step.estimate.count())
-                         * runTimeRatio(job.submission.queue);
+    const double length =
+            std::max(leastArrivalSeconds, milli * ratio * detail::chainMilliseconds(spec));
+    arrivals.seconds += lengthWeight * (length - arrivals.seconds);
+    for (const auto &step : spec.steps) {
+        arrivals.work += milli * milli * ratio * step.count
+                         * static_cast<double>(step.need.processors)
+                         * static_cast<double>(step.estimate.count());
     }
 }
 
@@ -311,9 +320,8 @@
             demand.lasting += run.lasts ? milli * static_cast<double>(run.room.processors) : 0;
         }
     }
-    for (const auto &[service, arrivals] : m_arrivals) {
-        demands[service].arriving =
-                arrivals.work * remembered(now - arrivals.updated) / toSeconds(arrivalMemory);
+    for (const auto &[queue, arrivals] : m_arrivals) {
+        demands[arrivals.service].arriving += arrivals.workAt(now) / arrivals.seconds;
     }
     for (const auto &[id, job] : m_jobs) {
         if (isFinal(job->phase)) {
@@ -329,10 +337,10 @@
                                     ? 0
                                     : milli * step.waiting
                                               * static_cast<double>(step.spec->need.processors);
-                } else if (occurrence.objective > now) {
-                    demand.waitingWork += milli * milli * ratio * step.waiting
-                                          * static_cast<double>(step.spec->need.processors)
-                                          * static_cast<double>(step.spec->estimate.count());
+                } else if (step.isOpen && occurrence.objective > now) {
+                    demand.openWork += milli * milli * ratio * step.waiting
+                                       * static_cast<double>(step.spec->need.processors)
+                                       * static_cast<double>(step.spec->estimate.count());
                 }
             }
         }
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -95,9 +95,8 @@
 // What a service's pool has to do and to do it with.
 struct PoolDemand
 {
-    // Core-seconds of short tasks that have not begun, later steps of jobs that have arrived
-    // included.
-    double waitingWork = 0;
+    // Core-seconds of short tasks whose turn has come and that have not begun.
+    double openWork = 0;
     // Cores of targets that take work, and of what lasts there.
     double processors = 0;
     double lasting = 0;
@@ -106,7 +105,7 @@
     std::size_t targets = 0;
     // Cores of lasting tasks that wait for a place.
     double lastingWaiting = 0;
-    // Core-seconds of short tasks that came in a second, as the last seconds tell.
+    // Cores that short jobs keep busy when they come as they did in the last seconds.
     double arriving = 0;
 };
 
@@ -281,11 +280,16 @@
     double runTimeRatio(const std::string &queue) const;
     void countArrival(const JobState &job, TimePoint now);
     std::optional<TimePoint> m_lastShortJob;
-    // By service, core-seconds of short tasks that came, older ones counting less.
+    // By queue, core-seconds of short tasks that came, older ones counting less.
     struct Arrivals
     {
+        std::string service;
         double work = 0;
+        // Over which the work is spread: about as long as a job runs.
+        double seconds = 1;
         TimePoint updated{};
+
+        double workAt(TimePoint now) const;
     };
     std::unordered_map<std::string, Arrivals> m_arrivals;
     std::vector<Order> m_orders;
--- a/src/scheduling/tests/hostkeeper_tests.cpp
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -222,7 +222,7 @@
         hosts.world.submit(id, {makeStep(8)});
     }
     hosts.world.startAll();
-    EXPECT_LT(hosts.world.core.demands(hosts.world.now).at("pool").waitingWork, 1.5 * 3 * 16);
+    EXPECT_LT(hosts.world.core.demands(hosts.world.now).at("pool").openWork, 1.5 * 3 * 16);
     ASSERT_EQ(hosts.plan().size(), 1U);
 }
 
