--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -124,8 +124,8 @@
     void planReturns(TimePoint now);
     void fetchForPressed(double cores, TimePoint now);
     Host *donorFor(const std::string &service, TimePoint now);
-    // When the pool last had a peak, if it can do without so many hosts now; the latest of times
-    // if it has as many beyond those it began with.
+    // When the pool last had a peak, if it can do without so many hosts now; the earliest of times
+    // if it had none, the latest if it has as many beyond those it began with.
     std::optional<TimePoint> lendsSince(const std::string &service, const PoolDemand &demand,
                                         std::size_t hosts, double cores) const;
     std::string lenderFor(const std::string &host) const;
--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-// Waiting work that a pool clears within this time needs no more hosts: about the time that a move
-// takes, so that a host that comes still finds work.
-constexpr double clearSeconds = 1.5;
+// What waits is to begin within this time: short against a move, since by the time a host comes
+// the work of that time has piled up as well.
+constexpr double clearSeconds = 0.4;
 // A host is fetched when at least this part of it is missing.
 constexpr double worthMoving = 0.5;
 // A pool is calm when it clears what waits within this time, and gives hosts away after having been
@@ -211,7 +211,8 @@
            >= demand.lasting + demand.lastingWaiting + peakKept * peak->second.cores;
 }
 
-// Demand goes round: a pool that had its peak last will have its next one last.
+// Demand goes round: a pool that had its peak last will have its next one last, and one that had
+// none may have it at any time.
 std::optional<TimePoint> HostKeeper::lendsSince(const std::string &service,
                                                 const PoolDemand &demand, std::size_t hosts,
                                                 double cores) const
@@ -229,7 +230,7 @@
     }
     const bool hasEnough =
             static_cast<double>(kept) >= keptWhenLending * static_cast<double>(base->second);
-    return hasEnough ? peak->second.lastPressed : std::nullopt;
+    return hasEnough ? std::optional(peak->second.lastPressed.value_or(TimePoint{})) : std::nullopt;
 }
 
 // Hosts that are off come at once, then those that a pool has beyond what it began with.
