Count against caps only what may run unheard, and take silent targets of moved hosts for ended

Cause: after a change of owners the whole capacity of every target that had not answered counted against every workspace's cap. Change: what runs unheard is at most the tasks that wait of jobs with an unheard stored target; 5% of a cap is left for runs of jobs that were cancelled or failed right before. A target that was never heard and does not answer has ended when its host is listed as moving or in upkeep, or runs a target that was born later. Ruled out: the record of targets with orders being stale (it is trimmed each second; the entries of the dead targets stay in the platform's list for up to 4.5 s). Tests: countsAgainstACapOnlyWhatMayRunOnTargetsItHasNotHeard, takesASilentTargetForEndedOnceItsHostRunsALaterOne.

--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -67,6 +67,7 @@
         auto &host = m_hosts[info.name];
         host.info = std::move(info);
         host.isListed = true;
+        m_core.hostListed(host.info, now);
         if (host.awaySince) {
             takeAway(host, now);
         }
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint32_t failedCallsBeforeRest = 1;
 // Without progress for this long, as its target reports, a task hangs.
 constexpr std::chrono::milliseconds stallTime{2500};
+// While targets were not heard, this part of a workspace's cap is left for runs there whose jobs
+// were cancelled or failed right before the change of owners. Such jobs are a few in a hundred.
+constexpr double keptForUnknown = 0.05;
 // A lasting task may take this long to be at work.
 constexpr std::chrono::seconds startupTime{6};
 // Paces are changed in these steps, and raised no sooner than this after the last change.
@@ -29,6 +32,18 @@
 constexpr double haltAbove = 1.0;
 constexpr double raiseBelow = 0.6;
 
+Room reduced(const Room &cap)
+{
+    const auto reduce = [](std::int64_t bound) {
+        // A bound of 0 stands for none.
+        return bound == 0 ? 0
+                          : std::max<std::int64_t>(
+                                  1, static_cast<std::int64_t>((1 - keptForUnknown)
+                                                               * static_cast<double>(bound)));
+    };
+    return Room{reduce(cap.processors), reduce(cap.memoryMib), reduce(cap.accelerators)};
+}
+
 } // namespace
 
 std::vector<Order> OwnerCore::plan(TimePoint now, WallTime wallNow)
@@ -193,9 +208,14 @@
     if (rule == nullptr) {
         return true;
     }
-    const auto found = m_used.find(workspace);
-    const Room used = found == m_used.end() ? Room{} : found->second;
-    return (used + need + m_uncertainUse).isWithinCap(rule->cap);
+    Room used = m_strangerUse + need;
+    if (const auto found = m_used.find(workspace); found != m_used.end()) {
+        used += found->second;
+    }
+    if (const auto found = m_uncertainUse.find(workspace); found != m_uncertainUse.end()) {
+        used += found->second;
+    }
+    return used.isWithinCap(m_hasUnheard ? reduced(rule->cap) : rule->cap);
 }
 
 } // namespace cyclamenlatch::scheduling
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -70,24 +70,13 @@
 
 void OwnerCore::planStarts(TimePoint now)
 {
-    m_uncertainUse = Room{};
     std::unordered_map<std::string, std::vector<TargetState *>> pools;
-    Room largest;
     for (auto &[id, target] : m_targets) {
-        largest.processors = std::max(largest.processors, target->info.capacity.processors);
-        largest.memoryMib = std::max(largest.memoryMib, target->info.capacity.memoryMib);
-        largest.accelerators = std::max(largest.accelerators, target->info.capacity.accelerators);
         if (isUsable(*target, now)) {
             pools[target->info.service].push_back(target.get());
         }
     }
-    for (auto &[id, target] : m_targets) {
-        if (!target->isAdopted && !hasLapsed(*target, now)) {
-            m_uncertainUse += target->info.capacity == Room{} ? largest : target->info.capacity;
-        } else if (target->strangers > 0) {
-            m_uncertainUse += target->info.capacity - target->used;
-        }
-    }
+    countUncertainUse(now);
     for (auto &[service, pool] : pools) {
         std::sort(pool.begin(), pool.end(), [](const auto *left, const auto *right) {
             return left->info.id < right->info.id;
@@ -110,6 +99,35 @@
     }
 }
 
+// A task runs only on targets that are stored for its job. So what runs unknown is at most the
+// tasks that wait of jobs with a target that was not heard, and runs of jobs that are not known any
+// more.
+void OwnerCore::countUncertainUse(TimePoint now)
+{
+    m_uncertainUse.clear();
+    m_strangerUse = Room{};
+    m_hasUnheard = false;
+    for (const auto &[id, target] : m_targets) {
+        m_hasUnheard = m_hasUnheard || (!target->isAdopted && !hasLapsed(*target, now));
+        if (target->isAdopted && target->strangers > 0) {
+            m_strangerUse += target->info.capacity - target->used;
+        }
+    }
+    for (const auto &[id, job] : m_jobs) {
+        if (!m_hasUnheard || isFinal(job->phase) || !isUncertain(*job, now)) {
+            continue;
+        }
+        auto &use = m_uncertainUse[job->submission.workspace];
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (const auto &step : occurrence.steps) {
+                for (std::uint32_t index = 0; index < step.waiting; ++index) {
+                    use += step.spec->roomTaken();
+                }
+            }
+        }
+    }
+}
+
 void OwnerCore::startStep(const OpenStep &open, const std::vector<TargetState *> &pool,
                           TimePoint now)
 {
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -228,6 +228,27 @@
     }
 }
 
+void OwnerCore::hostListed(const HostInfo &host, TimePoint now)
+{
+    const auto *present = findTarget(host.target);
+    const bool isAway = host.state == HostState::Moving || host.state == HostState::Upkeep;
+    std::vector<std::string> ended;
+    for (const auto &[id, target] : m_targets) {
+        if (target->info.host != host.name || target->isAdopted || target->failedCalls == 0) {
+            continue;
+        }
+        const bool isSucceeded = host.state == HostState::Up && present != nullptr
+                                 && present != target.get() && target->info.born > 0
+                                 && present->info.born > target->info.born;
+        if (isAway || isSucceeded) {
+            ended.push_back(id);
+        }
+    }
+    for (const auto &id : ended) {
+        targetTakenDown(id, now);
+    }
+}
+
 void OwnerCore::targetTakenDown(const std::string &id, TimePoint now)
 {
     if (auto *target = findTarget(id)) {
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -9,6 +9,7 @@
 #include "global/time.h"
 #include "scheduling/fleetrules.h"
 #include "scheduling/holdreport.h"
+#include "scheduling/hostinfo.h"
 #include "scheduling/jobrecord.h"
 #include "scheduling/orders.h"
 #include "scheduling/ownersettings.h"
@@ -172,6 +173,9 @@
 
     // A target whose host is wanted elsewhere gets no new work, and its lasting tasks move away.
     void setLeaving(const std::string &id, bool isLeaving);
+    // The platform lists the host so. Targets of it that were never heard and do not answer have
+    // ended when it is down for an order or runs a target that was born later.
+    void hostListed(const HostInfo &host, TimePoint now);
     // Its host was taken down: all that ran there has ended.
     void targetTakenDown(const std::string &id, TimePoint now);
     TargetLoad load(const std::string &id) const;
@@ -253,6 +257,7 @@
     bool isUsable(const TargetState &target, TimePoint now) const;
     bool mayUse(const std::string &workspace, const Room &need) const;
     bool isUncertain(const JobState &job, TimePoint now) const;
+    void countUncertainUse(TimePoint now);
     static bool isStored(const JobState &job, const TargetState &target);
 
     const OwnerSettings m_settings;
@@ -295,8 +300,12 @@
     std::vector<Order> m_orders;
     // Calls for advice that have not been answered.
     std::uint32_t m_adviceCalls = 0;
-    // The most that may run on targets whose runs are not known, for the length of one plan.
-    Room m_uncertainUse;
+    // For the length of one plan: what may run beside the runs that are known. Of jobs whose
+    // targets were not all heard, by workspace; and of runs whose jobs are not known, by anybody.
+    std::unordered_map<std::string, Room> m_uncertainUse;
+    Room m_strangerUse;
+    // Targets that were not heard and may run something.
+    bool m_hasUnheard = false;
     // Jobs whose stored progress is behind, and since when.
     std::vector<JobNumber> m_dirty;
     TimePoint m_dirtySince{};
--- a/src/scheduling/tests/ownercore_tests.cpp
+++ b/src/scheduling/tests/ownercore_tests.cpp
@@ -260,6 +260,74 @@
     EXPECT_EQ(world.startAll().size(), 3U);
 }
 
+// A third of the targets cut off when the owner changes: their capacity counted against every
+// workspace, and nothing of those near their caps was started for 4 s.
+TEST(OwnerCore, countsAgainstACapOnlyWhatMayRunOnTargetsItHasNotHeard)
+{
+    OwnerWorld world(2);
+    auto rules = makeRules();
+    rules.workspaces[0].cap = Room{10000, 0, 0};
+    rules.workspaces.push_back(rules.workspaces[0]);
+    rules.workspaces[1].name = "other";
+    world.core.setRules(rules, world.now);
+    world.list("t1");
+    world.join("t2");
+    JobProgress begun;
+    begun.phase = JobPhase::Running;
+    begun.targets = {"t1"};
+    world.submit(7, {makeStep(4, 2000)}, "space", begun, false);
+    world.submit(8, {makeStep(4)});
+    world.submit(9, {makeStep(4)}, "other");
+    const auto starts = world.startAll();
+    EXPECT_EQ(std::count_if(starts.begin(), starts.end(),
+                            [](const auto &start) { return start.task.job == 7; }),
+              0);
+    // 8 of 10 cores may be in use, and half a core is left for what is not known.
+    EXPECT_EQ(std::count_if(starts.begin(), starts.end(),
+                            [](const auto &start) { return start.task.job == 8; }),
+              1);
+    EXPECT_EQ(std::count_if(starts.begin(), starts.end(),
+                            [](const auto &start) { return start.task.job == 9; }),
+              4);
+}
+
+// After a change of owners, targets of hosts that were moved right before it were waited for.
+TEST(OwnerCore, takesASilentTargetForEndedOnceItsHostRunsALaterOne)
+{
+    OwnerWorld world(2);
+    JobProgress begun;
+    begun.phase = JobPhase::Running;
+    begun.targets = {"t1"};
+    TargetInfo info;
+    info.id = "t1";
+    info.service = "pool";
+    info.address = "10.0.0.1:80";
+    info.host = "m1";
+    info.born = 1000;
+    info.capacity = Room{16000, 64000, 0};
+    world.core.targetListed(info, world.now);
+    info.id = "t2";
+    info.born = 9000;
+    world.core.targetListed(info, world.now);
+    world.core.targetRecorded("t2");
+    world.report("t2", {}, {});
+    world.submit(7, {makeStep(1)}, "space", begun, false);
+    HostInfo host;
+    host.name = "m1";
+    host.state = HostState::Up;
+    host.target = "t2";
+    world.core.hostListed(host, world.now);
+    EXPECT_TRUE(world.startAll().empty());
+    world.core.holdFailed("t1", world.now);
+    // A list from before the later target's birth proves nothing.
+    host.target = "t1";
+    world.core.hostListed(host, world.now);
+    EXPECT_TRUE(world.startAll().empty());
+    host.target = "t2";
+    world.core.hostListed(host, world.now);
+    EXPECT_EQ(world.startAll().size(), 1U);
+}
+
 TEST(OwnerCore, stopsTheTasksOfACancelledJob)
 {
     OwnerWorld world;
