--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -45,12 +45,16 @@
     return std::max(1.0, milli * static_cast<double>(host.capacity.processors));
 }
 
-// Cores that a pool misses to serve what runs and comes and to clear what waits in time.
-double missingCores(const PoolDemand &demand, double coming)
+// Cores that a pool needs to serve what runs and comes and to clear what waits in time.
+double neededCores(const PoolDemand &demand)
 {
     const double shortWork = std::max(demand.arriving, demand.used - demand.lasting);
-    return demand.lasting + demand.lastingWaiting + shortWork + demand.openWork / clearSeconds
-           - demand.processors - coming;
+    return demand.lasting + demand.lastingWaiting + shortWork + demand.openWork / clearSeconds;
+}
+
+double missingCores(const PoolDemand &demand, double coming)
+{
+    return neededCores(demand) - demand.processors - coming;
 }
 
 // Seconds until what waits has begun, with the processors that are not taken for good.
@@ -106,17 +110,24 @@
 {
     while (true) {
         const std::string *pressed = nullptr;
-        double most = worthMoving * cores;
+        double most = 0;
         for (const auto &rule : m_rules.services) {
             const auto demand = m_demands.find(rule.name);
             if (rule.isStandby || demand == m_demands.end()) {
                 continue;
             }
             const auto coming = comingTo(rule.name);
-            const double missing =
-                    missingCores(demand->second, static_cast<double>(coming) * cores);
-            if (missing > most && coming < mostComing) {
-                most = missing;
+            const double comingCores = static_cast<double>(coming) * cores;
+            if (missingCores(demand->second, comingCores) <= worthMoving * cores
+                || coming >= mostComing) {
+                continue;
+            }
+            // What a pool needs as a multiple of what it has, so that a large backlog in one pool
+            // does not keep all hosts from a pool that has few.
+            const double load = neededCores(demand->second)
+                                / std::max(demand->second.processors + comingCores, cores);
+            if (load > most) {
+                most = load;
                 pressed = &rule.name;
             }
         }
