Go on with waves right after a change of owners

Change: hosts that an earlier owner has down, by the list or by its record of orders, count against the wave's cap; the others may be taken at once.

--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -128,10 +128,7 @@
         return orders;
     }
     m_demands = m_core.demands(now);
-    if (now >= m_notBefore) {
-        // Sooner, an upkeep that an earlier holder ordered might not be listed yet.
-        planWaves(now);
-    }
+    planWaves(now);
     planMoves(now);
     for (auto &[name, host] : m_hosts) {
         orderIfEmpty(host, now, orders);
@@ -162,12 +159,16 @@
         auto &host = found->second;
         const bool isForThis = host.wanted && std::holds_alternative<UpkeepOrder>(*host.wanted)
                                && std::get<UpkeepOrder>(*host.wanted).wave == wave.plan.number;
-        taken += isForThis || (host.awaySince && host.downFor == wave.plan.number) ? 1 : 0;
+        // Of an earlier holder, whose last orders may not be listed yet.
+        const bool isEarlier = !host.wanted && !host.awaySince
+                               && (host.info.state == HostState::Upkeep || isHeldBack(name, now));
+        const bool isDown = host.awaySince && host.downFor == wave.plan.number;
+        taken += isForThis || isDown || isEarlier ? 1 : 0;
         if (wave.done.contains(name)) {
             continue;
         }
         isOpen = true;
-        if (!host.wanted && !host.awaySince && host.info.state == HostState::Up) {
+        if (!isEarlier && !host.wanted && !host.awaySince && host.info.state == HostState::Up) {
             const auto load = m_core.load(host.info.target);
             next.push_back({{load.needed, load.lasting, load.runs}, &host});
         }
--- a/src/scheduling/tests/hostkeeper_tests.cpp
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -126,12 +126,36 @@
     hosts.add("a");
     HostKeeper later({}, hosts.world.core, hosts.world.now, false,
                      [](const auto &, const auto &) {});
+    later.setOrderedBefore({"a"});
     later.waveAsked({1, {"a"}, 10s, 1}, {}, {}, hosts.world.now);
-    EXPECT_TRUE(hosts.plan(later).empty());
-    hosts.world.advance(4s);
+    for (int second = 0; second < 3; ++second) {
+        EXPECT_TRUE(hosts.plan(later).empty());
+        hosts.world.advance(1s);
+    }
+    hosts.world.advance(1s);
     EXPECT_EQ(hosts.plan(later).size(), 1U);
 }
 
+// The upkeeps of an earlier holder count against the wave's cap: those that the list shows, and
+// those that it may not show yet.
+TEST(HostKeeper, goesOnWithAWaveBesideTheUpkeepsOfAnEarlierHolder)
+{
+    HostWorld hosts;
+    for (const char *name : {"a", "b", "c", "d"}) {
+        hosts.add(name);
+    }
+    HostKeeper later({}, hosts.world.core, hosts.world.now, false,
+                     [](const auto &, const auto &) {});
+    later.setOrderedBefore({"a"});
+    hosts.host("b").state = HostState::Upkeep;
+    later.waveAsked({1, {"a", "b", "c", "d"}, 10s, 3}, {"b"}, {}, hosts.world.now);
+    EXPECT_TRUE(hosts.plan(later).empty());
+    hosts.world.advance(1s);
+    const auto orders = hosts.plan(later);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(std::get<UpkeepOrder>(orders[0]).host, "c");
+}
+
 // A change of owners in a pool's turn: three seconds without moves cost most of the turn.
 TEST(HostKeeper, waitsOnlyWithHostsThatAnEarlierHolderMayHaveOrdered)
 {
@@ -271,6 +295,21 @@
     EXPECT_EQ(std::get<MoveOrder>(orders[0]).pool, "pool");
 }
 
+// Two pools in their turns: the one with the longer backlog has most of the hosts already.
+TEST(HostKeeper, bringsTheNextHostToThePoolThatHasLeastForWhatItNeeds)
+{
+    HostWorldInTurns hosts;
+    hosts.add("x", "off");
+    hosts.press("other", 1);
+    hosts.world.service = "pool";
+    for (JobNumber id = 101; id < 131; ++id) {
+        hosts.world.submit(id, {makeStep(16, 900)});
+    }
+    const auto orders = hosts.plan();
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(std::get<MoveOrder>(orders[0]).pool, "pool");
+}
+
 TEST(HostKeeper, givesLentHostsBackWhenThePoolIsCalm)
 {
     HostWorldInTurns hosts;
