--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -144,7 +144,7 @@
                   double cores, TimePoint now) const;
     void empty(Host &host, HostOrder order, TimePoint now);
     void release(Host &host);
-    std::chrono::milliseconds emptyingTime(const Host &host) const;
+    std::chrono::milliseconds emptyingTime(const Host &host, TimePoint now) const;
 
     const HostKeeperSettings m_settings;
     OwnerCore &m_core;
--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -221,7 +221,8 @@
     m_core.setLeaving(host.wantedTarget, false);
 }
 
-std::chrono::milliseconds HostKeeper::emptyingTime(const Host &host) const
+// A host's share of the time that its wave has left, less the upkeep itself.
+std::chrono::milliseconds HostKeeper::emptyingTime(const Host &host, TimePoint now) const
 {
     const auto *upkeep = std::get_if<UpkeepOrder>(&*host.wanted);
     if (upkeep == nullptr) {
@@ -232,11 +233,16 @@
         return leastEmptying;
     }
     const auto &plan = wave->second.plan;
-    const double rounds = std::max(1.0, static_cast<double>(plan.hosts.size())
-                                                / std::max<double>(plan.mostAtOnce, 1));
+    const double hostsLeft =
+            static_cast<double>(plan.hosts.size())
+            - static_cast<double>(std::min(plan.hosts.size(), wave->second.done.size()));
+    const double rounds = std::max(1.0, hostsLeft / std::max<double>(plan.mostAtOnce, 1));
+    const auto timeLeft = toMilliseconds(wave->second.began + plan.duration - now);
     const auto perHost = std::chrono::milliseconds(static_cast<std::int64_t>(
-            emptyingShare * static_cast<double>(plan.duration.count()) / rounds));
-    return std::clamp(perHost - m_settings.upkeepTime, leastEmptying, mostEmptying);
+            emptyingShare * static_cast<double>(timeLeft.count()) / rounds));
+    const auto least = std::clamp<std::chrono::milliseconds>(timeLeft - m_settings.upkeepTime, {},
+                                                             leastEmptying);
+    return std::clamp(perHost - m_settings.upkeepTime, least, mostEmptying);
 }
 
 bool HostKeeper::isHeldBack(const std::string &host, TimePoint now) const
@@ -266,7 +272,7 @@
         return;
     }
     const auto load = m_core.load(host.wantedTarget);
-    const bool isDue = now - host.emptyingSince > emptyingTime(host);
+    const bool isDue = now - host.emptyingSince > emptyingTime(host, now);
     if (load.runs > 0 && (!isDue || load.lasting > 0) && !host.isUnclear) {
         return;
     }
--- a/src/scheduling/tests/hostkeeper_tests.cpp
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -136,6 +136,19 @@
     EXPECT_EQ(hosts.plan(later).size(), 1U);
 }
 
+// Late in an overloaded day, hosts were emptied for 4 s beyond the end of their wave.
+TEST(HostKeeper, emptiesAHostForLessTimeWhenItsWaveIsNearItsEnd)
+{
+    HostWorld hosts;
+    hosts.add("a");
+    hosts.world.submit(7, {makeStep(1)});
+    ASSERT_EQ(hosts.world.startAll().size(), 1U);
+    hosts.keeper.waveAsked({1, {"a"}, 10s, 1}, {}, 7500ms, hosts.world.now);
+    EXPECT_TRUE(hosts.plan().empty());
+    hosts.world.advance(600ms);
+    EXPECT_EQ(hosts.plan().size(), 1U);
+}
+
 // The upkeeps of an earlier holder count against the wave's cap: those that the list shows, and
 // those that it may not show yet.
 TEST(HostKeeper, goesOnWithAWaveBesideTheUpkeepsOfAnEarlierHolder)
