--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -34,8 +34,9 @@
 // and idleSpare hosts. With the next job they grow to what they began with.
 constexpr std::chrono::seconds demandEnd{4};
 constexpr std::size_t idleSpare = 1;
-// Hosts that may be on their way into one pool at the same time.
-constexpr std::size_t mostComing = 16;
+// Hosts that may be on their way into one pool at the same time: a part of all, or the other.
+constexpr std::size_t comingPart = 3;
+constexpr std::size_t leastComing = 8;
 // A pool that had its peak lends idle hosts, but keeps this part of those that it began with.
 constexpr double keptWhenLending = 0.5;
 constexpr double milli = 0.001;
@@ -119,7 +120,7 @@
             const auto coming = comingTo(rule.name);
             const double comingCores = static_cast<double>(coming) * cores;
             if (missingCores(demand->second, comingCores) <= worthMoving * cores
-                || coming >= mostComing) {
+                || coming >= std::max(leastComing, m_hosts.size() / comingPart)) {
                 continue;
             }
             // What a pool needs as a multiple of what it has, so that a large backlog in one pool
