Keep the owner's planning within its processor time, and leave the ownership to entries that have some

Change: a step that needs more than any target of its pool has left is passed over at once; the pause between plans grows with what a plan takes, to a fifth of the time at most; an entry with less than 0.2 cores claims a free ownership 400 ms later than others. Tests: startsWhatFitsBehindWhatDoesNot; the entry's cores in EntrySettings. The courtesy itself has no test of its own yet.

--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -23,8 +23,11 @@
 constexpr std::chrono::milliseconds jobWatch{1500};
 constexpr std::chrono::milliseconds targetWatch{2000};
 constexpr std::chrono::milliseconds retryPause{150};
-// Events that come together are decided together.
+// Events that come together are decided together; after a plan that took long, more of them, so
+// that planning takes at most a part of the processor's time.
 constexpr std::chrono::milliseconds planDelay{3};
+constexpr int planShare = 5;
+constexpr std::chrono::milliseconds mostPlanDelay{60};
 // For decisions that only time brings about.
 constexpr std::chrono::milliseconds tickInterval{100};
 // Targets answer within some milliseconds.
@@ -477,7 +480,8 @@
     if (std::exchange(m_isPlanDue, true)) {
         return;
     }
-    m_planTimer.expires_after(planDelay);
+    m_planTimer.expires_after(std::clamp<asio::steady_timer::duration>(planShare * m_planTook,
+                                                                       planDelay, mostPlanDelay));
     m_planTimer.async_wait([this, alive = std::weak_ptr(m_alive)](const auto &error) {
         if (!error && !alive.expired()) {
             plan();
@@ -491,7 +495,10 @@
     if (!isHeld() || !m_hasTargets) {
         return;
     }
-    for (const auto &order : m_core.plan(bootNow(), wallNow())) {
+    const auto began = std::chrono::steady_clock::now();
+    const auto orders = m_core.plan(bootNow(), wallNow());
+    m_planTook = std::chrono::steady_clock::now() - began;
+    for (const auto &order : orders) {
         send(order);
     }
     flushIfDue();
--- a/src/control/internal/ownership.cpp
+++ b/src/control/internal/ownership.cpp
@@ -39,11 +39,12 @@
 
 } // namespace
 
-Ownership::Ownership(asio::io_context &context, StoreLink &store, std::string name, Gained gained,
-                     Lost lost)
+Ownership::Ownership(asio::io_context &context, StoreLink &store, std::string name,
+                     std::chrono::milliseconds courtesy, Gained gained, Lost lost)
     : m_context(context)
     , m_store(store)
     , m_name(std::move(name))
+    , m_courtesy(courtesy)
     , m_gained(std::move(gained))
     , m_lost(std::move(lost))
     , m_timer(context)
@@ -87,15 +88,18 @@
             resign(item.deleted ? "the lease has ended" : "another entry has taken over");
         }
     }
-    if (m_ownerName.empty()) {
-        claim();
+    if (!m_ownerName.empty()) {
+        m_freeSince.reset();
+        return;
     }
+    m_freeSince = m_freeSince.value_or(bootNow());
+    claim();
 }
 
 void Ownership::claim()
 {
     if (m_stage != Stage::Watching || m_isStopped || !m_isOwnerKnown || !m_ownerName.empty()
-        || bootNow() < m_notBefore) {
+        || bootNow() < m_notBefore || !m_freeSince || bootNow() < *m_freeSince + m_courtesy) {
         return;
     }
     m_stage = Stage::Claiming;
@@ -177,6 +181,7 @@
     m_lease = store::HeldLease(std::to_string(lease), duration, sentAt);
     m_tenure = tenure;
     m_ownerName = m_name;
+    m_freeSince.reset();
     m_stage = Stage::Holding;
     if (m_isStopped) {
         return resign("this entry stops");
--- a/src/control/internal/platformentry.cpp
+++ b/src/control/internal/platformentry.cpp
@@ -44,6 +44,15 @@
 // Answers have this long before the platform kills the process.
 constexpr std::chrono::milliseconds lastMoments{700};
 constexpr std::chrono::milliseconds clientIdle{15000};
+// An owner of some hundred targets uses a tenth of a core and more: entries with less than this
+// leave the ownership to others for a while.
+constexpr double ownersCores = 0.2;
+constexpr std::chrono::milliseconds smallEntrysCourtesy{400};
+
+std::chrono::milliseconds courtesyOf(const platform::EntrySettings &settings)
+{
+    return settings.cores < ownersCores ? smallEntrysCourtesy : std::chrono::milliseconds{0};
+}
 
 } // namespace
 
@@ -59,7 +68,8 @@
         , m_store(*m_storeHttp, m_settings.storeAddress, m_metrics)
         , m_frontDoor(m_store, m_metrics)
         , m_ownership(
-                  m_context, m_store, m_settings.name, [this](const auto &tenure) { gain(tenure); },
+                  m_context, m_store, m_settings.name, courtesyOf(m_settings),
+                  [this](const auto &tenure) { gain(tenure); },
                   [this](const auto &reason) { lose(reason); })
         , m_configuration(m_context, m_store, std::string(platform::operatorPrefix),
                           configurationWatch,
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -14,6 +14,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -103,6 +104,8 @@
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_planTimer;
     bool m_isPlanDue = false;
+    // How long the last plan took.
+    std::chrono::steady_clock::duration m_planTook{};
     bool m_hasTargets = false;
     // Read at the start; jobs are taken out as they are listed.
     std::unordered_map<scheduling::JobNumber, platform::StoreItem> m_states;
--- a/src/control/ownership.h
+++ b/src/control/ownership.h
@@ -11,9 +11,11 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cyclamenlatch::control {
@@ -32,8 +34,9 @@
     using Gained = std::function<void(const Tenure &)>;
     using Lost = std::function<void(const std::string &reason)>;
 
-    Ownership(asio::io_context &context, StoreLink &store, std::string name, Gained gained,
-              Lost lost);
+    // courtesy: how long a free ownership is left to others first.
+    Ownership(asio::io_context &context, StoreLink &store, std::string name,
+              std::chrono::milliseconds courtesy, Gained gained, Lost lost);
     ~Ownership();
     Ownership(const Ownership &) = delete;
     Ownership &operator=(const Ownership &) = delete;
@@ -69,6 +72,7 @@
     asio::io_context &m_context;
     StoreLink &m_store;
     const std::string m_name;
+    const std::chrono::milliseconds m_courtesy;
     const Gained m_gained;
     const Lost m_lost;
     asio::steady_timer m_timer;
@@ -77,6 +81,8 @@
     bool m_isStopped = false;
     bool m_isOwnerKnown = false;
     std::string m_ownerName;
+    // Since when the store has told that there is no owner.
+    std::optional<TimePoint> m_freeSince;
     // Value of this entry's claim; differs from claim to claim.
     std::string m_claim;
     unsigned m_claims = 0;
--- a/src/platform/entrysettings.h
+++ b/src/platform/entrysettings.h
@@ -28,6 +28,9 @@
     double machineReadsPerSecond = 10;
     double machineOrdersPerSecond = 10;
 
+    // Processors that this entry may use, in cores.
+    double cores = 1;
+
     // After a SIGTERM the process is killed when this has passed.
     std::chrono::milliseconds grace{6000};
     std::chrono::milliseconds longestRunLease{10000};
--- a/src/platform/internal/entrysettings.cpp
+++ b/src/platform/internal/entrysettings.cpp
@@ -111,6 +111,13 @@
         take(root["cloud"], "rate_per_s", settings.machineReadsPerSecond);
         take(root["cloud"], "duty_per_s", settings.machineOrdersPerSecond);
     }
+    if (root["limits"] && root["limits"].IsMap()) {
+        double share = 1;
+        double speed = 1;
+        take(root["limits"], "cpu_share", share);
+        take(root["limits"], "cores", speed);
+        settings.cores = share * speed;
+    }
     if (root["bounds"] && root["bounds"].IsMap()) {
         takeBounds(root["bounds"], settings);
     }
--- a/src/platform/tests/codecs_tests.cpp
+++ b/src/platform/tests/codecs_tests.cpp
@@ -30,6 +30,7 @@
 commands: "invocation"
 platform: {address: "10.200.1.7:8344"}
 cloud: {address: "10.200.0.82:8344", rate_per_s: 64.0}
+limits: {cpu_share: 0.25, cores: 2}
 bounds: {grace_s: 6, hold_max_ms: 6000, remote_factor: 1.5, migrate_s: 1.5}
 unheard_of: [1, 2]
 )";
@@ -45,6 +46,7 @@
     EXPECT_EQ(settings.value().longestRunLease, std::chrono::milliseconds(6000));
     EXPECT_EQ(settings.value().moveTime, std::chrono::milliseconds(1500));
     EXPECT_EQ(settings.value().metricsPort, 7000);
+    EXPECT_DOUBLE_EQ(settings.value().cores, 0.5);
 }
 
 TEST(EntrySettings, sayWhatIsMissingOrNotSupported)
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -82,6 +82,8 @@
             return left->info.id < right->info.id;
         });
     }
+    // By service, never less than what any of its targets has left.
+    std::unordered_map<std::string, Room> mostFree;
     for (const auto &open : openSteps(now)) {
         const auto &service = open.job->submission.service;
         const auto pool = pools.find(service);
@@ -93,12 +95,36 @@
         }
         if (open.step->spec->isGang) {
             startGang(open, pool->second, now);
-        } else {
-            startStep(open, pool->second, now);
+            continue;
+        }
+        // In a full pool most steps are passed over without a look at its targets.
+        auto [free, isFirst] = mostFree.try_emplace(service);
+        if (isFirst) {
+            free->second = mostRoom(pool->second);
+        }
+        if (!open.step->spec->lasts && !open.step->spec->roomTaken().fitsIn(free->second)) {
+            continue;
+        }
+        startStep(open, pool->second, now);
+        if (open.step->waiting > 0) {
+            free->second = mostRoom(pool->second);
         }
     }
 }
 
+// The most that any of the targets has left, each resource by itself.
+Room OwnerCore::mostRoom(const std::vector<TargetState *> &pool)
+{
+    Room most;
+    for (const auto *target : pool) {
+        const auto free = target->info.capacity - target->used;
+        most.processors = std::max(most.processors, free.processors);
+        most.memoryMib = std::max(most.memoryMib, free.memoryMib);
+        most.accelerators = std::max(most.accelerators, free.accelerators);
+    }
+    return most;
+}
+
 // A task runs only on targets that are stored for its job. So what runs unknown is at most the
 // tasks that wait of jobs with a target that was not heard, and runs of jobs that are not known any
 // more.
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -258,6 +258,7 @@
     bool mayUse(const std::string &workspace, const Room &need) const;
     bool isUncertain(const JobState &job, TimePoint now) const;
     void countUncertainUse(TimePoint now);
+    static Room mostRoom(const std::vector<TargetState *> &pool);
     static bool isStored(const JobState &job, const TargetState &target);
 
     const OwnerSettings m_settings;
--- a/src/scheduling/tests/ownercore_tests.cpp
+++ b/src/scheduling/tests/ownercore_tests.cpp
@@ -328,6 +328,20 @@
     EXPECT_EQ(world.startAll().size(), 1U);
 }
 
+// An overloaded pool: small tasks behind large ones that find no room are started all the same.
+TEST(OwnerCore, startsWhatFitsBehindWhatDoesNot)
+{
+    OwnerWorld world;
+    world.join("t1", Room{2000, 64000, 0});
+    for (JobNumber id = 1; id <= 20; ++id) {
+        world.submit(id, {makeStep(1, 4000)});
+    }
+    world.submit(21, {makeStep(3)});
+    const auto starts = world.startAll();
+    ASSERT_EQ(starts.size(), 2U);
+    EXPECT_EQ(starts[0].task.job, 21U);
+}
+
 TEST(OwnerCore, stopsTheTasksOfACancelledJob)
 {
     OwnerWorld world;
