Keep orders and readings of hosts within the platform's rates; drop settings that nothing uses

Unused: times of gangs, paces, harm, moves and away notices, KeyFollower::lastAnswer. Three copies of a retry timer became detail::callAfter. Test: sendsNoMoreOrdersThanThePlatformTakes.

--- a/src/control/hostservice.h
+++ b/src/control/hostservice.h
@@ -47,6 +47,7 @@
     void again(std::function<void()> action);
     void takeWaves();
     void tick();
+    Duration listInterval() const;
     void list();
     void listPage(const std::string &page, std::vector<scheduling::HostInfo> gathered);
     void plan();
@@ -73,6 +74,8 @@
     bool m_hasStored = false;
     bool m_isListing = false;
     TimePoint m_listedAt{};
+    // Readings that the last list took.
+    int m_listPages = 0;
     TimePoint m_poolsLoggedAt{};
     bool m_isStoring = false;
     bool m_areBasesStored = false;
--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -3,6 +3,7 @@
 
 #include "control/clock.h"
 #include "control/controlevents.h"
+#include "control/internal/callafter.h"
 #include "control/records.h"
 #include "control/storekeys.h"
 #include "platform/configwire.h"
@@ -21,6 +22,9 @@
 constexpr std::chrono::milliseconds callTimeout{800};
 constexpr std::chrono::milliseconds retryPause{300};
 constexpr std::chrono::milliseconds poolLogInterval{1000};
+// Of the platform's rate of readings, what an owner uses; the rest is for one that takes over.
+constexpr double readShare = 0.5;
+constexpr double leastReads = 0.1;
 
 } // namespace
 
@@ -37,8 +41,8 @@
     , m_ownerRevision(ownership.tenure().revision)
     , m_planned(std::move(planned))
     , m_core(core)
-    , m_keeper({settings.holderPause, settings.upkeepTime, settings.moveTime}, core, bootNow(),
-               ownership.tenure().term == 1,
+    , m_keeper({settings.holderPause, settings.upkeepTime, settings.machineOrdersPerSecond}, core,
+               bootNow(), ownership.tenure().term == 1,
                [term = ownership.tenure().term](const auto &host, const auto &what) {
                    logEvent(hostDecision, "host={} what=\"{}\" term={}", host, what, term);
                })
@@ -176,13 +180,7 @@
 
 void HostService::again(std::function<void()> action)
 {
-    auto timer = std::make_shared<asio::steady_timer>(m_context, retryPause);
-    timer->async_wait(
-            [timer, action = std::move(action), alive = std::weak_ptr(m_alive)](const auto &error) {
-                if (!error && !alive.expired()) {
-                    action();
-                }
-            });
+    detail::callAfter(m_context, retryPause, m_alive, std::move(action));
 }
 
 void HostService::takeWaves()
@@ -203,7 +201,7 @@
 
 void HostService::tick()
 {
-    if (bootNow() - m_listedAt > m_keeper.listInterval()) {
+    if (bootNow() - m_listedAt > listInterval()) {
         list();
     }
     plan();
@@ -218,17 +216,27 @@
     });
 }
 
+// As often as the keeper wants it and the platform's rate allows.
+Duration HostService::listInterval() const
+{
+    const auto allowed = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            m_listPages / (readShare * std::max(m_settings.machineReadsPerSecond, leastReads))));
+    return std::max<Duration>(m_keeper.listInterval(), allowed);
+}
+
 void HostService::list()
 {
     if (std::exchange(m_isListing, true)) {
         return;
     }
     m_listedAt = bootNow();
+    m_listPages = 0;
     listPage({}, {});
 }
 
 void HostService::listPage(const std::string &page, std::vector<scheduling::HostInfo> gathered)
 {
+    ++m_listPages;
     auto call = m_calls.list(page);
     call.timeout = callTimeout;
     m_http.send(std::move(call), [this, gathered = std::move(gathered),
--- a/src/control/internal/keyfollower.cpp
+++ b/src/control/internal/keyfollower.cpp
@@ -40,7 +40,6 @@
             return retry(true);
         }
         m_revision = reply.revision;
-        m_lastAnswer = bootNow();
         m_listener(reply.items, reply.revision, true);
         if (!alive.expired()) {
             watch();
@@ -58,7 +57,6 @@
                       if (reply.outcome != platform::StoreOutcome::Done) {
                           return retry(reply.outcome == platform::StoreOutcome::HistoryGone);
                       }
-                      m_lastAnswer = bootNow();
                       m_revision = std::max(m_revision, reply.revision);
                       if (!reply.items.empty()) {
                           m_listener(reply.items, m_revision, false);
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -3,6 +3,7 @@
 
 #include "control/clock.h"
 #include "control/controlevents.h"
+#include "control/internal/callafter.h"
 #include "control/records.h"
 #include "control/storekeys.h"
 
@@ -52,9 +53,6 @@
     owner.runLease = std::min(owner.runLease, settings.longestRunLease);
     owner.longestLease = std::min(owner.longestLease, settings.longestRunLease);
     owner.stopTime = settings.stopTime;
-    owner.gangTime = settings.gangTime;
-    owner.paceTime = settings.paceTime;
-    owner.harmTime = settings.harmTime;
     owner.remoteFactor = settings.remoteFactor;
     return owner;
 }
@@ -121,13 +119,7 @@
 
 void OwnerService::again(std::function<void()> action)
 {
-    auto timer = std::make_shared<asio::steady_timer>(m_context, retryPause);
-    timer->async_wait(
-            [timer, action = std::move(action), alive = std::weak_ptr(m_alive)](const auto &error) {
-                if (!error && !alive.expired()) {
-                    action();
-                }
-            });
+    detail::callAfter(m_context, retryPause, m_alive, std::move(action));
 }
 
 // States before jobs: a job handed in between has its first state, and one that was cancelled in
--- a/src/control/internal/ownership.cpp
+++ b/src/control/internal/ownership.cpp
@@ -2,6 +2,7 @@
 #include "control/ownership.h"
 
 #include "control/clock.h"
+#include "control/internal/callafter.h"
 #include "control/storekeys.h"
 
 #include <fmt/format.h>
@@ -225,12 +226,8 @@
                          if (alive.expired() || isEnded || tries >= mostEndTries) {
                              return;
                          }
-                         auto timer = std::make_shared<asio::steady_timer>(m_context, claimRetry);
-                         timer->async_wait([this, lease, tries, timer, alive](const auto &error) {
-                             if (!error && !alive.expired()) {
-                                 endLease(lease, tries + 1);
-                             }
-                         });
+                         detail::callAfter(m_context, claimRetry, m_alive,
+                                           [this, lease, tries] { endLease(lease, tries + 1); });
                      });
 }
 
--- a/src/control/keyfollower.h
+++ b/src/control/keyfollower.h
@@ -32,8 +32,6 @@
     KeyFollower &operator=(const KeyFollower &) = delete;
 
     void start();
-    // Time of the last list or answered watch.
-    TimePoint lastAnswer() const { return m_lastAnswer; }
 
 private:
     void list();
@@ -46,7 +44,6 @@
     const Listener m_listener;
     asio::steady_timer m_timer;
     platform::StoreRevision m_revision = 0;
-    TimePoint m_lastAnswer{};
     // Lives as long as this, for calls that end later.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/platform/entrysettings.h
+++ b/src/platform/entrysettings.h
@@ -35,16 +35,10 @@
     std::chrono::milliseconds grace{6000};
     std::chrono::milliseconds longestRunLease{10000};
     std::chrono::milliseconds stopTime{200};
-    std::chrono::milliseconds gangTime{3000};
-    std::chrono::milliseconds paceTime{100};
-    std::chrono::milliseconds harmTime{4000};
     // Holders of orders for one machine may not take turns within this time.
     std::chrono::milliseconds holderPause{3000};
-    // From a move or an upkeep to the new target.
-    std::chrono::milliseconds moveTime{1500};
+    // From an upkeep's order to the new target.
     std::chrono::milliseconds upkeepTime{2000};
-    // A lasting task that is away longer counts as away for any cause.
-    std::chrono::milliseconds awayNotice{4500};
     // Ended jobs are shown at least this long.
     std::chrono::seconds endedJobsShown{120};
     double remoteFactor = 1.5;
--- a/src/platform/internal/entrysettings.cpp
+++ b/src/platform/internal/entrysettings.cpp
@@ -58,13 +58,8 @@
     takeMilliseconds(bounds, "grace_s", settings.grace, second);
     takeMilliseconds(bounds, "hold_max_ms", settings.longestRunLease);
     takeMilliseconds(bounds, "stop_timeout_ms", settings.stopTime);
-    takeMilliseconds(bounds, "gang_timeout_ms", settings.gangTime);
-    takeMilliseconds(bounds, "pace_ms", settings.paceTime);
-    takeMilliseconds(bounds, "impact_ms", settings.harmTime);
     takeMilliseconds(bounds, "lease_ms", settings.holderPause);
-    takeMilliseconds(bounds, "migrate_s", settings.moveTime, second);
     takeMilliseconds(bounds, "maintenance_s", settings.upkeepTime, second);
-    takeMilliseconds(bounds, "notice_ms", settings.awayNotice);
     auto shown = std::chrono::duration_cast<std::chrono::milliseconds>(settings.endedJobsShown);
     takeMilliseconds(bounds, "status_s", shown, second);
     settings.endedJobsShown = std::chrono::duration_cast<std::chrono::seconds>(shown);
--- a/src/platform/tests/codecs_tests.cpp
+++ b/src/platform/tests/codecs_tests.cpp
@@ -31,7 +31,7 @@
 platform: {address: "10.200.1.7:8344"}
 cloud: {address: "10.200.0.82:8344", rate_per_s: 64.0}
 limits: {cpu_share: 0.25, cores: 2}
-bounds: {grace_s: 6, hold_max_ms: 6000, remote_factor: 1.5, migrate_s: 1.5}
+bounds: {grace_s: 6, hold_max_ms: 6000, remote_factor: 1.5, maintenance_s: 2.5}
 unheard_of: [1, 2]
 )";
 
@@ -44,7 +44,8 @@
     EXPECT_EQ(settings.value().callerPort, 8340);
     EXPECT_EQ(settings.value().readinessPort, 8343);
     EXPECT_EQ(settings.value().longestRunLease, std::chrono::milliseconds(6000));
-    EXPECT_EQ(settings.value().moveTime, std::chrono::milliseconds(1500));
+    EXPECT_EQ(settings.value().upkeepTime, std::chrono::milliseconds(2500));
+    EXPECT_DOUBLE_EQ(settings.value().machineReadsPerSecond, 64);
     EXPECT_EQ(settings.value().metricsPort, 7000);
     EXPECT_DOUBLE_EQ(settings.value().cores, 0.5);
 }
--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -28,7 +28,8 @@
     // turns sooner.
     std::chrono::milliseconds holderPause{3000};
     std::chrono::milliseconds upkeepTime{2000};
-    std::chrono::milliseconds moveTime{1500};
+    // Orders that the platform takes from all entries in a second.
+    double ordersPerSecond = 10;
 };
 
 class HostKeeper
@@ -153,6 +154,9 @@
     const TimePoint m_notBefore;
     // No plan before this time, so that targets have told what they run.
     const TimePoint m_settled;
+    // Orders that may be sent now.
+    double m_allowance;
+    TimePoint m_allowedAt;
     std::set<std::string> m_orderedBefore;
     // Stored as ordered.
     std::set<std::string> m_recorded;
--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -39,6 +39,8 @@
     , m_listener(std::move(listener))
     , m_notBefore(isFirstTerm ? now : now + settings.holderPause + holderMargin)
     , m_settled(isFirstTerm ? now : now + settleTime)
+    , m_allowance(settings.ordersPerSecond)
+    , m_allowedAt(now)
 {}
 
 void HostKeeper::setRules(const FleetRules &rules)
@@ -130,6 +132,9 @@
     m_demands = m_core.demands(now);
     planWaves(now);
     planMoves(now);
+    m_allowance = std::min(m_settings.ordersPerSecond,
+                           m_allowance + m_settings.ordersPerSecond * toSeconds(now - m_allowedAt));
+    m_allowedAt = now;
     for (auto &[name, host] : m_hosts) {
         orderIfEmpty(host, now, orders);
     }
@@ -276,6 +281,10 @@
     if (load.runs > 0 && (!isDue || load.lasting > 0) && !host.isUnclear) {
         return;
     }
+    if (m_allowance < 1) {
+        return;
+    }
+    m_allowance -= 1;
     host.isOrdered = true;
     host.orderedAt = now;
     m_listener(host.info.name, "ordered");
--- a/src/scheduling/ownersettings.h
+++ b/src/scheduling/ownersettings.h
@@ -18,12 +18,6 @@
     std::chrono::milliseconds longestLease{4500};
     // A stop takes at most this long.
     std::chrono::milliseconds stopTime{200};
-    // A gang's member waits this long for the others.
-    std::chrono::milliseconds gangTime{3000};
-    // From an order of another pace to its effect.
-    std::chrono::milliseconds paceTime{100};
-    // A serving task may be over its target for this long because of tasks that fill.
-    std::chrono::milliseconds harmTime{4000};
     // Tasks take this many times as long away from their data's rack.
     double remoteFactor = 1.5;
 };
--- a/src/scheduling/tests/hostkeeper_tests.cpp
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -136,6 +136,23 @@
     EXPECT_EQ(hosts.plan(later).size(), 1U);
 }
 
+TEST(HostKeeper, sendsNoMoreOrdersThanThePlatformTakes)
+{
+    HostWorld hosts;
+    for (const char *name : {"a", "b", "c", "d", "e", "f"}) {
+        hosts.add(name);
+    }
+    HostKeeperSettings settings;
+    settings.ordersPerSecond = 2;
+    HostKeeper keeper(settings, hosts.world.core, hosts.world.now, true,
+                      [](const auto &, const auto &) {});
+    keeper.waveAsked({1, {"a", "b", "c", "d", "e", "f"}, 10s, 6}, {}, {}, hosts.world.now);
+    EXPECT_EQ(hosts.plan(keeper).size(), 2U);
+    EXPECT_TRUE(hosts.plan(keeper).empty());
+    hosts.world.advance(500ms);
+    EXPECT_EQ(hosts.plan(keeper).size(), 1U);
+}
+
 // Late in an overloaded day, hosts were emptied for 4 s beyond the end of their wave.
 TEST(HostKeeper, emptiesAHostForLessTimeWhenItsWaveIsNearItsEnd)
 {
