Reset the connections of calls to the platform that are given up

Ruled out: orders sent without the ownership (asked right before each). Test: resetsTheConnectionOfACallThatItGivesUp (fails before: the connection ended in order).

--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -372,6 +372,11 @@
         auto *self = static_cast<Private *>(context);
         self->m_connections.remove(socket);
         self->forgetSocket(socket);
+        if (!self->m_ownContext) {
+            // What a partition holds up of a call that was given up must not arrive when it heals.
+            const linger reset{1, 0};
+            setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        }
         return ::close(socket);
     }
 
