Read rooms and lists of texts, and write JSON posts, by one function each

Four places read cpu, mem_mb and gpu, four lists of texts, and five built a POST with a JSON body. They call detail::roomOf, textsOf and jsonPost now.

--- a/src/platform/internal/callerwire.cpp
+++ b/src/platform/internal/callerwire.cpp
@@ -73,9 +73,7 @@
         return malformed(fmt::format("phase {}: count is not between 1 and {}", number, mostTasks));
     }
     step.count = static_cast<std::uint32_t>(count);
-    step.need.processors = detail::numberOf(json, "cpu").value_or(0);
-    step.need.memoryMib = detail::numberOf(json, "mem_mb").value_or(0);
-    step.need.accelerators = detail::numberOf(json, "gpu").value_or(0);
+    step.need = detail::roomOf(json);
     step.estimate = std::chrono::milliseconds(detail::numberOf(json, "estimated_ms").value_or(0));
     if (const auto *after = detail::fieldOf(json, "after"); after != nullptr) {
         if (!after->is_array()) {
--- a/src/platform/internal/configwire.cpp
+++ b/src/platform/internal/configwire.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 using scheduling::FleetRules;
-using scheduling::Room;
 
 std::chrono::milliseconds millisecondsOf(const nlohmann::json &json, const char *name)
 {
@@ -41,27 +40,14 @@
     return queue;
 }
 
-Room roomOf(const nlohmann::json &json)
-{
-    return Room{detail::numberOf(json, "cpu").value_or(0),
-                detail::numberOf(json, "mem_mb").value_or(0),
-                detail::numberOf(json, "gpu").value_or(0)};
-}
-
 scheduling::WorkspaceRule workspaceOf(const nlohmann::json &json)
 {
     scheduling::WorkspaceRule workspace;
     workspace.name = detail::textOf(json, "name");
     workspace.weight = detail::realOf(json, "weight", 1);
-    if (const auto *keys = detail::fieldOf(json, "api_keys"); keys != nullptr && keys->is_array()) {
-        for (const auto &key : *keys) {
-            if (key.is_string()) {
-                workspace.keys.push_back(key.get<std::string>());
-            }
-        }
-    }
+    workspace.keys = detail::textsOf(json, "api_keys");
     if (const auto *cap = detail::fieldOf(json, "cap"); cap != nullptr) {
-        workspace.cap = roomOf(*cap);
+        workspace.cap = detail::roomOf(*cap);
     }
     return workspace;
 }
@@ -120,11 +106,7 @@
     }
     scheduling::WavePlan wave;
     wave.number = static_cast<std::uint64_t>(*number);
-    for (const auto &host : *hosts) {
-        if (host.is_string()) {
-            wave.hosts.push_back(host.get<std::string>());
-        }
-    }
+    wave.hosts = detail::textsOf(json, "machines");
     wave.duration = std::chrono::milliseconds(
             static_cast<std::int64_t>(detail::realOf(json, "duration_s", 0) * 1000));
     wave.mostAtOnce = static_cast<std::uint32_t>(
--- a/src/platform/internal/jsonfields.h
+++ b/src/platform/internal/jsonfields.h
@@ -2,11 +2,14 @@
 // here, the caller decides what it means.
 #pragma once
 
+#include "scheduling/room.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cyclamenlatch::platform::detail {
 
@@ -40,6 +43,28 @@
                                     : field->get<std::int64_t>();
 }
 
+// The texts of a list; what is no text there is passed over.
+inline std::vector<std::string> textsOf(const nlohmann::json &object, const char *name)
+{
+    std::vector<std::string> texts;
+    const auto *list = fieldOf(object, name);
+    if (list == nullptr || !list->is_array()) {
+        return texts;
+    }
+    for (const auto &item : *list) {
+        if (item.is_string()) {
+            texts.push_back(item.get<std::string>());
+        }
+    }
+    return texts;
+}
+
+inline scheduling::Room roomOf(const nlohmann::json &object)
+{
+    return {numberOf(object, "cpu").value_or(0), numberOf(object, "mem_mb").value_or(0),
+            numberOf(object, "gpu").value_or(0)};
+}
+
 inline double realOf(const nlohmann::json &object, const char *name, double otherwise)
 {
     const auto *field = fieldOf(object, name);
--- a/src/platform/internal/machinecalls.cpp
+++ b/src/platform/internal/machinecalls.cpp
@@ -3,6 +3,7 @@
 
 #include "global/nametable.h"
 #include "platform/internal/jsonfields.h"
+#include "platform/internal/jsonpost.h"
 
 #include <fmt/format.h>
 
@@ -17,15 +18,12 @@
 
 namespace {
 
-net::HttpCall orderCall(const std::string &url, const HostHolder &holder, nlohmann::json body)
+net::HttpCall orderCall(const std::string &url, const HostHolder &holder,
+                        const nlohmann::json &body)
 {
-    net::HttpCall call;
-    call.method = "POST";
-    call.url = url;
-    call.headers.add("Content-Type", "application/json");
+    auto call = detail::jsonPost(url, body.dump());
     call.headers.add("Cyclamenlatch-Lease-Holder", holder.name);
     call.headers.add("Cyclamenlatch-Fencing-Token", std::to_string(holder.token));
-    call.body = body.dump();
     return call;
 }
 
@@ -46,17 +44,9 @@
         return std::nullopt;
     }
     host.state = *state;
-    if (const auto *labels = detail::fieldOf(json, "labels"); labels && labels->is_array()) {
-        for (const auto &label : *labels) {
-            if (label.is_string()) {
-                host.labels.push_back(label.get<std::string>());
-            }
-        }
-    }
+    host.labels = detail::textsOf(json, "labels");
     if (const auto *capacity = detail::fieldOf(json, "capacity"); capacity != nullptr) {
-        host.capacity = {detail::numberOf(*capacity, "cpu").value_or(0),
-                         detail::numberOf(*capacity, "mem_mb").value_or(0),
-                         detail::numberOf(*capacity, "gpu").value_or(0)};
+        host.capacity = detail::roomOf(*capacity);
     }
     return host;
 }
--- a/src/platform/internal/storecalls.cpp
+++ b/src/platform/internal/storecalls.cpp
@@ -2,6 +2,7 @@
 #include "platform/storecalls.h"
 
 #include "platform/internal/jsonfields.h"
+#include "platform/internal/jsonpost.h"
 #include "store/base64.h"
 
 #include <fmt/format.h>
@@ -28,15 +29,11 @@
     return escaped;
 }
 
-net::HttpCall makeCall(std::string method, std::string url, std::string body = {})
+net::HttpCall makeCall(std::string method, std::string url)
 {
     net::HttpCall call;
     call.method = std::move(method);
     call.url = std::move(url);
-    if (!body.empty()) {
-        call.headers.add("Content-Type", "application/json");
-    }
-    call.body = std::move(body);
     return call;
 }
 
@@ -124,13 +121,13 @@
         }
         body["write"].push_back(std::move(item));
     }
-    return makeCall("POST", m_base + "/v1/kv-txn", body.dump());
+    return detail::jsonPost(m_base + "/v1/kv-txn", body.dump());
 }
 
 net::HttpCall StoreCalls::grantLease(std::chrono::milliseconds timeToLive) const
 {
-    return makeCall("POST", m_base + "/v1/kv-lease",
-                    fmt::format(R"({{"ttl_ms":{}}})", timeToLive.count()));
+    return detail::jsonPost(m_base + "/v1/kv-lease",
+                            fmt::format(R"({{"ttl_ms":{}}})", timeToLive.count()));
 }
 
 net::HttpCall StoreCalls::renewLease(LeaseId lease) const
--- a/src/platform/internal/targetcalls.cpp
+++ b/src/platform/internal/targetcalls.cpp
@@ -2,6 +2,7 @@
 #include "platform/targetcalls.h"
 
 #include "platform/internal/jsonfields.h"
+#include "platform/internal/jsonpost.h"
 
 #include <fmt/format.h>
 
@@ -51,12 +52,8 @@
 
 net::HttpCall orderCall(const scheduling::TargetInfo &target, const char *path, std::string body)
 {
-    net::HttpCall call;
-    call.method = "POST";
-    call.url = fmt::format("http://{}{}", target.address, path);
-    call.headers.add("Content-Type", "application/json");
+    auto call = detail::jsonPost(fmt::format("http://{}{}", target.address, path), std::move(body));
     call.headers.add("Cyclamenlatch-Expect-Instance", target.id);
-    call.body = std::move(body);
     return call;
 }
 
@@ -151,23 +148,14 @@
     target.host = detail::textOf(json, "machine");
     const auto state = detail::textOf(json, "state");
     const auto *capacity = detail::fieldOf(json, "capacity");
-    const auto *labels = detail::fieldOf(json, "labels");
     if (target.service.empty() || target.address.find(':') == std::string::npos
         || (state != "ready" && state != "draining") || capacity == nullptr
         || !capacity->is_object()) {
         return std::nullopt;
     }
     target.isDraining = state == "draining";
-    target.capacity.processors = detail::numberOf(*capacity, "cpu").value_or(0);
-    target.capacity.memoryMib = detail::numberOf(*capacity, "mem_mb").value_or(0);
-    target.capacity.accelerators = detail::numberOf(*capacity, "gpu").value_or(0);
-    if (labels != nullptr && labels->is_array()) {
-        for (const auto &label : *labels) {
-            if (label.is_string()) {
-                target.labels.push_back(label.get<std::string>());
-            }
-        }
-    }
+    target.capacity = detail::roomOf(*capacity);
+    target.labels = detail::textsOf(json, "labels");
     target.born = detail::numberOf(json, "born").value_or(0);
     return target;
 }
@@ -218,15 +206,10 @@
 
 net::HttpCall adviceCall(const std::string &address, const scheduling::AdviseOrder &order)
 {
-    net::HttpCall call;
-    call.method = "POST";
-    call.url = fmt::format("http://{}/v1/advise", address);
-    call.headers.add("Content-Type", "application/json");
-    call.body = nlohmann::json{{"phase", fmt::format("{}.{}.{}", jobIdText(order.step.job),
-                                                     order.step.occurrence, order.step.step)},
-                               {"workers", order.targets}}
-                        .dump();
-    return call;
+    const nlohmann::json body{{"phase", fmt::format("{}.{}.{}", jobIdText(order.step.job),
+                                                    order.step.occurrence, order.step.step)},
+                              {"workers", order.targets}};
+    return detail::jsonPost(fmt::format("http://{}/v1/advise", address), body.dump());
 }
 
 std::optional<AdviceAnswer> judgeAdvice(const net::HttpCallResult &result)
