Say once what a run takes, where a step is allowed, and how a job's runs are stopped; look at listed hosts once

Copies made one: a run's traits and room (start, adopt), label, spread and reservation (choose, reserve), stopping all runs of a job (cancel, end), finding a step (load). What a step or a gang takes is multiplied, not added up task by task, and jobs are not looked at for unheard targets while there is none. Gone: overSince, two declarations without a body, an accessor and a parameter without a use, a deadline check beside the one that mayTryAgain makes.

--- a/src/control/internal/frontdoor.cpp
+++ b/src/control/internal/frontdoor.cpp
@@ -285,7 +285,7 @@
         if (reply.outcome == StoreOutcome::Conflict) {
             --visit->tries;
         }
-        if (bootNow() < visit->deadline && mayTryAgain(visit)) {
+        if (mayTryAgain(visit)) {
             return cancel(visit);
         }
         giveUp(visit, reply.failure);
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -51,8 +51,6 @@
     // Loading.
     void loadStates();
     void loadOrderedTargets();
-    void followJobs();
-    void followTargets();
     void takeJobs(const std::vector<platform::StoreItem> &items, platform::StoreRevision at,
                   bool isWhole);
     void takeJob(const platform::StoreItem &item);
--- a/src/control/ownership.h
+++ b/src/control/ownership.h
@@ -49,8 +49,6 @@
     // Ask right before each act that only the owner may do.
     bool isHeld() const;
     const Tenure &tenure() const { return m_tenure; }
-    // Of the owner as the store last told; empty: none, or not known.
-    const std::string &ownerName() const { return m_ownerName; }
 
 private:
     enum class Stage { Watching, Claiming, Holding };
@@ -80,6 +78,7 @@
     Stage m_stage = Stage::Watching;
     bool m_isStopped = false;
     bool m_isOwnerKnown = false;
+    // Of the owner as the store last told; empty: none, or not known.
     std::string m_ownerName;
     // Since when the store has told that there is no owner.
     std::optional<TimePoint> m_freeSince;
--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -62,6 +62,7 @@
 
 void HostKeeper::hostsListed(std::vector<HostInfo> hosts, TimePoint now)
 {
+    m_core.hostsListed(hosts, now);
     for (auto &[name, host] : m_hosts) {
         host.isListed = false;
     }
@@ -69,7 +70,6 @@
         auto &host = m_hosts[info.name];
         host.info = std::move(info);
         host.isListed = true;
-        m_core.hostListed(host.info, now);
         if (host.awaySince) {
             takeAway(host, now);
         }
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -101,13 +101,7 @@
         return;
     }
     auto node = m_jobs.extract(found);
-    for (auto &[targetId, target] : m_targets) {
-        for (auto &[task, run] : target->runs) {
-            if (task.job == id) {
-                stopRun(*target, task, run, now);
-            }
-        }
-    }
+    stopRunsOf(id, now);
 }
 
 bool OwnerCore::arrivedBefore(JobNumber id, std::uint64_t revision) const
@@ -229,7 +223,7 @@
 }
 
 OwnerCore::StepState *OwnerCore::findStep(const TaskRef &task, JobState **job,
-                                          OccurrenceState **occurrence)
+                                          OccurrenceState **occurrence) const
 {
     const auto found = m_jobs.find(task.job);
     if (found == m_jobs.end()) {
@@ -248,7 +242,8 @@
     return &at->second.steps[task.step];
 }
 
-OwnerCore::TaskState *OwnerCore::findTask(const TaskRef &task, JobState **job, StepState **step)
+OwnerCore::TaskState *OwnerCore::findTask(const TaskRef &task, JobState **job,
+                                          StepState **step) const
 {
     auto *found = findStep(task, job, nullptr);
     if (found == nullptr || task.index >= found->tasks.size()) {
@@ -310,17 +305,11 @@
     makeDirty(job, true, now);
     tell(Decision::Kind::JobEnded, TaskRef{job.submission.id}, 0, {},
          std::string(jobPhaseNames.name(phase)));
-    for (auto &[targetId, target] : m_targets) {
-        for (auto &[task, run] : target->runs) {
-            if (task.job == job.submission.id) {
-                stopRun(*target, task, run, now);
-            }
-        }
-    }
+    stopRunsOf(job.submission.id, now);
 }
 
 // The task waits for another start.
-void OwnerCore::release(JobState &, StepState &step, TaskState &task, TimePoint now)
+void OwnerCore::release(StepState &step, TaskState &task, TimePoint now)
 {
     if (task.phase != TaskPhase::Ordered) {
         return;
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -195,7 +195,7 @@
 // A target that this owner has not heard yet may run tasks of the job.
 bool OwnerCore::isUncertain(const JobState &job, TimePoint now) const
 {
-    return !job.isNew
+    return m_hasUnheard && !job.isNew
            && std::any_of(job.targets.begin(), job.targets.end(), [&](const std::string &id) {
                   const auto *target = findTarget(id);
                   return target != nullptr && !target->isAdopted && !hasLapsed(*target, now);
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -19,6 +19,20 @@
 
 } // namespace
 
+OwnerCore::RunState &OwnerCore::addRun(TargetState &target, const TaskRef &task,
+                                       const JobState &job, const StepSpec &spec, RunState run)
+{
+    run.workspace = job.submission.workspace;
+    run.fills = spec.fills;
+    run.serves = spec.serves();
+    run.lasts = spec.lasts;
+    run.tailTarget = spec.tailTarget;
+    run.room = spec.roomTaken();
+    target.used += run.room;
+    m_used[run.workspace] += run.room;
+    return target.runs.emplace(task, std::move(run)).first->second;
+}
+
 void OwnerCore::dropRun(TargetState &target, const TaskRef &task)
 {
     const auto found = target.runs.find(task);
@@ -38,7 +52,7 @@
     JobState *job = nullptr;
     StepState *step = nullptr;
     if (auto *state = findTask(task, &job, &step); state != nullptr && state->target == &target) {
-        release(*job, *step, *state, now);
+        release(*step, *state, now);
     }
 }
 
@@ -75,6 +89,17 @@
     m_orders.emplace_back(StopOrder{target.info.id, task, run.attempt});
 }
 
+void OwnerCore::stopRunsOf(JobNumber id, TimePoint now)
+{
+    for (auto &[targetId, target] : m_targets) {
+        for (auto &[task, run] : target->runs) {
+            if (task.job == id) {
+                stopRun(*target, task, run, now);
+            }
+        }
+    }
+}
+
 void OwnerCore::takeEnd(TargetState &target, const EndRow &end, TimePoint now)
 {
     tell(Decision::Kind::Ended, end.task, end.attempt, target.info.id,
@@ -132,7 +157,7 @@
         return;
     }
     if (isCurrent && task.target == &target) {
-        release(*job, *step, task, now);
+        release(*step, task, now);
     }
     if (end.how == RunEnd::Failed) {
         takeFailure(target, *job, *step, end, now);
@@ -217,15 +242,7 @@
         auto &kept = target.runs.emplace(row.task, std::move(run)).first->second;
         return stopRun(target, row.task, kept, now);
     }
-    run.workspace = job->submission.workspace;
-    run.fills = step->spec->fills;
-    run.serves = step->spec->serves();
-    run.lasts = step->spec->lasts;
-    run.tailTarget = step->spec->tailTarget;
-    run.room = step->spec->roomTaken();
-    target.used += run.room;
-    m_used[run.workspace] += run.room;
-    auto &kept = target.runs.emplace(row.task, std::move(run)).first->second;
+    auto &kept = addRun(target, row.task, *job, *step->spec, std::move(run));
     tell(Decision::Kind::Adopted, row.task, row.attempt, target.info.id);
     if (task->phase != TaskPhase::Waiting || isFinal(job->phase)) {
         return stopRun(target, row.task, kept, now);
@@ -324,7 +341,7 @@
     if (task == nullptr || task->target != target) {
         return;
     }
-    release(*job, *step, *task, now);
+    release(*step, *task, now);
     if (step->spec->isGang) {
         // The others would wait for this member in vain.
         for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -146,9 +146,7 @@
         auto &use = m_uncertainUse[job->submission.workspace];
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const auto &step : occurrence.steps) {
-                for (std::uint32_t index = 0; index < step.waiting; ++index) {
-                    use += step.spec->roomTaken();
-                }
+                use += step.spec->roomTaken() * step.waiting;
             }
         }
     }
@@ -198,21 +196,10 @@
     TargetState *best = nullptr;
     double bestScore = 0;
     for (auto *target : pool) {
-        if (target->avoidedUntil > now
-            || (target->reservedFor && *target->reservedFor != ref && target->reservedUntil > now)
-            || (!spec.requiredLabel.empty() && !target->info.hasLabel(spec.requiredLabel))
-            || !room.fitsIn(target->info.capacity - target->used)
-            || !isAdvised(open, *target, now)) {
+        if (target->avoidedUntil > now || !room.fitsIn(target->info.capacity - target->used)
+            || !isAdvised(open, *target, now) || !allows(open, *target, ref, now)) {
             continue;
         }
-        if (spec.mostPerTarget > 0) {
-            const auto here =
-                    std::count_if(open.step->tasks.begin(), open.step->tasks.end(),
-                                  [&](const auto &other) { return other.target == target; });
-            if (static_cast<std::uint32_t>(here) >= spec.mostPerTarget) {
-                continue;
-            }
-        }
         const auto free = target->info.capacity - target->used;
         const double freeShare =
                 static_cast<double>(free.processors)
@@ -240,6 +227,22 @@
     return best;
 }
 
+bool OwnerCore::allows(const OpenStep &open, const TargetState &target, const TaskRef &ref,
+                       TimePoint now)
+{
+    const auto &spec = *open.step->spec;
+    const bool isKeptForOther =
+            target.reservedFor && *target.reservedFor != ref && target.reservedUntil > now;
+    if (isKeptForOther
+        || (!spec.requiredLabel.empty() && !target.info.hasLabel(spec.requiredLabel))) {
+        return false;
+    }
+    return spec.mostPerTarget == 0
+           || std::count_if(open.step->tasks.begin(), open.step->tasks.end(),
+                            [&](const auto &other) { return other.target == &target; })
+                      < spec.mostPerTarget;
+}
+
 // Keeps one target free for a lasting task, and in the end makes room there.
 void OwnerCore::reserve(const OpenStep &open, const TaskState &task, const TaskRef &ref,
                         const std::vector<TargetState *> &pool, TimePoint now)
@@ -248,16 +251,7 @@
     const auto room = spec.roomTaken();
     TargetState *best = nullptr;
     for (auto *target : pool) {
-        if (!spec.requiredLabel.empty() && !target->info.hasLabel(spec.requiredLabel)) {
-            continue;
-        }
-        if (spec.mostPerTarget > 0
-            && std::count_if(open.step->tasks.begin(), open.step->tasks.end(),
-                             [&](const auto &other) { return other.target == target; })
-                       >= spec.mostPerTarget) {
-            continue;
-        }
-        if (target->reservedFor && *target->reservedFor != ref && target->reservedUntil > now) {
+        if (!allows(open, *target, ref, now)) {
             continue;
         }
         if (target->reservedFor == ref && target->reservedUntil > now) {
@@ -313,11 +307,7 @@
     if (step.waiting != step.spec->count) {
         return;
     }
-    Room all;
-    for (std::uint32_t index = 0; index < step.spec->count; ++index) {
-        all += step.spec->need;
-    }
-    if (!mayUse(open.job->submission.workspace, all)) {
+    if (!mayUse(open.job->submission.workspace, step.spec->need * step.spec->count)) {
         return;
     }
     // Racks one by one where the gang wants one, then all together.
@@ -380,18 +370,10 @@
     ++open.step->ordered;
     RunState run;
     run.attempt = attempt;
-    run.room = spec.roomTaken();
-    run.workspace = open.job->submission.workspace;
-    run.fills = spec.fills;
-    run.serves = spec.serves();
-    run.lasts = spec.lasts;
-    run.tailTarget = spec.tailTarget;
     run.orderedAt = now;
     run.progressAt = now;
     run.paceOrderedAt = now;
-    target.used += run.room;
-    m_used[run.workspace] += run.room;
-    target.runs.emplace(ref, std::move(run));
+    addRun(target, ref, *open.job, spec, std::move(run));
     if (target.reservedFor == ref) {
         target.reservedFor.reset();
     }
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -147,8 +147,6 @@
     int percent = 0;
     std::optional<std::int64_t> figure;
     TimePoint progressAt{};
-    // Since when a serving task is near or over its target.
-    std::optional<TimePoint> overSince;
 };
 
 struct TargetState
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -228,16 +228,22 @@
     }
 }
 
-void OwnerCore::hostListed(const HostInfo &host, TimePoint now)
+void OwnerCore::hostsListed(const std::vector<HostInfo> &hosts, TimePoint now)
 {
-    const auto *present = findTarget(host.target);
-    const bool isAway = host.state == HostState::Moving || host.state == HostState::Upkeep;
     std::vector<std::string> ended;
     for (const auto &[id, target] : m_targets) {
-        if (target->info.host != host.name || target->isAdopted || target->failedCalls == 0) {
+        if (target->isAdopted || target->failedCalls == 0) {
             continue;
         }
-        const bool isSucceeded = host.state == HostState::Up && present != nullptr
+        const auto host = std::find_if(
+                hosts.begin(), hosts.end(),
+                [&name = target->info.host](const auto &item) { return item.name == name; });
+        if (host == hosts.end()) {
+            continue;
+        }
+        const bool isAway = host->state == HostState::Moving || host->state == HostState::Upkeep;
+        const auto *present = findTarget(host->target);
+        const bool isSucceeded = host->state == HostState::Up && present != nullptr
                                  && present != target.get() && target->info.born > 0
                                  && present->info.born > target->info.born;
         if (isAway || isSucceeded) {
@@ -275,18 +281,8 @@
             continue;
         }
         ++load.lasting;
-        const auto job = m_jobs.find(task.job);
-        if (job == m_jobs.end()) {
-            continue;
-        }
-        const auto occurrence = job->second->occurrences.find(task.occurrence);
-        if (occurrence == job->second->occurrences.end()) {
-            continue;
-        }
-        const auto &step = occurrence->second.steps[task.step];
-        if (isNeeded(step)) {
-            ++load.needed;
-        }
+        const auto *step = findStep(task, nullptr, nullptr);
+        load.needed += step != nullptr && isNeeded(*step) ? 1 : 0;
     }
     return load;
 }
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -173,9 +173,9 @@
 
     // A target whose host is wanted elsewhere gets no new work, and its lasting tasks move away.
     void setLeaving(const std::string &id, bool isLeaving);
-    // The platform lists the host so. Targets of it that were never heard and do not answer have
-    // ended when it is down for an order or runs a target that was born later.
-    void hostListed(const HostInfo &host, TimePoint now);
+    // The platform lists the hosts so. Targets that were never heard and do not answer have ended
+    // when their host is down for an order or runs a target that was born later.
+    void hostsListed(const std::vector<HostInfo> &hosts, TimePoint now);
     // Its host was taken down: all that ran there has ended.
     void targetTakenDown(const std::string &id, TimePoint now);
     TargetLoad load(const std::string &id) const;
@@ -206,15 +206,20 @@
     void openDue(JobState &job, TimePoint now, WallTime wallNow);
     void openOccurrence(JobState &job, std::uint32_t number, TimePoint now, WallTime wallNow);
     void openSteps(OccurrenceState &occurrence, TimePoint now);
-    StepState *findStep(const TaskRef &task, JobState **job, OccurrenceState **occurrence);
-    TaskState *findTask(const TaskRef &task, JobState **job = nullptr, StepState **step = nullptr);
+    StepState *findStep(const TaskRef &task, JobState **job, OccurrenceState **occurrence) const;
+    TaskState *findTask(const TaskRef &task, JobState **job = nullptr,
+                        StepState **step = nullptr) const;
     void markDone(JobState &job, OccurrenceState &occurrence, StepState &step, std::uint32_t index,
                   TimePoint now);
     void finishJob(JobState &job, JobPhase phase, TimePoint now);
     void makeDirty(JobState &job, bool isUrgent, TimePoint now);
-    void release(JobState &job, StepState &step, TaskState &task, TimePoint now);
+    void release(StepState &step, TaskState &task, TimePoint now);
+    void stopRunsOf(JobNumber id, TimePoint now);
 
     // Runs.
+    // Takes its room of the target and of its workspace.
+    RunState &addRun(TargetState &target, const TaskRef &task, const JobState &job,
+                     const StepSpec &spec, RunState run);
     void dropRun(TargetState &target, const TaskRef &task);
     void giveBack(TargetState &target, const TaskRef &task, TimePoint now);
     void loseRuns(TargetState &target, Decision::Kind kind, TimePoint now);
@@ -245,6 +250,9 @@
     void startGang(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     TargetState *choose(const OpenStep &open, const TaskState &task, const TaskRef &ref,
                         const std::vector<TargetState *> &pool, TimePoint now) const;
+    // Whether the step allows a task there, whatever room is left.
+    static bool allows(const OpenStep &open, const TargetState &target, const TaskRef &ref,
+                       TimePoint now);
     // Whether a step may be started on the target as far as advice goes.
     static bool isAdvised(const OpenStep &open, const TargetState &target, TimePoint now);
     void askAdvice(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
--- a/src/scheduling/room.h
+++ b/src/scheduling/room.h
@@ -38,6 +38,10 @@
         return processors <= free.processors && memoryMib <= free.memoryMib
                && accelerators <= free.accelerators;
     }
+    friend Room operator*(const Room &room, std::int64_t count)
+    {
+        return {room.processors * count, room.memoryMib * count, room.accelerators * count};
+    }
     // Like fitsIn, where a bound of 0 stands for none.
     bool isWithinCap(const Room &cap) const
     {
--- a/src/scheduling/tests/ownercore_tests.cpp
+++ b/src/scheduling/tests/ownercore_tests.cpp
@@ -316,15 +316,15 @@
     host.name = "m1";
     host.state = HostState::Up;
     host.target = "t2";
-    world.core.hostListed(host, world.now);
+    world.core.hostsListed({host}, world.now);
     EXPECT_TRUE(world.startAll().empty());
     world.core.holdFailed("t1", world.now);
     // A list from before the later target's birth proves nothing.
     host.target = "t1";
-    world.core.hostListed(host, world.now);
+    world.core.hostsListed({host}, world.now);
     EXPECT_TRUE(world.startAll().empty());
     host.target = "t2";
-    world.core.hostListed(host, world.now);
+    world.core.hostsListed({host}, world.now);
     EXPECT_EQ(world.startAll().size(), 1U);
 }
 
