Call targets and the store by a client on the loop; plan by what changed; renewals and lists of their own

Plans looked at every target and run, and a begun or ended job at all runs of the fleet. A list of which one page timed out began anew. Renewals shared their connections with bulk.

It asks for the owner's permission right before the first byte is written, and ends calls by lack of progress where their length is unknown. OwnerCore looks at marked targets, and at all of them ten times a second; jobs that wait are kept by number. Ownership has its own connections.

--- a/src/control/hostservice.h
+++ b/src/control/hostservice.h
@@ -5,7 +5,7 @@
 #include "control/ownership.h"
 #include "control/records.h"
 #include "control/storelink.h"
-#include "net/httpclient.h"
+#include "net/loophttpclient.h"
 #include "platform/entrysettings.h"
 #include "platform/machinecalls.h"
 #include "scheduling/hostkeeper.h"
@@ -27,7 +27,7 @@
 {
 public:
     // planned is called when hosts have changed, so that work is planned anew.
-    HostService(asio::io_context &context, StoreLink &store, net::HttpClient &http,
+    HostService(asio::io_context &context, StoreLink &store, net::LoopHttpClient &http,
                 Ownership &ownership, const platform::EntrySettings &settings,
                 scheduling::OwnerCore &core, std::function<void()> planned);
     ~HostService();
@@ -58,7 +58,7 @@
 
     asio::io_context &m_context;
     StoreLink &m_store;
-    net::HttpClient &m_http;
+    net::LoopHttpClient &m_http;
     Ownership &m_ownership;
     const platform::EntrySettings &m_settings;
     const platform::MachineCalls m_calls;
--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-HostService::HostService(asio::io_context &context, StoreLink &store, net::HttpClient &http,
+HostService::HostService(asio::io_context &context, StoreLink &store, net::LoopHttpClient &http,
                          Ownership &ownership, const platform::EntrySettings &settings,
                          scheduling::OwnerCore &core, std::function<void()> planned)
     : m_context(context)
@@ -290,6 +290,9 @@
     };
     auto call = std::visit(Caller{*this}, order);
     call.timeout = callTimeout;
+    call.isPermitted = [&ownership = m_ownership, alive = std::weak_ptr(m_alive)] {
+        return !alive.expired() && ownership.isHeld();
+    };
     m_http.send(std::move(call), [this, order, alive = std::weak_ptr(m_alive)](const auto &result) {
         if (alive.expired()) {
             return;
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -76,7 +76,7 @@
     unsigned failures = 0;
 };
 
-OwnerService::OwnerService(asio::io_context &context, StoreLink &store, net::HttpClient &http,
+OwnerService::OwnerService(asio::io_context &context, StoreLink &store, net::LoopHttpClient &http,
                            Ownership &ownership, const platform::EntrySettings &settings,
                            Metrics &metrics)
     : m_context(context)
@@ -341,6 +341,7 @@
     auto call = platform::holdCall(*target, m_tenure.term, *order);
     call.timeout = order->wait + holdMargin;
     call.connectTimeout = connectTimeout;
+    call.isPermitted = permission();
     found->second->isCalling = true;
     m_http.send(std::move(call),
                 [this, id, now, alive = std::weak_ptr(m_alive)](const auto &result) {
@@ -394,11 +395,20 @@
     holdAfter(id, holdPause);
 }
 
+// For calls that may wait for a connection while the lease runs out.
+std::function<bool()> OwnerService::permission() const
+{
+    return [&ownership = m_ownership, alive = std::weak_ptr(m_alive)] {
+        return !alive.expired() && ownership.isHeld();
+    };
+}
+
 template<typename Kind>
 void OwnerService::sendOrder(net::HttpCall call, const Kind &order, Answered<Kind> answered)
 {
     call.timeout = orderTimeout;
     call.connectTimeout = connectTimeout;
+    call.isPermitted = permission();
     m_http.send(std::move(call),
                 [this, order, answered, alive = std::weak_ptr(m_alive)](const auto &result) {
                     if (alive.expired()) {
--- a/src/control/internal/platformentry.cpp
+++ b/src/control/internal/platformentry.cpp
@@ -10,7 +10,7 @@
 #include "control/ownerservice.h"
 #include "control/ownership.h"
 #include "control/storelink.h"
-#include "net/httpclient.h"
+#include "net/loophttpclient.h"
 #include "net/httpserver.h"
 #include "platform/callerwire.h"
 #include "platform/configwire.h"
@@ -31,8 +31,15 @@
 
 // Long polls and calls of this process to the store.
 constexpr std::size_t storeConnections = 32;
+// The owner's key is watched by one call, its lease renewed by another.
+constexpr std::size_t leaseConnections = 4;
 // One is taken by the call that keeps the runs alive.
 constexpr std::size_t connectionsPerTarget = 4;
+// Of the entry's descriptors, those that may stay open to targets; the rest is for callers, the
+// store and what the platform keeps back.
+constexpr double targetsShareOfDescriptors = 0.6;
+// Answers of targets are a kilobyte or two; a fleet has a call under way for each target.
+constexpr std::size_t targetBufferBytes = 2048;
 // The configuration is to be in force within two seconds of its acknowledgement, also when a
 // watching connection falls silent.
 constexpr std::chrono::milliseconds configurationWatch{800};
@@ -49,6 +56,34 @@
 constexpr double ownersCores = 0.2;
 constexpr std::chrono::milliseconds smallEntrysCourtesy{400};
 
+net::HttpClientSettings storeClient()
+{
+    net::HttpClientSettings client;
+    client.maxConnectionsPerHost = storeConnections;
+    client.maxKeptConnections = storeConnections;
+    return client;
+}
+
+// Renewals of the owner's lease never wait behind bulk work: they have connections of their own.
+net::HttpClientSettings leaseClient()
+{
+    net::HttpClientSettings client;
+    client.maxConnectionsPerHost = leaseConnections;
+    client.maxKeptConnections = leaseConnections;
+    client.receiveBufferBytes = targetBufferBytes;
+    return client;
+}
+
+net::HttpClientSettings targetClient(const platform::EntrySettings &settings)
+{
+    net::HttpClientSettings client;
+    client.maxConnectionsPerHost = connectionsPerTarget;
+    client.maxKeptConnections = static_cast<std::size_t>(
+            targetsShareOfDescriptors * static_cast<double>(settings.mostDescriptors));
+    client.receiveBufferBytes = targetBufferBytes;
+    return client;
+}
+
 std::chrono::milliseconds courtesyOf(const platform::EntrySettings &settings)
 {
     return settings.cores < ownersCores ? smallEntrysCourtesy : std::chrono::milliseconds{0};
@@ -63,12 +98,14 @@
         : m_settings(std::move(settings))
         , m_settingsPath(std::move(settingsPath))
         , m_log(m_context, m_settings.name)
-        , m_storeHttp(std::make_unique<net::HttpClient>(m_context, storeConnections))
-        , m_targetHttp(std::make_unique<net::HttpClient>(m_context, connectionsPerTarget))
-        , m_store(*m_storeHttp, m_settings.storeAddress, m_metrics)
+        , m_storeHttp(std::make_unique<net::LoopHttpClient>(m_context, storeClient()))
+        , m_targetHttp(std::make_unique<net::LoopHttpClient>(m_context, targetClient(m_settings)))
+        , m_leaseHttp(std::make_unique<net::LoopHttpClient>(m_context, leaseClient()))
+        , m_store(m_context, *m_storeHttp, m_settings.storeAddress, m_metrics)
+        , m_leaseStore(m_context, *m_leaseHttp, m_settings.storeAddress, m_metrics)
         , m_frontDoor(m_store, m_metrics)
         , m_ownership(
-                  m_context, m_store, m_settings.name, courtesyOf(m_settings),
+                  m_context, m_leaseStore, m_settings.name, courtesyOf(m_settings),
                   [this](const auto &tenure) { gain(tenure); },
                   [this](const auto &reason) { lose(reason); })
         , m_configuration(m_context, m_store, std::string(platform::operatorPrefix),
@@ -107,6 +144,7 @@
         // Calls that are cut off here end in parts that must still be there.
         m_targetHttp.reset();
         m_storeHttp.reset();
+        m_leaseHttp.reset();
         logEvent(controlStopped, "open_requests={}", m_frontDoor.openRequests());
         return success();
     }
@@ -272,10 +310,12 @@
     const std::string m_settingsPath;
     asio::io_context m_context{1};
     EventLog m_log;
-    std::unique_ptr<net::HttpClient> m_storeHttp;
-    std::unique_ptr<net::HttpClient> m_targetHttp;
+    std::unique_ptr<net::LoopHttpClient> m_storeHttp;
+    std::unique_ptr<net::LoopHttpClient> m_targetHttp;
+    std::unique_ptr<net::LoopHttpClient> m_leaseHttp;
     Metrics m_metrics;
     StoreLink m_store;
+    StoreLink m_leaseStore;
     FrontDoor m_frontDoor;
     Ownership m_ownership;
     KeyFollower m_configuration;
--- a/src/control/internal/storelink.cpp
+++ b/src/control/internal/storelink.cpp
@@ -2,6 +2,7 @@
 #include "control/storelink.h"
 
 #include "control/clock.h"
+#include "control/internal/callafter.h"
 
 #include <memory>
 #include <utility>
@@ -13,6 +14,12 @@
 // The store answers within some milliseconds, and within 300 when it is slow.
 constexpr std::chrono::milliseconds callTimeout{600};
 constexpr std::chrono::milliseconds connectTimeout{300};
+// A page of a list is up to a megabyte, which takes seconds on a thin link: it is given up when
+// nothing comes any more, and asked for again some times before the list is.
+constexpr std::chrono::milliseconds pageIdleTimeout{1200};
+constexpr std::chrono::milliseconds pageTimeout{20000};
+constexpr std::chrono::milliseconds pageRetry{150};
+constexpr unsigned mostPageFailures = 4;
 // Beyond the time that a watch was asked to wait.
 constexpr std::chrono::milliseconds watchMargin{500};
 
@@ -37,8 +44,10 @@
 
 } // namespace
 
-StoreLink::StoreLink(net::HttpClient &http, const std::string &address, Metrics &metrics)
-    : m_http(http)
+StoreLink::StoreLink(asio::io_context &context, net::LoopHttpClient &http, const std::string &address,
+                     Metrics &metrics)
+    : m_context(context)
+    , m_http(http)
     , m_metrics(metrics)
     , m_format(address)
     , m_lastAnswer(bootNow())
@@ -82,30 +91,48 @@
     send(m_format.get(key), callTimeout, std::move(completion));
 }
 
+struct StoreLink::Listing
+{
+    std::string prefix;
+    platform::StoreReply gathered;
+    Completion completion;
+    // Of the page that is asked for.
+    unsigned failures = 0;
+};
+
 void StoreLink::list(const std::string &prefix, Completion completion)
 {
-    listPage(prefix, {}, std::move(completion));
+    listPage(std::make_shared<Listing>(Listing{prefix, {}, std::move(completion), 0}));
 }
 
-void StoreLink::listPage(const std::string &prefix, platform::StoreReply gathered,
-                         Completion completion)
+void StoreLink::listPage(std::shared_ptr<Listing> listing)
 {
-    const auto after = gathered.items.empty() ? std::string{} : gathered.items.back().key;
-    send(m_format.range(prefix, after), callTimeout * 2,
-         [this, prefix, gathered = std::move(gathered),
-          completion = std::move(completion)](const platform::StoreReply &page) mutable {
-             if (page.outcome != platform::StoreOutcome::Done) {
-                 return completion(page);
-             }
-             const bool isFirst = gathered.items.empty();
-             gathered.outcome = page.outcome;
-             gathered.revision = isFirst ? page.revision : gathered.revision;
-             gathered.items.insert(gathered.items.end(), page.items.begin(), page.items.end());
-             if (page.hasMore && !page.items.empty()) {
-                 return listPage(prefix, std::move(gathered), std::move(completion));
-             }
-             completion(gathered);
-         });
+    const auto &items = listing->gathered.items;
+    auto call = m_format.range(listing->prefix, items.empty() ? std::string{} : items.back().key);
+    call.idleTimeout = pageIdleTimeout;
+    send(std::move(call), pageTimeout, [this, listing](const platform::StoreReply &page) {
+        takePage(listing, page);
+    });
+}
+
+void StoreLink::takePage(const std::shared_ptr<Listing> &listing, const platform::StoreReply &page)
+{
+    if (page.outcome != platform::StoreOutcome::Done) {
+        if (++listing->failures > mostPageFailures) {
+            return listing->completion(page);
+        }
+        return detail::callAfter(m_context, pageRetry, m_alive,
+                                 [this, listing] { listPage(listing); });
+    }
+    auto &gathered = listing->gathered;
+    gathered.revision = gathered.items.empty() ? page.revision : gathered.revision;
+    gathered.outcome = page.outcome;
+    gathered.items.insert(gathered.items.end(), page.items.begin(), page.items.end());
+    listing->failures = 0;
+    if (page.hasMore && !page.items.empty()) {
+        return listPage(listing);
+    }
+    listing->completion(gathered);
 }
 
 void StoreLink::watch(const std::string &prefix, platform::StoreRevision after,
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -6,7 +6,7 @@
 #include "control/keyfollower.h"
 #include "control/ownership.h"
 #include "control/storelink.h"
-#include "net/httpclient.h"
+#include "net/loophttpclient.h"
 #include "platform/entrysettings.h"
 #include "platform/targetcalls.h"
 #include "scheduling/ownercore.h"
@@ -30,7 +30,7 @@
 class OwnerService
 {
 public:
-    OwnerService(asio::io_context &context, StoreLink &store, net::HttpClient &http,
+    OwnerService(asio::io_context &context, StoreLink &store, net::LoopHttpClient &http,
                  Ownership &ownership, const platform::EntrySettings &settings, Metrics &metrics);
     ~OwnerService();
     OwnerService(const OwnerService &) = delete;
@@ -86,11 +86,12 @@
     void finishChange(const std::shared_ptr<PendingFlush> &flush);
     void forgetEndedJobs();
     bool isHeld() const { return m_ownership.isHeld(); }
+    std::function<bool()> permission() const;
     void logDecision(const scheduling::Decision &decision);
 
     asio::io_context &m_context;
     StoreLink &m_store;
-    net::HttpClient &m_http;
+    net::LoopHttpClient &m_http;
     Ownership &m_ownership;
     const platform::EntrySettings &m_settings;
     Metrics &m_metrics;
--- a/src/control/storelink.h
+++ b/src/control/storelink.h
@@ -4,12 +4,15 @@
 
 #include "control/metrics.h"
 #include "global/time.h"
-#include "net/httpclient.h"
+#include "net/loophttpclient.h"
 #include "platform/storecalls.h"
 
+#include <asio/io_context.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -20,10 +23,12 @@
 public:
     using Completion = std::function<void(const platform::StoreReply &)>;
 
-    StoreLink(net::HttpClient &http, const std::string &address, Metrics &metrics);
+    StoreLink(asio::io_context &context, net::LoopHttpClient &http, const std::string &address,
+              Metrics &metrics);
 
     void get(const std::string &key, Completion completion);
-    // All pages; the revision is the store's at the first page, so that a watch from there misses
+    // All pages, each tried again for some time when it fails, so that a long list over a thin or
+    // shaky link does not begin anew; the revision is the store's at the first page, so that a watch from there misses
     // nothing that a later page is too old for.
     void list(const std::string &prefix, Completion completion);
     void watch(const std::string &prefix, platform::StoreRevision after,
@@ -43,9 +48,12 @@
               bool isWatch = false);
     // Tells a silent watch from a silent store.
     void probe();
-    void listPage(const std::string &prefix, platform::StoreReply gathered, Completion completion);
+    struct Listing;
+    void listPage(std::shared_ptr<Listing> listing);
+    void takePage(const std::shared_ptr<Listing> &listing, const platform::StoreReply &page);
 
-    net::HttpClient &m_http;
+    asio::io_context &m_context;
+    net::LoopHttpClient &m_http;
     Metrics &m_metrics;
     const platform::StoreCalls m_format;
     std::uint64_t m_calls = 0;
@@ -53,6 +61,7 @@
     // Set from the first failure after an answer.
     bool m_isFailing = false;
     bool m_isProbing = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace cyclamenlatch::control
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -7,8 +7,6 @@
 #include "net/httpcall.h"
 #include "net/httpcallresult.h"
 
-#include <asio/io_context.hpp>
-
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -26,10 +24,6 @@
 
     // maxConnectionsPerHost bounds the open connections to one address and port.
     explicit HttpClient(std::size_t maxConnectionsPerHost = 64, std::size_t threads = 1);
-    // Without threads of its own: calls and completions run on the context's one thread, which also
-    // makes and destroys the client. The context must outlive it. Connections are reset when they
-    // are closed: nothing of a call that was given up is sent any more.
-    HttpClient(asio::io_context &context, std::size_t maxConnectionsPerHost);
     // Aborts the calls in flight; their completions run with a failure.
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
--- /dev/null
+++ b/src/net/httpclientsettings.h
@@ -0,0 +1,19 @@
+// How many connections a LoopHttpClient opens and keeps.
+#pragma once
+
+#include <cstddef>
+
+namespace cyclamenlatch::net {
+
+struct HttpClientSettings
+{
+    // Open connections to one address and port.
+    std::size_t maxConnectionsPerHost = 64;
+    // Connections that stay open after their call, to all hosts together, with those in use. A
+    // client whose calls go to more hosts than this opens a new connection for nearly every call.
+    std::size_t maxKeptConnections = 1024;
+    // Of each connection; longer answers are read in parts.
+    std::size_t receiveBufferBytes = std::size_t{16} * 1024;
+};
+
+} // namespace cyclamenlatch::net
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -173,28 +173,15 @@
 {
 public:
     explicit Private(std::size_t maxConnectionsPerHost)
-        : m_ownContext(std::make_unique<asio::io_context>(1))
-        , m_context(*m_ownContext)
-        , m_timer(m_context)
+        : m_timer(m_context)
     {
         initialize(maxConnectionsPerHost);
         m_work.emplace(asio::make_work_guard(m_context));
         m_thread = std::thread([this] { m_context.run(); });
     }
 
-    Private(asio::io_context &context, std::size_t maxConnectionsPerHost)
-        : m_context(context)
-        , m_timer(m_context)
-    {
-        initialize(maxConnectionsPerHost);
-    }
-
     ~Private()
     {
-        if (!m_ownContext) {
-            abortAll();
-            return;
-        }
         asio::post(m_context, [this] { abortAll(); });
         m_work.reset();
         m_thread.join();
@@ -205,9 +192,6 @@
 
     void send(HttpCall call, Completion completion)
     {
-        if (!m_ownContext) {
-            return start(std::move(call), std::move(completion));
-        }
         asio::post(m_context,
                    [this, call = std::move(call), completion = std::move(completion)]() mutable {
                        start(std::move(call), std::move(completion));
@@ -372,11 +356,6 @@
         auto *self = static_cast<Private *>(context);
         self->m_connections.remove(socket);
         self->forgetSocket(socket);
-        if (!self->m_ownContext) {
-            // What a partition holds up of a call that was given up must not arrive when it heals.
-            const linger reset{1, 0};
-            setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-        }
         return ::close(socket);
     }
 
@@ -581,9 +560,7 @@
         m_sockets.clear();
     }
 
-    // Null when the calls run on somebody else's context.
-    std::unique_ptr<asio::io_context> m_ownContext;
-    asio::io_context &m_context;
+    asio::io_context m_context{1};
     std::optional<asio::executor_work_guard<asio::io_context::executor_type>> m_work;
     asio::steady_timer m_timer;
     // When libcurl wants to be called.
@@ -608,11 +585,6 @@
     }
 }
 
-HttpClient::HttpClient(asio::io_context &context, std::size_t maxConnectionsPerHost)
-{
-    m_privates.push_back(std::make_unique<Private>(context, maxConnectionsPerHost));
-}
-
 HttpClient::~HttpClient() = default;
 
 HttpClient::Private &HttpClient::privateOf(const std::string &url) const
--- a/src/platform/entrysettings.h
+++ b/src/platform/entrysettings.h
@@ -5,6 +5,7 @@
 #include "net/httpserversettings.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -30,6 +31,8 @@
 
     // Processors that this entry may use, in cores.
     double cores = 1;
+    // File descriptors that this entry may have open.
+    std::size_t mostDescriptors = 4096;
 
     // After a SIGTERM the process is killed when this has passed.
     std::chrono::milliseconds grace{6000};
--- a/src/platform/internal/entrysettings.cpp
+++ b/src/platform/internal/entrysettings.cpp
@@ -112,6 +112,7 @@
         take(root["limits"], "cpu_share", share);
         take(root["limits"], "cores", speed);
         settings.cores = share * speed;
+        take(root["limits"], "max_fds", settings.mostDescriptors);
     }
     if (root["bounds"] && root["bounds"].IsMap()) {
         takeBounds(root["bounds"], settings);
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -22,20 +22,26 @@
 void OwnerCore::setRules(FleetRules rules, TimePoint)
 {
     m_rules = std::move(rules);
+    m_queues.clear();
+    for (const auto &queue : m_rules.queues) {
+        m_queues.emplace(queue.name, &queue);
+    }
+    m_workspaces.clear();
+    for (const auto &workspace : m_rules.workspaces) {
+        m_workspaces.emplace(workspace.name, &workspace);
+    }
 }
 
 const QueueRule *OwnerCore::queueRule(const std::string &name) const
 {
-    const auto found = std::find_if(m_rules.queues.begin(), m_rules.queues.end(),
-                                    [&](const auto &queue) { return queue.name == name; });
-    return found == m_rules.queues.end() ? nullptr : &*found;
+    const auto found = m_queues.find(name);
+    return found == m_queues.end() ? nullptr : found->second;
 }
 
 const WorkspaceRule *OwnerCore::workspaceRule(const std::string &name) const
 {
-    const auto found = std::find_if(m_rules.workspaces.begin(), m_rules.workspaces.end(),
-                                    [&](const auto &workspace) { return workspace.name == name; });
-    return found == m_rules.workspaces.end() ? nullptr : &*found;
+    const auto found = m_workspaces.find(name);
+    return found == m_workspaces.end() ? nullptr : found->second;
 }
 
 // A queue that is gone from the configuration keeps the largest bound it may have had: 1 is safe
@@ -90,7 +96,11 @@
         job->isExcess = owed.jobs < 1;
         owed.jobs = std::max(owed.jobs - 1, 0.0);
     }
-    auto &kept = *m_jobs.emplace(job->submission.id, std::move(job)).first->second;
+    const auto id = job->submission.id;
+    if (job->submission.spec.isTimed()) {
+        m_timedJobs.insert(id);
+    }
+    auto &kept = *m_jobs.emplace(id, std::move(job)).first->second;
     openDue(kept, now, wallNow);
 }
 
@@ -100,8 +110,8 @@
     if (found == m_jobs.end()) {
         return;
     }
-    auto node = m_jobs.extract(found);
-    stopRunsOf(id, now);
+    const auto node = m_jobs.extract(found);
+    stopRunsOf(*node.mapped(), now);
 }
 
 bool OwnerCore::arrivedBefore(JobNumber id, std::uint64_t revision) const
@@ -200,11 +210,12 @@
         return;
     }
     auto &kept = job.occurrences.emplace(number, std::move(occurrence)).first->second;
-    openSteps(kept, now);
+    openSteps(job, kept, now);
 }
 
-void OwnerCore::openSteps(OccurrenceState &occurrence, TimePoint now)
+void OwnerCore::openSteps(JobState &job, OccurrenceState &occurrence, TimePoint now)
 {
+    m_openJobs.insert(job.submission.id);
     for (auto &step : occurrence.steps) {
         if (step.isOpen) {
             continue;
@@ -282,7 +293,7 @@
     }
     ++occurrence.stepsDone;
     if (occurrence.stepsDone != occurrence.steps.size()) {
-        return openSteps(occurrence, now);
+        return openSteps(job, occurrence, now);
     }
     const auto number = occurrence.number;
     for (std::uint32_t other = 0; other < occurrence.steps.size(); ++other) {
@@ -305,11 +316,11 @@
     makeDirty(job, true, now);
     tell(Decision::Kind::JobEnded, TaskRef{job.submission.id}, 0, {},
          std::string(jobPhaseNames.name(phase)));
-    stopRunsOf(job.submission.id, now);
+    stopRunsOf(job, now);
 }
 
 // The task waits for another start.
-void OwnerCore::release(StepState &step, TaskState &task, TimePoint now)
+void OwnerCore::release(JobState &job, StepState &step, TaskState &task, TimePoint now)
 {
     if (task.phase != TaskPhase::Ordered) {
         return;
@@ -320,6 +331,7 @@
     task.waitingSince = now;
     --step.ordered;
     ++step.waiting;
+    m_openJobs.insert(job.submission.id);
 }
 
 void OwnerCore::blame(TargetState &target, JobNumber job, TimePoint now)
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/internal/ownerstate.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cyclamenlatch::scheduling {
@@ -12,6 +13,9 @@
 
 namespace {
 
+// Every target is looked at this often, for what only time brings about; one of which something
+// has changed is looked at with the next plan.
+constexpr std::chrono::milliseconds lookInterval{100};
 // A stop without effect is sent again after this.
 constexpr std::chrono::milliseconds stopRepeat{500};
 // A target whose calls fail in a row gets no new work.
@@ -48,11 +52,15 @@
 
 std::vector<Order> OwnerCore::plan(TimePoint now, WallTime wallNow)
 {
-    for (auto &[id, job] : m_jobs) {
-        if (job->submission.spec.isTimed() && !isFinal(job->phase)) {
-            openDue(*job, now, wallNow);
+    for (auto at = m_timedJobs.begin(); at != m_timedJobs.end();) {
+        const auto job = m_jobs.find(*at);
+        const bool isLive = job != m_jobs.end() && !isFinal(job->second->phase);
+        if (isLive) {
+            openDue(*job->second, now, wallNow);
         }
+        at = isLive ? std::next(at) : m_timedJobs.erase(at);
     }
+    ++m_work.plans;
     planTargets(now);
     planPledged(now);
     planStarts(now);
@@ -61,28 +69,43 @@
 
 void OwnerCore::planTargets(TimePoint now)
 {
+    auto targets = std::exchange(m_marked, {});
+    for (auto *target : targets) {
+        target->isMarked = false;
+    }
+    if (!m_allLookedAt || now - *m_allLookedAt >= lookInterval) {
+        m_allLookedAt = now;
+        targets = m_targetsById;
+    }
+    m_work.targetsLooked += targets.size();
     std::vector<std::string> ended;
-    for (auto &[id, target] : m_targets) {
-        if (hasLapsed(*target, now)) {
-            loseRuns(*target, Decision::Kind::Lapsed, now);
-            if (!target->isListed) {
-                ended.push_back(id);
-                continue;
-            }
-        }
-        if (!target->isListed && target->runs.empty() && target->isAdopted
-            && target->failedCalls > failedCallsBeforeRest) {
-            ended.push_back(id);
-            continue;
+    for (auto *target : targets) {
+        if (planTarget(*target, now)) {
+            ended.push_back(target->info.id);
         }
-        planStops(*target, now);
-        planPaces(*target, now);
-        planStalls(*target, now);
-        planEvacuation(*target, now);
     }
     for (const auto &id : ended) {
-        m_targets.erase(id);
+        eraseTarget(id);
+    }
+}
+
+bool OwnerCore::planTarget(TargetState &target, TimePoint now)
+{
+    if (hasLapsed(target, now)) {
+        loseRuns(target, Decision::Kind::Lapsed, now);
+        if (!target.isListed) {
+            return true;
+        }
+    }
+    if (!target.isListed && target.runs.empty() && target.isAdopted
+        && target.failedCalls > failedCallsBeforeRest) {
+        return true;
     }
+    planStops(target, now);
+    planPaces(target, now);
+    planStalls(target, now);
+    planEvacuation(target, now);
+    return false;
 }
 
 void OwnerCore::planStops(TargetState &target, TimePoint now)
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -52,7 +52,7 @@
     JobState *job = nullptr;
     StepState *step = nullptr;
     if (auto *state = findTask(task, &job, &step); state != nullptr && state->target == &target) {
-        release(*step, *state, now);
+        release(*job, *step, *state, now);
     }
 }
 
@@ -87,13 +87,18 @@
     run.stopSentAt = now;
     run.stopAnsweredAt.reset();
     m_orders.emplace_back(StopOrder{target.info.id, task, run.attempt});
+    mark(target);
 }
 
-void OwnerCore::stopRunsOf(JobNumber id, TimePoint now)
+void OwnerCore::stopRunsOf(const JobState &job, TimePoint now)
 {
-    for (auto &[targetId, target] : m_targets) {
+    for (const auto &id : job.targets) {
+        auto *target = findTarget(id);
+        if (target == nullptr) {
+            continue;
+        }
         for (auto &[task, run] : target->runs) {
-            if (task.job == id) {
+            if (task.job == job.submission.id) {
                 stopRun(*target, task, run, now);
             }
         }
@@ -157,7 +162,7 @@
         return;
     }
     if (isCurrent && task.target == &target) {
-        release(*step, task, now);
+        release(*job, *step, task, now);
     }
     if (end.how == RunEnd::Failed) {
         takeFailure(target, *job, *step, end, now);
@@ -243,6 +248,7 @@
         return stopRun(target, row.task, kept, now);
     }
     auto &kept = addRun(target, row.task, *job, *step->spec, std::move(run));
+    noteTarget(*job, target);
     tell(Decision::Kind::Adopted, row.task, row.attempt, target.info.id);
     if (task->phase != TaskPhase::Waiting || isFinal(job->phase)) {
         return stopRun(target, row.task, kept, now);
@@ -341,7 +347,7 @@
     if (task == nullptr || task->target != target) {
         return;
     }
-    release(*step, *task, now);
+    release(*job, *step, *task, now);
     if (step->spec->isGang) {
         // The others would wait for this member in vain.
         for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
@@ -377,6 +383,18 @@
     }
 }
 
+// By its place among the job's targets.
+std::size_t OwnerCore::noteTarget(JobState &job, const TargetState &target)
+{
+    auto &targets = job.targets;
+    const auto known = std::find(targets.begin(), targets.end(), target.info.id);
+    const auto place = static_cast<std::size_t>(known - targets.begin());
+    if (known == targets.end()) {
+        targets.push_back(target.info.id);
+    }
+    return place;
+}
+
 void OwnerCore::paceAnswered(const PaceOrder &order, OrderAnswer answer, TimePoint)
 {
     auto *target = findTarget(order.targetId);
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -6,6 +6,7 @@
 #include "scheduling/internal/ownerstate.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -29,35 +30,13 @@
 std::vector<OwnerCore::OpenStep> OwnerCore::openSteps(TimePoint now)
 {
     std::vector<OpenStep> open;
-    for (auto &[id, job] : m_jobs) {
-        if (isFinal(job->phase)) {
-            continue;
-        }
-        const auto *queue = queueRule(job->submission.queue);
-        const double ratio = runTimeRatio(job->submission.queue);
-        for (auto &[number, occurrence] : job->occurrences) {
-            for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
-                auto &step = occurrence.steps[index];
-                if (!step.isOpen || step.waiting == 0) {
-                    continue;
-                }
-                OpenStep item{job.get(), &occurrence, &step, index};
-                item.priority = queue == nullptr ? 0 : queue->priority;
-                item.advice = queue != nullptr && queue->advice ? &*queue->advice : nullptr;
-                if (step.spec->lasts) {
-                    item.band = step.spec->fills ? 1 : 0;
-                    item.due = job->arrived;
-                } else {
-                    item.band = 2;
-                    // By the latest start that still meets the objective.
-                    const auto rest = std::chrono::duration_cast<Duration>(
-                            std::chrono::duration<double, std::milli>(ratio * job->chains[index]));
-                    item.due = occurrence.objective - rest;
-                    item.isBehind = job->isExcess || now > item.due;
-                }
-                open.push_back(item);
-            }
+    for (auto at = m_openJobs.begin(); at != m_openJobs.end();) {
+        const auto found = m_jobs.find(*at);
+        const auto before = open.size();
+        if (found != m_jobs.end() && !isFinal(found->second->phase)) {
+            addOpenSteps(*found->second, now, open);
         }
+        at = open.size() == before ? m_openJobs.erase(at) : std::next(at);
     }
     std::sort(open.begin(), open.end(), [](const OpenStep &left, const OpenStep &right) {
         return std::tuple(left.band, left.isBehind, left.priority, left.due,
@@ -68,23 +47,52 @@
     return open;
 }
 
+void OwnerCore::addOpenSteps(JobState &job, TimePoint now, std::vector<OpenStep> &open) const
+{
+    const auto *queue = queueRule(job.submission.queue);
+    const double ratio = runTimeRatio(job.submission.queue);
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
+            auto &step = occurrence.steps[index];
+            if (!step.isOpen || step.waiting == 0) {
+                continue;
+            }
+            OpenStep item{&job, &occurrence, &step, index};
+            item.priority = queue == nullptr ? 0 : queue->priority;
+            item.advice = queue != nullptr && queue->advice ? &*queue->advice : nullptr;
+            if (step.spec->lasts) {
+                item.band = step.spec->fills ? 1 : 0;
+                item.due = job.arrived;
+            } else {
+                item.band = 2;
+                // By the latest start that still meets the objective.
+                const auto rest = std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double, std::milli>(ratio * job.chains[index]));
+                item.due = occurrence.objective - rest;
+                item.isBehind = job.isExcess || now > item.due;
+            }
+            open.push_back(item);
+        }
+    }
+}
+
 void OwnerCore::planStarts(TimePoint now)
 {
+    const auto steps = openSteps(now);
+    m_work.stepsLooked += steps.size();
+    if (steps.empty()) {
+        return;
+    }
     std::unordered_map<std::string, std::vector<TargetState *>> pools;
-    for (auto &[id, target] : m_targets) {
+    for (auto *target : m_targetsById) {
         if (isUsable(*target, now)) {
-            pools[target->info.service].push_back(target.get());
+            pools[target->info.service].push_back(target);
         }
     }
     countUncertainUse(now);
-    for (auto &[service, pool] : pools) {
-        std::sort(pool.begin(), pool.end(), [](const auto *left, const auto *right) {
-            return left->info.id < right->info.id;
-        });
-    }
     // By service, never less than what any of its targets has left.
     std::unordered_map<std::string, Room> mostFree;
-    for (const auto &open : openSteps(now)) {
+    for (const auto &open : steps) {
         const auto &service = open.job->submission.service;
         const auto pool = pools.find(service);
         if (pool == pools.end() || isUncertain(*open.job, now)) {
@@ -380,13 +388,7 @@
     if (open.job->phase == JobPhase::Queued) {
         open.job->phase = JobPhase::Running;
     }
-    auto &targets = open.job->targets;
-    const auto known = std::find(targets.begin(), targets.end(), target.info.id);
-    const auto place = static_cast<std::size_t>(known - targets.begin());
-    if (known == targets.end()) {
-        targets.push_back(target.info.id);
-    }
-    if (place < open.job->storedTargets) {
+    if (noteTarget(*open.job, target) < open.job->storedTargets) {
         sendStart(target, ref, target.runs.at(ref), now);
     } else {
         makeDirty(*open.job, true, now);
@@ -433,13 +435,22 @@
 {
     for (const auto id : std::exchange(m_begun, {})) {
         const auto job = m_jobs.find(id);
-        for (auto &[targetId, target] : m_targets) {
+        if (job == m_jobs.end()) {
+            // Its pledged runs were given up with it.
+            continue;
+        }
+        // Giving a run back does not change the job's targets.
+        for (const auto &targetId : job->second->targets) {
+            auto *target = findTarget(targetId);
+            if (target == nullptr) {
+                continue;
+            }
             std::vector<TaskRef> dropped;
             for (auto &[task, run] : target->runs) {
                 if (task.job != id || run.phase != RunPhase::Pledged) {
                     continue;
                 }
-                if (job != m_jobs.end() && !isFinal(job->second->phase) && isUsable(*target, now)) {
+                if (!isFinal(job->second->phase) && isUsable(*target, now)) {
                     sendStart(*target, task, run, now);
                 } else {
                     dropped.push_back(task);
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -160,6 +160,8 @@
     bool isRecorded = false;
     // Its machine is wanted elsewhere: it gets no new work.
     bool isLeaving = false;
+    // Is among those that the next plan looks at.
+    bool isMarked = false;
     // Clock of the target and when it was read.
     std::optional<std::chrono::milliseconds> clock;
     TimePoint clockAt{};
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -35,10 +35,32 @@
     if (!target) {
         target = std::make_unique<TargetState>();
         target->info.id = id;
+        const auto place = std::lower_bound(
+                m_targetsById.begin(), m_targetsById.end(), id,
+                [](const auto *other, const auto &name) { return other->info.id < name; });
+        m_targetsById.insert(place, target.get());
     }
     return *target;
 }
 
+void OwnerCore::eraseTarget(const std::string &id)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return;
+    }
+    std::erase(m_targetsById, found->second.get());
+    std::erase(m_marked, found->second.get());
+    m_targets.erase(found);
+}
+
+void OwnerCore::mark(TargetState &target)
+{
+    if (!std::exchange(target.isMarked, true)) {
+        m_marked.push_back(&target);
+    }
+}
+
 OwnerCore::TargetState *OwnerCore::findTarget(const std::string &id) const
 {
     const auto found = m_targets.find(id);
@@ -60,6 +82,7 @@
     }
     target.isListed = true;
     target.info = info;
+    mark(target);
     if (isReborn) {
         tell(Decision::Kind::TargetReborn, {}, 0, info.id);
         loseRuns(target, Decision::Kind::TargetReborn, now);
@@ -74,6 +97,7 @@
 {
     if (auto *target = findTarget(id)) {
         target->isListed = false;
+        mark(*target);
     }
 }
 
@@ -92,10 +116,10 @@
 std::vector<std::string> OwnerCore::targetsToRecord() const
 {
     std::vector<std::string> ids;
-    for (const auto &[id, target] : m_targets) {
-        ids.push_back(id);
+    ids.reserve(m_targetsById.size());
+    for (const auto *target : m_targetsById) {
+        ids.push_back(target->info.id);
     }
-    std::sort(ids.begin(), ids.end());
     return ids;
 }
 
@@ -180,6 +204,7 @@
 {
     if (auto *target = findTarget(id)) {
         ++target->failedCalls;
+        mark(*target);
     }
 }
 
@@ -219,12 +244,14 @@
         takeRunning(*target, row, sentAt, now);
     }
     dropVanished(*target, report, sentAt, now);
+    mark(*target);
 }
 
 void OwnerCore::setLeaving(const std::string &id, bool isLeaving)
 {
     if (auto *target = findTarget(id)) {
         target->isLeaving = isLeaving;
+        mark(*target);
     }
 }
 
@@ -259,7 +286,7 @@
 {
     if (auto *target = findTarget(id)) {
         loseRuns(*target, Decision::Kind::Vanished, now);
-        m_targets.erase(id);
+        eraseTarget(id);
     }
 }
 
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -22,6 +22,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace cyclamenlatch::scheduling {
@@ -110,6 +111,14 @@
     double arriving = 0;
 };
 
+// What planning has looked at since the core began.
+struct PlanWork
+{
+    std::uint64_t plans = 0;
+    std::uint64_t targetsLooked = 0;
+    std::uint64_t stepsLooked = 0;
+};
+
 class OwnerCore
 {
 public:
@@ -160,6 +169,7 @@
 
     // Decides all that can be decided now.
     std::vector<Order> plan(TimePoint now, WallTime wallNow);
+    const PlanWork &work() const { return m_work; }
     // The text and the other parts of a start that its order does not repeat.
     const JobSubmission *submission(JobNumber id) const;
 
@@ -195,6 +205,9 @@
     struct OpenStep;
 
     TargetState &targetState(const std::string &id);
+    void eraseTarget(const std::string &id);
+    // It is looked at in the next plan, not only when its turn comes.
+    void mark(TargetState &target);
     TargetState *findTarget(const std::string &id) const;
     const QueueRule *queueRule(const std::string &name) const;
     const WorkspaceRule *workspaceRule(const std::string &name) const;
@@ -205,7 +218,7 @@
     // Occurrences and steps.
     void openDue(JobState &job, TimePoint now, WallTime wallNow);
     void openOccurrence(JobState &job, std::uint32_t number, TimePoint now, WallTime wallNow);
-    void openSteps(OccurrenceState &occurrence, TimePoint now);
+    void openSteps(JobState &job, OccurrenceState &occurrence, TimePoint now);
     StepState *findStep(const TaskRef &task, JobState **job, OccurrenceState **occurrence) const;
     TaskState *findTask(const TaskRef &task, JobState **job = nullptr,
                         StepState **step = nullptr) const;
@@ -213,8 +226,10 @@
                   TimePoint now);
     void finishJob(JobState &job, JobPhase phase, TimePoint now);
     void makeDirty(JobState &job, bool isUrgent, TimePoint now);
-    void release(StepState &step, TaskState &task, TimePoint now);
-    void stopRunsOf(JobNumber id, TimePoint now);
+    void release(JobState &job, StepState &step, TaskState &task, TimePoint now);
+    void stopRunsOf(const JobState &job, TimePoint now);
+    // Remembers that a task of the job may run there.
+    static std::size_t noteTarget(JobState &job, const TargetState &target);
 
     // Runs.
     // Takes its room of the target and of its workspace.
@@ -237,6 +252,8 @@
 
     // Planning.
     void planTargets(TimePoint now);
+    // Returns whether nothing of the target is left to follow.
+    bool planTarget(TargetState &target, TimePoint now);
     void planStops(TargetState &target, TimePoint now);
     void planPaces(TargetState &target, TimePoint now);
     void planStalls(TargetState &target, TimePoint now);
@@ -246,6 +263,7 @@
     bool isNeeded(const StepState &step) const;
     void planStarts(TimePoint now);
     std::vector<OpenStep> openSteps(TimePoint now);
+    void addOpenSteps(JobState &job, TimePoint now, std::vector<OpenStep> &open) const;
     void startStep(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     void startGang(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     TargetState *choose(const OpenStep &open, const TaskState &task, const TaskRef &ref,
@@ -273,7 +291,17 @@
     const TimePoint m_began;
     const Listener m_listener;
     FleetRules m_rules;
+    // By name, of m_rules.
+    std::unordered_map<std::string, const QueueRule *> m_queues;
+    std::unordered_map<std::string, const WorkspaceRule *> m_workspaces;
     std::unordered_map<std::string, std::unique_ptr<TargetState>> m_targets;
+    // The same targets by id, so that equal places are chosen in the same order everywhere.
+    std::vector<TargetState *> m_targetsById;
+    // Targets of which something changed since they were looked at; each has its mark.
+    std::vector<TargetState *> m_marked;
+    PlanWork m_work;
+    // When all of them were looked at.
+    std::optional<TimePoint> m_allLookedAt;
     std::unordered_map<JobNumber, std::unique_ptr<JobState>> m_jobs;
     // What each workspace has running, by orders that are not known to have ended.
     std::unordered_map<std::string, Room> m_used;
@@ -315,6 +343,10 @@
     Room m_strangerUse;
     // Targets that were not heard and may run something.
     bool m_hasUnheard = false;
+    // Jobs that may have open steps with waiting tasks; every job that has some is among them.
+    std::unordered_set<JobNumber> m_openJobs;
+    // Jobs with occurrences that time opens.
+    std::unordered_set<JobNumber> m_timedJobs;
     // Jobs whose stored progress is behind, and since when.
     std::vector<JobNumber> m_dirty;
     TimePoint m_dirtySince{};
--- /dev/null
+++ b/src/scheduling/tests/fleetworld.h
@@ -0,0 +1,290 @@
+// A whole fleet around an owner's core, on a virtual clock and without network: targets that run
+// what they are told, answer their lists as long polls do, and end tasks when their time is over;
+// jobs that come in turns of their queues. Sizes and rates are those of the deployment whose load
+// it stands for.
+#pragma once
+
+#include "scheduling/ownercore.h"
+
+#include <pcg_random.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cyclamenlatch::scheduling::tests {
+
+using namespace std::chrono_literals;
+
+struct FleetShape
+{
+    std::uint32_t pools = 4;
+    std::uint32_t targetsPerPool = 230;
+    Room capacity{16000, 32768, 0};
+    // Short jobs a second of all queues together, in the mean.
+    double jobsPerSecond = 100;
+    // Each queue in its turn asks for this many times its mean.
+    double peak = 3.8;
+    Duration turn = 4500ms;
+    std::uint32_t tasksPerStep = 8;
+    std::int64_t processorsPerTask = 2200;
+    Duration taskTime = 1000ms;
+    std::uint32_t lastingJobsPerPool = 6;
+    std::uint32_t tasksPerLastingJob = 24;
+};
+
+class FleetWorld
+{
+public:
+    explicit FleetWorld(const FleetShape &shape, std::uint64_t seed = 1)
+        : m_shape(shape)
+        , m_random(seed)
+        , core(OwnerSettings{}, now, [this](const Decision &decision) { take(decision); })
+    {
+        FleetRules rules;
+        rules.version = 1;
+        for (std::uint32_t pool = 0; pool < shape.pools; ++pool) {
+            QueueRule queue;
+            queue.name = queueOf(pool);
+            queue.service = poolOf(pool);
+            queue.mostAttempts = 4;
+            queue.slackFactor = 1.5;
+            queue.targetLatency = 600ms;
+            rules.queues.push_back(queue);
+            rules.services.push_back({poolOf(pool), false, false});
+        }
+        core.setRules(rules, now);
+        for (std::uint32_t pool = 0; pool < shape.pools; ++pool) {
+            for (std::uint32_t number = 0; number < shape.targetsPerPool; ++number) {
+                addTarget(pool, number);
+            }
+            for (std::uint32_t job = 0; job < shape.lastingJobsPerPool; ++job) {
+                submitLasting(pool);
+            }
+        }
+    }
+
+    // Plays the fleet for this long.
+    void play(Duration length)
+    {
+        const auto end = now + length;
+        while (now < end) {
+            arrive();
+            endTasks();
+            answerHolds();
+            answerFlush();
+            carryOut(core.plan(now, wall()));
+            if (const auto due = core.flushDue(now); due && *due <= now && !m_isFlushing) {
+                m_flush = core.takeFlush();
+                m_flushAt = now + storeDelay;
+                m_isFlushing = true;
+            }
+            now += tick;
+        }
+    }
+
+    std::uint64_t started() const { return m_started; }
+    std::uint64_t done() const { return m_done; }
+    // Shares of the starts that waited no longer than this.
+    double startedWithin(Duration wait) const
+    {
+        const auto quick = std::count_if(m_waits.begin(), m_waits.end(),
+                                         [&](const auto &other) { return other <= wait; });
+        return m_waits.empty() ? 1
+                               : static_cast<double>(quick) / static_cast<double>(m_waits.size());
+    }
+
+private:
+    static constexpr Duration tick = 5ms;
+    static constexpr Duration storeDelay = 10ms;
+    static constexpr Duration holdLength = 1500ms;
+
+    struct Run
+    {
+        TaskRef task;
+        std::uint32_t attempt = 0;
+        TimePoint endsAt{};
+        bool lasts = false;
+    };
+    struct Target
+    {
+        std::string id;
+        std::vector<Run> runs;
+        std::vector<EndRow> ends;
+        std::uint64_t lastEnd = 0;
+        TimePoint askedAt{};
+        TimePoint answersAt{};
+        std::uint64_t recorded = 0;
+    };
+
+    static std::string poolOf(std::uint32_t pool) { return "pool-" + std::to_string(pool); }
+    static std::string queueOf(std::uint32_t pool) { return "queue-" + std::to_string(pool); }
+    std::chrono::milliseconds clock() const { return toMilliseconds(now.time_since_epoch()); }
+    WallTime wall() const { return WallTime(clock()); }
+
+    void addTarget(std::uint32_t pool, std::uint32_t number)
+    {
+        TargetInfo info;
+        info.id = "i-" + std::to_string(m_random()) + "-" + std::to_string(number);
+        info.service = poolOf(pool);
+        info.address = "10.0.0.1:80";
+        info.labels = {"a", "r" + std::to_string(pool) + "-" + std::to_string(number / 20)};
+        info.capacity = m_shape.capacity;
+        core.targetListed(info, now);
+        core.targetRecorded(info.id);
+        auto &target = m_targets[info.id];
+        target.id = info.id;
+        hold(target);
+    }
+
+    void submit(std::uint32_t pool, std::vector<StepSpec> steps)
+    {
+        JobSubmission submission;
+        submission.id = m_random();
+        submission.queue = queueOf(pool);
+        submission.service = poolOf(pool);
+        submission.workspace = "space";
+        submission.submitted = wall();
+        submission.spec.steps = std::move(steps);
+        core.jobArrived(submission, {}, ++m_revision, m_revision, true, now, wall());
+    }
+
+    void submitLasting(std::uint32_t pool)
+    {
+        StepSpec step;
+        step.count = m_shape.tasksPerLastingJob;
+        step.need = Room{2400, 4000, 0};
+        step.lasts = true;
+        step.mostPerTarget = 1;
+        step.mayBeAway = 4;
+        submit(pool, {step});
+    }
+
+    void arrive()
+    {
+        for (std::uint32_t pool = 0; pool < m_shape.pools; ++pool) {
+            const auto turn = (now - m_began) / m_shape.turn % m_shape.pools;
+            const double mean = m_shape.jobsPerSecond / m_shape.pools;
+            const double rate = turn == pool ? mean * m_shape.peak : mean * 0.05;
+            std::poisson_distribution<int> count(rate * toSeconds(tick));
+            for (int job = count(m_random); job > 0; --job) {
+                StepSpec step;
+                step.count = m_shape.tasksPerStep;
+                step.need = Room{m_shape.processorsPerTask, 2300, 0};
+                step.estimate = toMilliseconds(m_shape.taskTime);
+                auto second = step;
+                second.after = {0};
+                submit(pool, job % 2 == 0 ? std::vector{step} : std::vector{step, second});
+            }
+        }
+    }
+
+    void endTasks()
+    {
+        for (auto &[id, target] : m_targets) {
+            std::erase_if(target.runs, [&, &target = target](const Run &run) {
+                if (run.lasts || run.endsAt > now) {
+                    return false;
+                }
+                target.ends.push_back({++target.lastEnd, run.task, run.attempt, RunEnd::Done, {}});
+                ++m_done;
+                return true;
+            });
+        }
+    }
+
+    void hold(Target &target)
+    {
+        const auto order = core.holdOrder(target.id, now);
+        target.askedAt = now;
+        target.answersAt = now + (order ? Duration{order->wait} : holdLength);
+        target.recorded = order ? order->endsRecorded : target.recorded;
+        std::erase_if(target.ends,
+                      [&](const auto &end) { return end.number <= target.recorded; });
+    }
+
+    void answerHolds()
+    {
+        for (auto &[id, target] : m_targets) {
+            const bool hasNews = !target.ends.empty() && target.ends.back().number > target.recorded
+                                 && now - target.askedAt >= 25ms;
+            if (!hasNews && now < target.answersAt) {
+                continue;
+            }
+            HoldReport report;
+            report.clock = clock();
+            report.born = 1;
+            for (const auto &run : target.runs) {
+                RunningRow row;
+                row.task = run.task;
+                row.attempt = run.attempt;
+                row.percent = run.lasts ? 100 : 50;
+                report.running.push_back(row);
+            }
+            report.ends = target.ends;
+            core.holdAnswered(id, report, target.askedAt, now);
+            ++holds;
+            hold(target);
+        }
+    }
+
+    void answerFlush()
+    {
+        if (!m_isFlushing || now < m_flushAt) {
+            return;
+        }
+        m_isFlushing = false;
+        for (const auto &write : m_flush.writes) {
+            core.jobWritten(write.id, ++m_revision, now);
+        }
+        core.flushDone(m_flush, now);
+    }
+
+    void carryOut(const std::vector<Order> &orders)
+    {
+        for (const auto &order : orders) {
+            if (const auto *start = std::get_if<StartOrder>(&order)) {
+                const auto *job = core.submission(start->task.job);
+                const bool lasts = job != nullptr && job->spec.steps[start->task.step].lasts;
+                m_targets.at(start->targetId)
+                        .runs.push_back({start->task, start->attempt, now + m_shape.taskTime, lasts});
+                core.startAnswered(*start, OrderAnswer::Accepted, now);
+                ++m_started;
+            } else if (const auto *stop = std::get_if<StopOrder>(&order)) {
+                core.stopAnswered(*stop, OrderAnswer::Accepted, now);
+            }
+        }
+    }
+
+    void take(const Decision &decision)
+    {
+        if (decision.kind == Decision::Kind::Started && decision.waited) {
+            m_waits.push_back(*decision.waited);
+        }
+    }
+
+    const FleetShape m_shape;
+    pcg64 m_random;
+    std::map<std::string, Target> m_targets;
+    std::vector<Duration> m_waits;
+    std::uint64_t m_started = 0;
+    std::uint64_t m_done = 0;
+    std::uint64_t m_revision = 0;
+    Flush m_flush;
+    bool m_isFlushing = false;
+    TimePoint m_flushAt{};
+
+public:
+    TimePoint now = TimePoint(1000s);
+    std::uint64_t holds = 0;
+    OwnerCore core;
+
+private:
+    const TimePoint m_began = now;
+};
+
+} // namespace cyclamenlatch::scheduling::tests
