Count pools once a plan; take a host down only when its target's ends are stored; say what the owner's loop does

Cause: E1833 (new) showed the owner's loop by kind of work. Each decision of a move counted all hosts for each host (1,100 x 1,100); lists of hosts took 45 to 98 ms a second, each change of a target's entry a walk over all ids (0.3 ms).

Change: HostKeeper counts pools once a plan; lists of many pages come less often; a changed target touches its own loop only.

HostKeeper.ordersNoHostWhoseTargetListedEndsThatAreNotStored failed before.

--- a/src/control/controlevents.h
+++ b/src/control/controlevents.h
@@ -56,6 +56,9 @@
         "A machine is emptied, moved or taken down for upkeep; says why."};
 inline constexpr Event poolState{1832, Severity::Info, "pool-state",
                                  "What a pool has and has to do: cores, core-seconds, hosts."};
+inline constexpr Event ownerWork{
+        1833, Severity::Info, "owner-work",
+        "What the owner's loop did in the last second: count/milliseconds by kind of work."};
 inline constexpr Event waveChanged{1831, Severity::Info, "wave-changed",
                                    "A wave has begun or is completed."};
 
--- a/src/control/hostservice.h
+++ b/src/control/hostservice.h
@@ -5,6 +5,7 @@
 #include "control/ownership.h"
 #include "control/records.h"
 #include "control/storelink.h"
+#include "control/workmeter.h"
 #include "net/loophttpclient.h"
 #include "platform/entrysettings.h"
 #include "platform/machinecalls.h"
@@ -29,7 +30,7 @@
     // planned is called when hosts have changed, so that work is planned anew.
     HostService(asio::io_context &context, StoreLink &store, net::LoopHttpClient &http,
                 Ownership &ownership, const platform::EntrySettings &settings,
-                scheduling::OwnerCore &core, std::function<void()> planned);
+                scheduling::OwnerCore &core, WorkMeter &work, std::function<void()> planned);
     ~HostService();
     HostService(const HostService &) = delete;
     HostService &operator=(const HostService &) = delete;
@@ -66,6 +67,7 @@
     const platform::StoreRevision m_ownerRevision;
     const std::function<void()> m_planned;
     const scheduling::OwnerCore &m_core;
+    WorkMeter &m_work;
     scheduling::HostKeeper m_keeper;
     asio::steady_timer m_timer;
     std::map<std::uint64_t, scheduling::WavePlan> m_waves;
--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds callTimeout{800};
 constexpr std::chrono::milliseconds retryPause{300};
 constexpr std::chrono::milliseconds poolLogInterval{1000};
+// A page of 200 hosts takes some milliseconds to read: lists of many come less often.
+constexpr std::chrono::milliseconds pageInterval{100};
 // Of the platform's rate of readings, what an owner uses; the rest is for one that takes over.
 constexpr double readShare = 0.5;
 constexpr double leastReads = 0.1;
@@ -30,7 +32,8 @@
 
 HostService::HostService(asio::io_context &context, StoreLink &store, net::LoopHttpClient &http,
                          Ownership &ownership, const platform::EntrySettings &settings,
-                         scheduling::OwnerCore &core, std::function<void()> planned)
+                         scheduling::OwnerCore &core, WorkMeter &work,
+                         std::function<void()> planned)
     : m_context(context)
     , m_store(store)
     , m_http(http)
@@ -41,6 +44,7 @@
     , m_ownerRevision(ownership.tenure().revision)
     , m_planned(std::move(planned))
     , m_core(core)
+    , m_work(work)
     , m_keeper({settings.holderPause, settings.upkeepTime, settings.machineOrdersPerSecond}, core,
                bootNow(), ownership.tenure().term == 1,
                [term = ownership.tenure().term](const auto &host, const auto &what) {
@@ -216,12 +220,12 @@
     });
 }
 
-// As often as the keeper wants it and the platform's rate allows.
+// As often as the keeper wants it, the platform's rate allows and its length makes bearable.
 Duration HostService::listInterval() const
 {
     const auto allowed = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
             m_listPages / (readShare * std::max(m_settings.machineReadsPerSecond, leastReads))));
-    return std::max<Duration>(m_keeper.listInterval(), allowed);
+    return std::max<Duration>({m_keeper.listInterval(), allowed, m_listPages * pageInterval});
 }
 
 void HostService::list()
@@ -244,6 +248,7 @@
         if (alive.expired()) {
             return;
         }
+        const WorkMeter::Span span(m_work, WorkKind::Hosts);
         auto answer = platform::MachineCalls::judgeList(result);
         if (!answer) {
             m_isListing = false;
@@ -266,8 +271,11 @@
     if (!m_ownership.isHeld()) {
         return;
     }
-    for (const auto &order : m_keeper.plan(bootNow())) {
-        send(order);
+    {
+        const WorkMeter::Span span(m_work, WorkKind::Hosts);
+        for (const auto &order : m_keeper.plan(bootNow())) {
+            send(order);
+        }
     }
     recordHosts();
     m_planned();
--- a/src/control/internal/ownerflush.cpp
+++ b/src/control/internal/ownerflush.cpp
@@ -39,6 +39,7 @@
     if (m_isFlushing || !due || *due > now || now - m_lastFlush < flushInterval || !isHeld()) {
         return;
     }
+    const WorkMeter::Span span(m_work, WorkKind::Flush);
     m_isFlushing = true;
     m_lastFlush = now;
     auto pending = std::make_shared<PendingFlush>();
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -42,6 +42,7 @@
 constexpr unsigned quickHoldTries = 5;
 // The record of targets with orders is brought up to date this often when only old ids leave it.
 constexpr std::chrono::milliseconds recordInterval{1000};
+constexpr std::chrono::milliseconds workLogInterval{1000};
 // Between an answer with ends and the next call, so that more ends come together.
 constexpr std::chrono::milliseconds holdPause{25};
 
@@ -88,7 +89,8 @@
     , m_tenure(ownership.tenure())
     , m_core(makeSettings(settings, m_tenure), bootNow(),
              [this](const auto &decision) { logDecision(decision); })
-    , m_hosts(context, store, http, ownership, settings, m_core, [this] { planSoon(); })
+    , m_hosts(context, store, http, ownership, settings, m_core, m_work,
+              [this] { planSoon(); })
     , m_jobs(context, store, std::string(jobPrefix), jobWatch,
              [this](const auto &items, auto at, bool isWhole) { takeJobs(items, at, isWhole); })
     , m_targets(
@@ -171,6 +173,7 @@
 void OwnerService::takeJobs(const std::vector<platform::StoreItem> &items,
                             platform::StoreRevision at, bool isWhole)
 {
+    const WorkMeter::Span span(m_work, WorkKind::Jobs);
     const auto now = bootNow();
     if (isWhole) {
         std::unordered_set<JobNumber> listed;
@@ -237,6 +240,7 @@
                                platform::StoreRevision at, bool isWhole)
 {
     static_cast<void>(at);
+    const WorkMeter::Span span(m_work, WorkKind::Targets);
     const auto now = bootNow();
     const auto prefix = platform::targetsPrefix.size();
     if (isWhole) {
@@ -258,12 +262,12 @@
         auto target = item.deleted ? std::nullopt : platform::decodeTarget(item.key, item.value);
         if (target && m_services.contains(target->service)) {
             m_core.targetListed(*target, now);
+            holdListed(id);
         } else if (item.deleted || m_core.target(id) != nullptr) {
             m_core.targetUnlisted(id, now);
         }
     }
     recordTargets();
-    holdTargets();
     planSoon();
 }
 
@@ -273,10 +277,14 @@
     if (m_isRecording || !m_hasTargets || !isHeld()) {
         return;
     }
-    const auto ids = m_core.targetsToRecord();
+    const bool isNew = m_core.hasUnrecordedTargets();
+    if (!isNew && bootNow() - m_recordedAt <= recordInterval) {
+        return;
+    }
     // Ids of targets that are gone make a later owner wait for them, so they leave the record soon.
-    const bool isStale = ids != m_recordedIds && bootNow() - m_recordedAt > recordInterval;
-    if (!m_core.hasUnrecordedTargets() && !isStale) {
+    const auto ids = m_core.targetsToRecord();
+    if (!isNew && ids == m_recordedIds) {
+        m_recordedAt = bootNow();
         return;
     }
     m_isRecording = true;
@@ -312,13 +320,11 @@
     });
 }
 
-void OwnerService::holdTargets()
+void OwnerService::holdListed(const std::string &id)
 {
-    for (const auto &id : m_core.targetsToHold()) {
-        if (!m_holds.contains(id)) {
-            m_holds.emplace(id, std::make_unique<HoldLoop>(m_context));
-            hold(id);
-        }
+    if (!m_holds.contains(id)) {
+        m_holds.emplace(id, std::make_unique<HoldLoop>(m_context));
+        hold(id);
     }
 }
 
@@ -369,6 +375,7 @@
     if (found == m_holds.end()) {
         return;
     }
+    const WorkMeter::Span span(m_work, WorkKind::Holds);
     auto &loop = *found->second;
     loop.isCalling = false;
     const auto answer = platform::judgeHold(result);
@@ -414,6 +421,7 @@
                     if (alive.expired()) {
                         return;
                     }
+                    const WorkMeter::Span span(m_work, WorkKind::Orders);
                     const auto answer = platform::judgeOrder(result);
                     (m_core.*answered)(order, answer, bootNow());
                     if (answer == scheduling::OrderAnswer::Fenced) {
@@ -500,7 +508,9 @@
     const auto began = std::chrono::steady_clock::now();
     const auto orders = m_core.plan(bootNow(), wallNow());
     m_planTook = std::chrono::steady_clock::now() - began;
+    m_work.add(WorkKind::Plan, m_planTook);
     for (const auto &order : orders) {
+        const WorkMeter::Span span(m_work, WorkKind::Orders);
         send(order);
     }
     flushIfDue();
@@ -509,9 +519,9 @@
 void OwnerService::tick()
 {
     recordTargets();
-    holdTargets();
     plan();
     forgetEndedJobs();
+    logWork();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this, alive = std::weak_ptr(m_alive)](const auto &error) {
         if (!error && !alive.expired()) {
@@ -520,6 +530,16 @@
     });
 }
 
+void OwnerService::logWork()
+{
+    const auto now = bootNow();
+    if (now - m_workLoggedAt < workLogInterval) {
+        return;
+    }
+    m_workLoggedAt = now;
+    logEvent(ownerWork, "term={} count_and_ms=\"{}\"", m_tenure.term, m_work.takeText());
+}
+
 void OwnerService::logDecision(const scheduling::Decision &decision)
 {
     using Kind = scheduling::Decision::Kind;
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -6,6 +6,7 @@
 #include "control/keyfollower.h"
 #include "control/ownership.h"
 #include "control/storelink.h"
+#include "control/workmeter.h"
 #include "net/loophttpclient.h"
 #include "platform/entrysettings.h"
 #include "platform/targetcalls.h"
@@ -59,7 +60,7 @@
     void again(std::function<void()> action);
 
     // Targets.
-    void holdTargets();
+    void holdListed(const std::string &id);
     void hold(const std::string &id);
     void holdAfter(const std::string &id, Duration delay);
     void takeHold(const std::string &id, const net::HttpCallResult &result, TimePoint sentAt);
@@ -88,6 +89,7 @@
     bool isHeld() const { return m_ownership.isHeld(); }
     std::function<bool()> permission() const;
     void logDecision(const scheduling::Decision &decision);
+    void logWork();
 
     asio::io_context &m_context;
     StoreLink &m_store;
@@ -96,6 +98,8 @@
     const platform::EntrySettings &m_settings;
     Metrics &m_metrics;
     const Tenure m_tenure;
+    WorkMeter m_work;
+    TimePoint m_workLoggedAt{};
     scheduling::OwnerCore m_core;
     HostService m_hosts;
     KeyFollower m_jobs;
--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -73,6 +73,7 @@
     };
     std::optional<WaveProgress> changedWave();
     // Hosts on their way to a service's pool.
+    // As of the last plan.
     std::size_t comingTo(const std::string &service) const;
 
 private:
@@ -137,6 +138,17 @@
     bool isPressed(const std::string &service) const;
     bool hasDemandEnded(TimePoint now) const;
     // Hosts that the list shows in the pool, in whatever state.
+    struct PoolCounts
+    {
+        // In the pool, with those that are down for an upkeep.
+        std::size_t present = 0;
+        // On their way to it, or to be ordered there.
+        std::size_t coming = 0;
+        // Wanted elsewhere or for a wave.
+        std::size_t leaving = 0;
+    };
+    void countPools();
+    PoolCounts countsOf(const std::string &service) const;
     std::size_t hostsIn(const std::string &service) const;
     std::size_t leavingFrom(const std::string &service) const;
     void watchPeak(const std::string &service, const PoolDemand &demand, TimePoint now);
@@ -167,6 +179,8 @@
     std::set<std::pair<std::string, std::string>> m_unfit;
     // As of the plan that is being made.
     std::map<std::string, PoolDemand> m_demands;
+    // As of the plan that is made, with what it has decided so far.
+    std::map<std::string, PoolCounts> m_counts;
     std::map<std::string, std::size_t> m_bases;
     // The most cores that a pool's short work needed lately.
     struct Peak
--- a/src/scheduling/internal/hostkeeper.cpp
+++ b/src/scheduling/internal/hostkeeper.cpp
@@ -130,6 +130,7 @@
         return orders;
     }
     m_demands = m_core.demands(now);
+    countPools();
     planWaves(now);
     planMoves(now);
     m_allowance = std::min(m_settings.ordersPerSecond,
@@ -197,7 +198,8 @@
         if (taken >= wave.plan.mostAtOnce) {
             break;
         }
-        const bool isFree = std::get<2>(load) == 0 && !isPressed(host->info.pool);
+        const bool isFree =
+                m_core.isIdle(host->info.target) && !isPressed(host->info.pool);
         if (isFree || wave.done.size() + taken < dueByNow) {
             ++taken;
             empty(*host, UpkeepOrder{host->info.name, wave.plan.number}, now);
@@ -212,7 +214,11 @@
     host.emptyingSince = now;
     host.notBefore = now;
     m_core.setLeaving(host.info.target, true);
+    ++m_counts[host.info.pool].leaving;
     const auto *move = std::get_if<MoveOrder>(&*host.wanted);
+    if (move != nullptr) {
+        ++m_counts[move->pool].coming;
+    }
     m_listener(host.info.name, move == nullptr
                                        ? "emptying for a wave"
                                        : "to move from " + host.info.pool + " to " + move->pool);
@@ -278,7 +284,8 @@
     }
     const auto load = m_core.load(host.wantedTarget);
     const bool isDue = now - host.emptyingSince > emptyingTime(host, now);
-    if (load.runs > 0 && (!isDue || load.lasting > 0) && !host.isUnclear) {
+    const bool isBusy = load.runs > 0 && (!isDue || load.lasting > 0);
+    if ((isBusy || load.hasUnrecordedEnds) && !host.isUnclear) {
         return;
     }
     if (m_allowance < 1) {
--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -73,17 +73,35 @@
                        [&](const auto &rule) { return rule.name == service && rule.isStandby; });
 }
 
+// Once a plan, since moves are decided one by one by these.
+void HostKeeper::countPools()
+{
+    m_counts.clear();
+    for (const auto &[name, host] : m_hosts) {
+        auto &own = m_counts[host.info.pool];
+        const bool isListedOnItsWay = !host.awaySince && host.info.state == HostState::Moving;
+        own.coming += isListedOnItsWay ? 1 : 0;
+        own.present += !host.awaySince || host.movingTo.empty() ? 1 : 0;
+        own.leaving += host.wanted ? 1 : 0;
+        const auto *move = host.wanted ? std::get_if<MoveOrder>(&*host.wanted) : nullptr;
+        const std::string next = host.awaySince    ? host.movingTo
+                                 : move != nullptr ? move->pool
+                                                   : std::string{};
+        if (!next.empty() && !(isListedOnItsWay && next == host.info.pool)) {
+            ++m_counts[next].coming;
+        }
+    }
+}
+
+HostKeeper::PoolCounts HostKeeper::countsOf(const std::string &service) const
+{
+    const auto found = m_counts.find(service);
+    return found == m_counts.end() ? PoolCounts{} : found->second;
+}
+
 std::size_t HostKeeper::comingTo(const std::string &service) const
 {
-    return static_cast<std::size_t>(
-            std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &item) {
-                const auto &host = item.second;
-                const auto *move = host.wanted ? std::get_if<MoveOrder>(&*host.wanted) : nullptr;
-                const bool isListedOnItsWay = !host.awaySince && host.info.pool == service
-                                              && host.info.state == HostState::Moving;
-                return isListedOnItsWay || (host.awaySince && host.movingTo == service)
-                       || (move != nullptr && move->pool == service);
-            }));
+    return countsOf(service).coming;
 }
 
 void HostKeeper::planMoves(TimePoint now)
@@ -92,7 +110,7 @@
     for (auto &[name, host] : m_hosts) {
         cores = std::max(cores, coresOf(host.info));
         const bool isIdle = !host.wanted && !host.awaySince && host.info.state == HostState::Up
-                            && m_core.load(host.info.target).runs == 0;
+                            && m_core.isIdle(host.info.target);
         if (!isIdle) {
             host.idleSince.reset();
         } else if (!host.idleSince) {
@@ -157,19 +175,12 @@
 
 std::size_t HostKeeper::hostsIn(const std::string &service) const
 {
-    return static_cast<std::size_t>(
-            std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &item) {
-                const auto &host = item.second;
-                return host.info.pool == service && (!host.awaySince || host.movingTo.empty());
-            }));
+    return countsOf(service).present;
 }
 
 std::size_t HostKeeper::leavingFrom(const std::string &service) const
 {
-    return static_cast<std::size_t>(
-            std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &item) {
-                return item.second.info.pool == service && item.second.wanted;
-            }));
+    return countsOf(service).leaving;
 }
 
 void HostKeeper::watchPeak(const std::string &service, const PoolDemand &demand, TimePoint now)
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -300,6 +300,7 @@
     // What was not heard may run something.
     load.runs =
             target->isAdopted ? target->runs.size() : std::max<std::size_t>(target->runs.size(), 1);
+    load.hasUnrecordedEnds = target->endsSeen > target->endsRecorded;
     load.usedShare =
             static_cast<double>(target->used.processors)
             / static_cast<double>(std::max<std::int64_t>(target->info.capacity.processors, 1));
@@ -314,6 +315,14 @@
     return load;
 }
 
+bool OwnerCore::isIdle(const std::string &id) const
+{
+    const auto *target = findTarget(id);
+    return target == nullptr
+           || (target->isAdopted && target->runs.empty()
+               && target->endsSeen <= target->endsRecorded);
+}
+
 double OwnerCore::runTimeRatio(const std::string &queue) const
 {
     // Before some runs have ended the guess stands.
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -92,6 +92,8 @@
     std::size_t needed = 0;
     // Share of the processors in use.
     double usedShare = 0;
+    // It has listed ends that are not stored yet: only it can list them to a later owner.
+    bool hasUnrecordedEnds = false;
 };
 
 // What a service's pool has to do and to do it with.
@@ -189,6 +191,8 @@
     // Its host was taken down: all that ran there has ended.
     void targetTakenDown(const std::string &id, TimePoint now);
     TargetLoad load(const std::string &id) const;
+    // Nothing runs there, and all that ended there is stored.
+    bool isIdle(const std::string &id) const;
     // By service.
     std::map<std::string, PoolDemand> demands(TimePoint now) const;
     // When a job of short tasks last came; nothing before the first.
--- a/src/scheduling/tests/hostkeeper_tests.cpp
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -234,6 +234,29 @@
     EXPECT_FALSE(hosts.keeper.hostsToRecord(hosts.world.now).has_value());
 }
 
+// TWICE on a drawn day of fqcc-berth-grown (fresh-5660): a host went down for its wave right after
+// its last task was done; the end was not stored yet when the owner changed, the target that could
+// have listed it again was gone, and the next owner started the task again.
+TEST(HostKeeper, ordersNoHostWhoseTargetListedEndsThatAreNotStored)
+{
+    HostWorld hosts;
+    hosts.add("a");
+    hosts.world.submit(7, {makeStep(1)});
+    const auto starts = hosts.world.startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    hosts.keeper.waveAsked({1, {"a"}, 60s, 1}, {}, {}, hosts.world.now);
+    EXPECT_TRUE(hosts.plan().empty());
+    hosts.world.report("t-a", {}, {OwnerWorld::end(1, starts[0], RunEnd::Done)});
+    EXPECT_TRUE(hosts.plan().empty());
+    // Also when the time for emptying it is over.
+    hosts.world.advance(20s);
+    hosts.world.core.holdOrder("t-a", hosts.world.now);
+    hosts.world.report("t-a", {}, {});
+    EXPECT_TRUE(hosts.plan().empty());
+    hosts.world.flush();
+    EXPECT_EQ(hosts.plan().size(), 1U);
+}
+
 TEST(HostKeeper, takesATargetThatWasNotHeardForBusy)
 {
     HostWorld hosts;
