--- a/src/control/internal/frontdoor.cpp
+++ b/src/control/internal/frontdoor.cpp
@@ -294,7 +294,10 @@
 
 void FrontDoor::countPending(const VisitPointer &visit)
 {
-    m_store.list(waitingPrefix(visit->queue.name), [this, visit](const auto &reply) {
+    if (m_store.silence(bootNow()) > silenceBeforeRefusing) {
+        return giveUp(visit, storeAway);
+    }
+    m_store.listOnce(waitingPrefix(visit->queue.name), [this, visit](const auto &reply) {
         if (reply.outcome != StoreOutcome::Done) {
             return giveUp(visit, reply.failure);
         }
--- a/src/control/internal/storelink.cpp
+++ b/src/control/internal/storelink.cpp
@@ -96,13 +96,20 @@
     std::string prefix;
     platform::StoreReply gathered;
     Completion completion;
+    unsigned mostFailures = 0;
     // Of the page that is asked for.
     unsigned failures = 0;
 };
 
 void StoreLink::list(const std::string &prefix, Completion completion)
 {
-    listPage(std::make_shared<Listing>(Listing{prefix, {}, std::move(completion), 0}));
+    listPage(std::make_shared<Listing>(
+            Listing{prefix, {}, std::move(completion), mostPageFailures, 0}));
+}
+
+void StoreLink::listOnce(const std::string &prefix, Completion completion)
+{
+    listPage(std::make_shared<Listing>(Listing{prefix, {}, std::move(completion), 0, 0}));
 }
 
 void StoreLink::listPage(std::shared_ptr<Listing> listing)
@@ -117,7 +124,7 @@
 void StoreLink::takePage(const std::shared_ptr<Listing> &listing, const platform::StoreReply &page)
 {
     if (page.outcome != platform::StoreOutcome::Done) {
-        if (++listing->failures > mostPageFailures) {
+        if (++listing->failures > listing->mostFailures) {
             return listing->completion(page);
         }
         return detail::callAfter(m_context, pageRetry, m_alive,
--- a/src/control/tests/storelink_tests.cpp
+++ b/src/control/tests/storelink_tests.cpp
@@ -69,14 +69,15 @@
     std::thread m_thread;
 };
 
-platform::StoreReply list(const PagedStore &store)
+platform::StoreReply list(const PagedStore &store, bool isOnce = false)
 {
     asio::io_context context;
     net::LoopHttpClient client(context, net::HttpClientSettings{});
     Metrics metrics;
     StoreLink link(context, client, store.address(), metrics);
     std::optional<platform::StoreReply> answer;
-    link.list("job", [&](const auto &reply) { answer = reply; });
+    const auto take = [&](const auto &reply) { answer = reply; };
+    isOnce ? link.listOnce("job", take) : link.list("job", take);
     while (!answer) {
         context.run_one();
     }
@@ -104,4 +105,12 @@
     EXPECT_EQ(list(store).outcome, platform::StoreOutcome::NotDone);
 }
 
+// A caller who asks for a queue's length is told at once that the store does not answer.
+TEST(StoreLink, triesAPageOnceWhileSomebodyWaits)
+{
+    PagedStore store({{"job/1", 1}});
+    EXPECT_EQ(list(store, true).outcome, platform::StoreOutcome::NotDone);
+    EXPECT_EQ(store.asked().at("job/1"), 1);
+}
+
 } // namespace cyclamenlatch::control
--- a/src/platform/internal/targetcalls.cpp
+++ b/src/platform/internal/targetcalls.cpp
@@ -281,15 +281,22 @@
     scheduling::HoldReport report;
     report.clock = std::chrono::milliseconds(*clock);
     report.born = detail::numberOf(json, "born").value_or(0);
+    // A row that can't be read may name a run: without it the list would say that it is gone.
     for (const auto &item : *running) {
-        if (auto row = runningRow(item)) {
-            report.running.push_back(std::move(*row));
+        auto row = runningRow(item);
+        if (!row) {
+            answer.failure = "the target's list has a run that can't be read";
+            return answer;
         }
+        report.running.push_back(std::move(*row));
     }
     for (const auto &item : *ends) {
-        if (auto row = endRow(item)) {
-            report.ends.push_back(std::move(*row));
+        auto row = endRow(item);
+        if (!row) {
+            answer.failure = "the target's list has an end that can't be read";
+            return answer;
         }
+        report.ends.push_back(std::move(*row));
     }
     answer.report = std::move(report);
     return answer;
--- a/src/platform/tests/codecs_tests.cpp
+++ b/src/platform/tests/codecs_tests.cpp
@@ -9,6 +9,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <string>
+#include <vector>
+
 namespace cyclamenlatch::platform {
 
 namespace {
@@ -102,6 +105,62 @@
     });
 }
 
+// Messages that were sound once: some bytes changed, cut out or doubled.
+TEST(Messages, thatAreDamagedNeverEndTheProcess)
+{
+    const std::vector<std::string> sound{
+            R"({"clock_ms":482113,"born":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41,130]],)"
+            R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})",
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","machine":"m",)"
+            R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"born":5})",
+            R"({"items":[{"key":"a","value":"bm9kZS0x","revision":7,"created":3,"lease":0}],)"
+            R"("at":9,"has_more":false,"lease":4,"ttl_ms":2000})",
+            R"({"machines":[{"machine":"m","pool":"s","state":"up","zone":"z","labels":["a"],)"
+            R"("capacity":{"cpu":1,"mem_mb":2,"gpu":3},"id":"i-1"}],"next_page_token":"x"})",
+            R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/q/","service":"s",)"
+            R"("public":true,"priority":1,"max_attempts":3}],"services":[{"name":"s"}],)"
+            R"("tenants":[{"name":"t","api_keys":["k"],"weight":2,"cap":{"cpu":5}}],"limits":{}})",
+            R"({"wave":1,"machines":["a","b"],"duration_s":26.5,"cap":2})",
+            R"({"approved":[["i-1","ticket"]],"valid_ms":500,"reason":"fence"})",
+            R"({"spec":"text","phases":[{"count":4,"cpu":5,"after":[],"gang":true}],)"
+            R"("repeat_count":2,"start_at_ms":7,"interval_ms":1})"};
+    rc::check([&] {
+        auto bytes = sound[*rc::gen::inRange<std::size_t>(0, sound.size())];
+        const auto changes = *rc::gen::inRange(1, 6);
+        for (int change = 0; change < changes && !bytes.empty(); ++change) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            switch (*rc::gen::inRange(0, 4)) {
+            case 0:
+                bytes[at] = *rc::gen::element('"', '[', ']', '{', '}', ',', '-', '9', 'e', '.', 'x',
+                                              '\xff');
+                break;
+            case 1:
+                bytes.erase(at, *rc::gen::inRange<std::size_t>(1, 9));
+                break;
+            case 2:
+                bytes.insert(at, bytes.substr(at / 2, 7));
+                break;
+            default:
+                bytes.insert(at, *rc::gen::element<std::string>("1e308", "-1", "null", "[]", "{}",
+                                                                "99999999999999999999"));
+            }
+        }
+        static_cast<void>(decodeJob(bytes));
+        static_cast<void>(decodeRules(bytes));
+        static_cast<void>(decodeWave(bytes));
+        static_cast<void>(decodeTarget("servers/i-1", bytes));
+        for (const int status : {200, 409, 412}) {
+            const auto result = answered(status, bytes);
+            static_cast<void>(judgeHold(result));
+            static_cast<void>(judgeOrder(result));
+            static_cast<void>(judgeAdvice(result));
+            static_cast<void>(MachineCalls::judgeList(result));
+            static_cast<void>(MachineCalls::judgeOrder(result));
+            static_cast<void>(StoreCalls::judge(result));
+        }
+    });
+}
+
 TEST(Targets, ofOtherWritersNameNoTarget)
 {
     const std::string good =
@@ -135,6 +194,20 @@
     EXPECT_EQ(answer.report->ends[0].how, scheduling::RunEnd::Done);
 }
 
+// A run that a damaged row hides would be taken for gone and started elsewhere.
+TEST(Targets, listsWithARowThatCannotBeReadAreNoLists)
+{
+    for (const char *lists :
+         {R"("running":[["5c0e7a21d94b36f8.0.1.17","two","cp",41]],"finished":[])",
+          R"("running":[["5c0e7a21d94b36f8.0.1",2,"cp",41]],"finished":[])",
+          R"("running":[7],"finished":[])",
+          R"("running":[],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"asleep",""]])"}) {
+        const auto answer = judgeHold(answered(200, std::string(R"({"clock_ms":1,)") + lists + "}"));
+        EXPECT_FALSE(answer.report) << lists;
+        EXPECT_FALSE(answer.failure.empty());
+    }
+}
+
 TEST(Targets, answersToOrdersTellWhetherTheyMayHaveBeenDone)
 {
     using scheduling::OrderAnswer;
