--- a/src/net/internal/loophttpclient.cpp
+++ b/src/net/internal/loophttpclient.cpp
@@ -25,11 +25,10 @@
 
 using detail::LoopConnection;
 
-// Idle connections older than this are not reused, so that one which something in between has
-// forgotten is seldom chosen.
-constexpr std::chrono::seconds mostIdleTime{20};
 // Calls are given up this much late at most: one timer serves all of them.
 constexpr std::chrono::milliseconds timerStep{10};
+// Idle connections are looked through this many times while one grows too old.
+constexpr int idleSweeps = 4;
 constexpr std::string_view scheme = "http://";
 
 std::optional<asio::ip::tcp::endpoint> endpointOf(const std::string &host)
@@ -151,13 +150,9 @@
     void place(std::uint64_t number, Call &call)
     {
         auto &host = m_hosts[call.host];
-        while (!host.idle.empty()) {
+        if (!host.idle.empty() && !call.call.freshConnection) {
             auto connection = std::move(host.idle.back());
             host.idle.pop_back();
-            if (steadyNow() - connection->idleSince > mostIdleTime || call.call.freshConnection) {
-                drop(*connection);
-                continue;
-            }
             return write(number, call, std::move(connection));
         }
         if (host.open >= m_settings.maxConnectionsPerHost) {
@@ -310,24 +305,50 @@
         armTimer();
     }
 
-    // Set again only for an earlier deadline: each call would cost a system call otherwise.
+    // Wakes up in time for the first deadline and for connections that have been idle for long. Set
+    // again only for an earlier time: each call would cost a system call otherwise.
     void armTimer()
     {
-        if (m_deadlines.empty()
-            || (m_armedFor && *m_armedFor <= m_deadlines.begin()->first + timerStep)) {
+        if (m_connections.empty() && m_deadlines.empty()) {
+            return;
+        }
+        const auto sweep = m_sweptAt + m_settings.maxIdleTime / idleSweeps;
+        const auto next = m_deadlines.empty() ? sweep : std::min(sweep, m_deadlines.begin()->first);
+        if (m_armedFor && *m_armedFor <= next + timerStep) {
             return;
         }
-        m_armedFor = m_deadlines.begin()->first + timerStep;
+        m_armedFor = next + timerStep;
         m_timer.expires_at(
                 std::chrono::time_point_cast<std::chrono::steady_clock::duration>(*m_armedFor));
         m_timer.async_wait([this, alive = std::weak_ptr(m_alive)](const asio::error_code &error) {
             if (!error && !alive.expired()) {
                 m_armedFor.reset();
                 giveUpLate();
+                sweepIdle();
+                armTimer();
             }
         });
     }
 
+    void sweepIdle()
+    {
+        const auto now = steadyNow();
+        if (now - m_sweptAt < m_settings.maxIdleTime / idleSweeps) {
+            return;
+        }
+        m_sweptAt = now;
+        std::vector<std::shared_ptr<LoopConnection>> old;
+        for (const auto &connection : m_connections) {
+            if (connection->callNumber == 0
+                && now - connection->idleSince > m_settings.maxIdleTime) {
+                old.push_back(connection);
+            }
+        }
+        for (const auto &connection : old) {
+            drop(*connection);
+        }
+    }
+
     void giveUpLate()
     {
         const auto now = steadyNow();
@@ -345,7 +366,6 @@
                          : call.connection ? "the connection was not made in time"
                                            : "no connection became free in time");
         }
-        armTimer();
     }
 
     const HttpClientSettings m_settings;
@@ -359,6 +379,7 @@
     // When each call is to be looked at.
     std::set<std::pair<TimePoint, std::uint64_t>> m_deadlines;
     std::optional<TimePoint> m_armedFor;
+    TimePoint m_sweptAt = steadyNow();
     bool m_isEnding = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/net/tests/loophttpclient_tests.cpp
+++ b/src/net/tests/loophttpclient_tests.cpp
@@ -1,6 +1,8 @@
 // The client on its caller's event loop: connections kept, calls given up, answers cut short.
 #include "net/loophttpclient.h"
 
+#include "global/time.h"
+
 #include <gtest/gtest.h>
 
 #include <asio/buffer.hpp>
@@ -39,6 +41,7 @@
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
     std::size_t accepted() const { return m_accepted; }
     std::size_t answered() const { return m_answered; }
+    std::size_t open() const { return m_open; }
 
 private:
     struct Peer
@@ -57,6 +60,7 @@
                 return;
             }
             ++m_accepted;
+            ++m_open;
             serve(std::make_shared<Peer>(std::move(socket)));
             accept();
         });
@@ -68,6 +72,7 @@
         peer->socket.async_read_some(asio::buffer(peer->bytes),
                                      [this, peer](const asio::error_code &error, auto) {
                                          if (error) {
+                                             --m_open;
                                              return;
                                          }
                                          static const std::string answer =
@@ -84,6 +89,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     std::atomic<std::size_t> m_accepted = 0;
     std::atomic<std::size_t> m_answered = 0;
+    std::atomic<std::size_t> m_open = 0;
     std::thread m_thread;
 };
 
@@ -165,6 +171,34 @@
     EXPECT_EQ(ended, asio::error::connection_reset);
 }
 
+// Hosts of a fleet move and come back under other addresses all day: what was kept open to them
+// must not use up the entry's descriptors.
+TEST(LoopHttpClient, closesConnectionsThatCarriedNothingForLong)
+{
+    using namespace std::chrono_literals;
+    CountingServer server;
+    asio::io_context context;
+    HttpClientSettings settings;
+    settings.maxIdleTime = 200ms;
+    LoopHttpClient client(context, settings);
+    constexpr std::size_t hosts = 20;
+    std::size_t answers = 0;
+    for (std::size_t host = 0; host < hosts; ++host) {
+        HttpCall call;
+        call.url = urlOfHost(host, server.port());
+        client.send(std::move(call), [&](const HttpCallResult &) { ++answers; });
+    }
+    while (answers < hosts) {
+        context.run_one();
+    }
+    EXPECT_EQ(server.open(), hosts);
+    const auto end = steadyNow() + 5s;
+    while (server.open() > 0 && steadyNow() < end) {
+        context.run_one_for(50ms);
+    }
+    EXPECT_EQ(server.open(), 0U);
+}
+
 // An owner's order waits for a connection while the owner's lease runs out.
 TEST(LoopHttpClient, writesNothingOfACallWhosePermissionRanOutWhileItWaited)
 {
