--- a/src/net/internal/loophttpclient.cpp
+++ b/src/net/internal/loophttpclient.cpp
@@ -252,8 +252,8 @@
         if (found == m_connections.end()) {
             return;
         }
-        const auto kept = *found;
-        m_connections.erase(found);
+        const auto node = m_connections.extract(found);
+        const auto &kept = node.value();
         kept->close();
         auto &host = m_hosts[kept->host()];
         --host.open;
