--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -298,9 +298,7 @@
     };
     auto call = std::visit(Caller{*this}, order);
     call.timeout = callTimeout;
-    call.isPermitted = [&ownership = m_ownership, alive = std::weak_ptr(m_alive)] {
-        return !alive.expired() && ownership.isHeld();
-    };
+    call.isPermitted = m_ownership.permission(m_alive);
     m_http.send(std::move(call), [this, order, alive = std::weak_ptr(m_alive)](const auto &result) {
         if (alive.expired()) {
             return;
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -344,7 +344,7 @@
     auto call = platform::holdCall(*target, m_tenure.term, *order);
     call.timeout = order->wait + holdMargin;
     call.connectTimeout = connectTimeout;
-    call.isPermitted = permission();
+    call.isPermitted = m_ownership.permission(m_alive);
     found->second->isCalling = true;
     m_http.send(std::move(call),
                 [this, id, now, alive = std::weak_ptr(m_alive)](const auto &result) {
@@ -397,20 +397,12 @@
     pause.count() == 0 ? hold(id) : holdAfter(id, pause);
 }
 
-// For calls that may wait for a connection while the lease runs out.
-std::function<bool()> OwnerService::permission() const
-{
-    return [&ownership = m_ownership, alive = std::weak_ptr(m_alive)] {
-        return !alive.expired() && ownership.isHeld();
-    };
-}
-
 template<typename Kind>
 void OwnerService::sendOrder(net::HttpCall call, const Kind &order, Answered<Kind> answered)
 {
     call.timeout = orderTimeout;
     call.connectTimeout = connectTimeout;
-    call.isPermitted = permission();
+    call.isPermitted = m_ownership.permission(m_alive);
     m_http.send(std::move(call),
                 [this, order, answered, alive = std::weak_ptr(m_alive)](const auto &result) {
                     if (alive.expired()) {
--- a/src/control/internal/ownership.cpp
+++ b/src/control/internal/ownership.cpp
@@ -74,6 +74,11 @@
     return m_stage == Stage::Holding && m_lease.isHeld(bootNow() + safetyMargin);
 }
 
+std::function<bool()> Ownership::permission(std::weak_ptr<bool> alive) const
+{
+    return [this, alive = std::move(alive)] { return !alive.expired() && isHeld(); };
+}
+
 void Ownership::takeOwner(const std::vector<platform::StoreItem> &items, bool isWhole)
 {
     if (isWhole) {
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -87,7 +87,6 @@
     void finishChange(const std::shared_ptr<PendingFlush> &flush);
     void forgetEndedJobs();
     bool isHeld() const { return m_ownership.isHeld(); }
-    std::function<bool()> permission() const;
     void logDecision(const scheduling::Decision &decision);
     void logWork();
 
--- a/src/control/ownership.h
+++ b/src/control/ownership.h
@@ -48,6 +48,9 @@
     void resign(const std::string &reason);
     // Ask right before each act that only the owner may do.
     bool isHeld() const;
+    // For calls that may wait for a connection while the lease runs out: whether it is held, and
+    // the part that sends them, which alive stands for, still there.
+    std::function<bool()> permission(std::weak_ptr<bool> alive) const;
     const Tenure &tenure() const { return m_tenure; }
 
 private:
--- a/src/net/internal/loophttpclient.cpp
+++ b/src/net/internal/loophttpclient.cpp
@@ -12,7 +12,6 @@
 #include <charconv>
 #include <chrono>
 #include <deque>
-#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -72,8 +72,7 @@
         bool isCompleted = false;
     };
     std::optional<WaveProgress> changedWave();
-    // Hosts on their way to a service's pool.
-    // As of the last plan.
+    // Hosts on their way to a service's pool, as of the last plan.
     std::size_t comingTo(const std::string &service) const;
 
 private:
@@ -137,10 +136,9 @@
     // The pool has more waiting than it clears at once.
     bool isPressed(const std::string &service) const;
     bool hasDemandEnded(TimePoint now) const;
-    // Hosts that the list shows in the pool, in whatever state.
     struct PoolCounts
     {
-        // In the pool, with those that are down for an upkeep.
+        // That the list shows in the pool, in whatever state, but for those ordered elsewhere.
         std::size_t present = 0;
         // On their way to it, or to be ordered there.
         std::size_t coming = 0;
@@ -177,11 +175,12 @@
     bool m_hasList = false;
     // Host and pool that the platform would not bring together.
     std::set<std::pair<std::string, std::string>> m_unfit;
-    // As of the plan that is being made.
+    // No plan was made since the last list.
     bool m_isListNew = false;
     TimePoint m_plannedAt{};
+    // As of the last plan.
     std::map<std::string, PoolDemand> m_demands;
-    // As of the plan that is made, with what it has decided so far.
+    // As of the last plan, with what it has decided so far.
     std::map<std::string, PoolCounts> m_counts;
     std::map<std::string, std::size_t> m_bases;
     // The most cores that a pool's short work needed lately.
