--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -131,6 +131,7 @@
     // if it had none, the latest if it has as many beyond those it began with.
     std::optional<TimePoint> lendsSince(const std::string &service, const PoolDemand &demand,
                                         std::size_t hosts, double cores) const;
+    bool isShort(const std::string &service, std::size_t base) const;
     std::string lenderFor(const std::string &host) const;
     bool isStandby(const std::string &service) const;
     // An earlier holder may have ordered it too short a time ago.
--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-// What waits is to begin within this time: short against a move, since by the time a host comes
-// the work of that time has piled up as well.
-constexpr double clearSeconds = 0.4;
+// What waits is to begin within this time: a tenth of a move, since by the time a host comes the
+// work of that time has piled up as well. 0.4, 0.25, 0.15 and 0.1 were tried (decisions.md).
+constexpr double clearSeconds = 0.15;
 // A host is fetched when at least this part of it is missing.
 constexpr double worthMoving = 0.5;
 // A pool is calm when it clears what waits within this time, and gives hosts away after having been
@@ -29,16 +29,18 @@
 constexpr std::chrono::seconds peakWatch{90};
 // Work that waits during a peak is to be cleared within this time.
 constexpr double peakClearSeconds = 2;
-constexpr std::size_t fewestHosts = 3;
+constexpr std::size_t fewestHosts = 2;
+// A calm pool keeps this part of the hosts that it began with; others are off until its turn.
+constexpr double keptWhenCalm = 0.4;
 // When no short job has come for this long, demand has ended: pools keep what lasting tasks need
 // and idleSpare hosts. With the next job they grow to what they began with.
 constexpr std::chrono::seconds demandEnd{4};
 constexpr std::size_t idleSpare = 1;
 // Hosts that may be on their way into one pool at the same time: a part of all, or the other.
-constexpr std::size_t comingPart = 3;
+constexpr double mostComing = 0.67;
 constexpr std::size_t leastComing = 8;
-// A pool that had its peak lends idle hosts, but keeps this part of those that it began with.
-constexpr double keptWhenLending = 0.5;
+// One that is calm while another has more work than it can do keeps only this part.
+constexpr double keptWhenLending = 0.2;
 constexpr double milli = 0.001;
 
 double coresOf(const HostInfo &host)
@@ -46,6 +48,11 @@
     return std::max(1.0, milli * static_cast<double>(host.capacity.processors));
 }
 
+std::size_t partOf(std::size_t hosts, double part)
+{
+    return static_cast<std::size_t>(std::ceil(part * static_cast<double>(hosts)));
+}
+
 // Cores that a pool needs to serve what runs and comes and to clear what waits in time.
 double neededCores(const PoolDemand &demand)
 {
@@ -162,7 +169,7 @@
             const auto coming = comingTo(rule.name);
             const double comingCores = static_cast<double>(coming) * cores;
             if (missingCores(demand->second, comingCores) <= worthMoving * cores
-                || coming >= std::max(leastComing, m_hosts.size() / comingPart)) {
+                || coming >= std::max(leastComing, partOf(m_hosts.size(), mostComing))) {
                 continue;
             }
             // What a pool needs as a multiple of what it has, so that a large backlog in one pool
@@ -187,7 +194,7 @@
         return;
     }
     for (const auto &[service, base] : m_bases) {
-        while (!isStandby(service) && hostsIn(service) + comingTo(service) < base) {
+        while (!isStandby(service) && isShort(service, base)) {
             auto *donor = donorFor(service, now);
             if (donor == nullptr || !isStandby(donor->info.pool)) {
                 break;
@@ -248,7 +255,7 @@
                >= demand.lasting + demand.lastingWaiting;
     }
     const auto base = m_bases.find(service);
-    if (base != m_bases.end() && demand.targets >= base->second + hosts) {
+    if (base != m_bases.end() && demand.targets >= partOf(base->second, keptWhenCalm) + hosts) {
         return true;
     }
     if (now - peak->second.since < peakWatch) {
@@ -275,12 +282,11 @@
     if (kept >= base->second) {
         return TimePoint::max();
     }
-    const bool hasEnough =
-            static_cast<double>(kept) >= keptWhenLending * static_cast<double>(base->second);
+    const bool hasEnough = kept >= partOf(base->second, keptWhenLending);
     return hasEnough ? std::optional(peak->second.lastPressed.value_or(TimePoint{})) : std::nullopt;
 }
 
-// Hosts that are off come at once, then those that a pool has beyond what it began with.
+// Hosts that are off come at once, then idle ones of the pool that can best spare them.
 HostKeeper::Host *HostKeeper::donorFor(const std::string &service, TimePoint now)
 {
     Host *best = nullptr;
@@ -307,12 +313,17 @@
     return best;
 }
 
-// A pool that has less than it began with and takes the host; empty: none.
+// It has less than it keeps when it is calm.
+bool HostKeeper::isShort(const std::string &service, std::size_t base) const
+{
+    return hostsIn(service) + comingTo(service) < partOf(base, keptWhenCalm);
+}
+
+// A pool that lent more than it can spare and takes the host; empty: none.
 std::string HostKeeper::lenderFor(const std::string &host) const
 {
     for (const auto &[service, base] : m_bases) {
-        if (!isStandby(service) && hostsIn(service) + comingTo(service) < base
-            && !m_unfit.contains({host, service})) {
+        if (!isStandby(service) && isShort(service, base) && !m_unfit.contains({host, service})) {
             return service;
         }
     }
