Serve op/evacuate/NAME: nothing new starts in that data centre, lasting tasks leave it

Targets of an evacuated data centre take no new work and count for no pool, their lasting tasks move as their steps can spare them, hosts there are not fetched. Taken back when the key is removed, also after a list anew.

Test, which fails without it: OwnerCore.sendsNothingToADataCentreThatIsEvacuated.

--- a/src/control/controlevents.h
+++ b/src/control/controlevents.h
@@ -18,6 +18,9 @@
 inline constexpr Event rulesRefused{
         1805, Severity::Error, "rules-refused",
         "The configuration can't be read; the last one stays in force."};
+inline constexpr Event evacuationChanged{
+        1808, Severity::Info, "evacuation-changed",
+        "Data centres to which nothing more is sent, as operators ask; none: all are in use."};
 inline constexpr Event storeLost{1806, Severity::Warning, "store-lost",
                                  "The store does not answer this entry; jobs are refused."};
 inline constexpr Event storeRegained{1807, Severity::Info, "store-regained",
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -114,6 +114,12 @@
     planSoon();
 }
 
+void OwnerService::setEvacuated(const std::set<std::string> &dataCentres)
+{
+    m_core.setEvacuated(dataCentres);
+    planSoon();
+}
+
 void OwnerService::storeRegained()
 {
     m_jobs.watchAnew();
--- a/src/control/internal/platformentry.cpp
+++ b/src/control/internal/platformentry.cpp
@@ -18,11 +18,13 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <csignal>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace cyclamenlatch::control {
@@ -110,9 +112,9 @@
                                           [this](const auto &reason) { lose(reason); },
                                           [this] { doubt(); },
                                           [this](bool wasInDoubt) { resume(wasInDoubt); }})
-        , m_configuration(m_context, m_store, std::string(platform::operatorPrefix),
-                          configurationWatch,
-                          [this](const auto &items, auto, auto) { takeOperator(items); })
+        , m_configuration(
+                  m_context, m_store, std::string(platform::operatorPrefix), configurationWatch,
+                  [this](const auto &items, auto, bool isWhole) { takeOperator(items, isWhole); })
         , m_callers(m_context, serverSettings(m_settings.callerPort),
                     [this](auto request, auto respond) {
                         m_frontDoor.handle(std::move(request), std::move(respond));
@@ -187,8 +189,9 @@
         return reply;
     }
 
-    void takeOperator(const std::vector<platform::StoreItem> &items)
+    void takeOperator(const std::vector<platform::StoreItem> &items, bool isWhole)
     {
+        takeEvacuations(items, isWhole);
         for (const auto &item : items) {
             if (!item.deleted && item.key.starts_with(platform::wavePrefix)) {
                 takeWave(item);
@@ -211,6 +214,26 @@
         }
     }
 
+    void takeEvacuations(const std::vector<platform::StoreItem> &items, bool isWhole)
+    {
+        auto evacuated = isWhole ? std::set<std::string>{} : m_evacuated;
+        for (const auto &item : items) {
+            if (!item.key.starts_with(platform::evacuationPrefix)) {
+                continue;
+            }
+            const auto dataCentre = item.key.substr(platform::evacuationPrefix.size());
+            item.deleted ? evacuated.erase(dataCentre) : evacuated.insert(dataCentre).second;
+        }
+        if (evacuated == m_evacuated) {
+            return;
+        }
+        m_evacuated = std::move(evacuated);
+        logEvent(evacuationChanged, "data_centres=\"{}\"", fmt::join(m_evacuated, " "));
+        if (m_owner) {
+            m_owner->setEvacuated(m_evacuated);
+        }
+    }
+
     void takeWave(const platform::StoreItem &item)
     {
         const auto wave = platform::decodeWave(item.value);
@@ -237,6 +260,7 @@
         m_owner = std::make_unique<OwnerService>(m_context, m_store, *m_targetHttp, m_ownership,
                                                  m_settings, m_metrics);
         m_owner->setWaves(m_waves);
+        m_owner->setEvacuated(m_evacuated);
         m_owner->start(*m_frontDoor.rules());
     }
 
@@ -350,6 +374,8 @@
     // Present while this entry owns the work and has a configuration.
     std::unique_ptr<OwnerService> m_owner;
     std::map<std::uint64_t, scheduling::WavePlan> m_waves;
+    // Data centres that operators have asked to send nothing more to.
+    std::set<std::string> m_evacuated;
     bool m_wasAway = false;
     bool m_isLeaving = false;
     TimePoint m_leaveAt{};
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -43,6 +43,7 @@
     {
         m_hosts.setWaves(waves);
     }
+    void setEvacuated(const std::set<std::string> &dataCentres);
     // The store answers again after it did not: what waits for it goes on at once.
     void storeRegained();
     const scheduling::OwnerCore &core() const { return m_core; }
--- a/src/platform/configwire.h
+++ b/src/platform/configwire.h
@@ -1,4 +1,4 @@
-// The operators' documents in the store: the configuration and the waves.
+// The operators' documents in the store: the configuration, the waves and the evacuations.
 #pragma once
 
 #include "global/result.h"
@@ -18,6 +18,8 @@
 inline constexpr std::string_view operatorPrefix = "op/";
 inline constexpr std::string_view configurationKey = "op/config";
 inline constexpr std::string_view wavePrefix = "op/wave/";
+// A data centre's name follows; while the key is there, nothing more is sent to its targets.
+inline constexpr std::string_view evacuationPrefix = "op/evacuate/";
 
 Result<scheduling::FleetRules> decodeRules(const std::string &value);
 
--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -186,8 +186,8 @@
     TimePoint m_plannedAt{};
     // As of the last plan.
     std::map<std::string, PoolDemand> m_demands;
-    // Data centres in which most targets do not answer: hosts there are not ordered elsewhere, and
-    // those on their way there are not waited for.
+    // Data centres that are evacuated or in which most targets do not answer: hosts there are not
+    // ordered elsewhere, and those on their way there are not waited for.
     std::set<std::string> m_dark;
     // As of the last plan, with what it has decided so far.
     std::map<std::string, PoolCounts> m_counts;
--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -95,7 +95,7 @@
         count.heard += contact == OwnerCore::Contact::Heard ? 1 : 0;
         count.silent += contact == OwnerCore::Contact::Silent ? 1 : 0;
     }
-    m_dark.clear();
+    m_dark = m_core.evacuated();
     for (const auto &[dataCentre, count] : counts) {
         if (count.silent > count.heard) {
             m_dark.insert(dataCentre);
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -217,7 +217,7 @@
 // Lasting tasks leave a target that goes away, each step's no more at a time than it can spare.
 void OwnerCore::planEvacuation(TargetState &target, TimePoint now)
 {
-    if (!target.isLeaving && !target.info.isDraining) {
+    if (!target.isLeaving && !target.info.isDraining && !isEvacuated(target)) {
         return;
     }
     for (auto &[task, run] : target.runs) {
@@ -240,8 +240,14 @@
 bool OwnerCore::isUsable(const TargetState &target, TimePoint now) const
 {
     return target.isListed && target.isAdopted && target.isRecorded && !target.isLeaving
-           && !target.info.isDraining && target.failedCalls < failedCallsBeforeRest
-           && target.strangers == 0 && target.avoidedUntil <= now;
+           && !target.info.isDraining && !isEvacuated(target)
+           && target.failedCalls < failedCallsBeforeRest && target.strangers == 0
+           && target.avoidedUntil <= now;
+}
+
+bool OwnerCore::isEvacuated(const TargetState &target) const
+{
+    return m_evacuated.contains(target.info.dataCentre);
 }
 
 // A target that this owner has not heard yet may run tasks of the job.
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -414,7 +414,8 @@
     std::map<std::string, PoolDemand> demands;
     constexpr double milli = 0.001;
     for (const auto &[id, target] : m_targets) {
-        if (!target->isListed || target->info.isDraining || target->failedCalls > 0) {
+        if (!target->isListed || target->info.isDraining || isEvacuated(*target)
+            || target->failedCalls > 0) {
             continue;
         }
         auto &demand = demands[target->info.service];
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -20,9 +20,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace cyclamenlatch::scheduling {
@@ -189,6 +191,9 @@
 
     // A target whose host is wanted elsewhere gets no new work, and its lasting tasks move away.
     void setLeaving(const std::string &id, bool isLeaving);
+    // Targets there get no new work, and their lasting tasks move away.
+    void setEvacuated(std::set<std::string> dataCentres) { m_evacuated = std::move(dataCentres); }
+    const std::set<std::string> &evacuated() const { return m_evacuated; }
     // The platform lists the hosts so. Targets that were never heard and do not answer have ended
     // when their host is down for an order or runs a target that was born later.
     void hostsListed(const std::vector<HostInfo> &hosts, TimePoint now);
@@ -299,6 +304,7 @@
     StartOrder startOrder(const TargetState &target, const TaskRef &ref, const RunState &run) const;
     void planPledged(TimePoint now);
     bool isUsable(const TargetState &target, TimePoint now) const;
+    bool isEvacuated(const TargetState &target) const;
     bool mayUse(const std::string &workspace, const Room &need) const;
     bool isUncertain(const JobState &job, TimePoint now) const;
     void countUncertainUse(TimePoint now);
@@ -308,6 +314,7 @@
     const TimePoint m_began;
     const Listener m_listener;
     FleetRules m_rules;
+    std::set<std::string> m_evacuated;
     // By name, of m_rules.
     std::unordered_map<std::string, const QueueRule *> m_queues;
     std::unordered_map<std::string, const WorkspaceRule *> m_workspaces;
--- a/src/scheduling/tests/ownercore_tests.cpp
+++ b/src/scheduling/tests/ownercore_tests.cpp
@@ -73,6 +73,36 @@
     EXPECT_EQ(next[0].task.job, 7U);
 }
 
+// EVAC 855 times on a day of our own: nothing knew of the request.
+TEST(OwnerCore, sendsNothingToADataCentreThatIsEvacuated)
+{
+    OwnerWorld world;
+    auto lasting = makeStep(1);
+    lasting.lasts = true;
+    world.joinIn("t1", "north");
+    world.submit(7, {lasting});
+    const auto starts = world.startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    world.report("t1", {OwnerWorld::running(starts[0], 100)}, {});
+    world.joinIn("t2", "south");
+    world.core.setEvacuated({"north"});
+    world.submit(8, {makeStep(2)});
+    world.advance(200ms);
+    // The lasting task leaves, and what comes goes elsewhere.
+    EXPECT_EQ(world.planned<StopOrder>().size(), 1U);
+    world.flush();
+    for (const auto &start : world.planned<StartOrder>()) {
+        EXPECT_EQ(start.targetId, "t2");
+    }
+    world.report("t1", {}, {OwnerWorld::end(1, starts[0], RunEnd::Stopped)});
+    const auto again = world.startAll();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].targetId, "t2");
+    EXPECT_EQ(world.core.demands(world.now).at("pool").targets, 1U);
+    world.core.setEvacuated({});
+    EXPECT_EQ(world.core.demands(world.now).at("pool").targets, 2U);
+}
+
 // LIMIT on a hunted day: the new owner did not know the size of runs whose job had just ended.
 TEST(OwnerCore, startsNothingBesideRunsOfJobsItDoesNotKnow)
 {
--- a/src/scheduling/tests/ownerworld.h
+++ b/src/scheduling/tests/ownerworld.h
@@ -54,6 +54,13 @@
 
     void advance(Duration duration) { now += duration; }
 
+    // In this data centre.
+    void joinIn(const std::string &id, const std::string &where)
+    {
+        dataCentre = where;
+        join(id);
+    }
+
     void list(const std::string &id, Room capacity = Room{16000, 64000, 0}, bool isDraining = false)
     {
         TargetInfo info;
@@ -62,6 +69,7 @@
         info.address = "10.0.0.1:80";
         info.labels = {"a", "r1"};
         info.capacity = capacity;
+        info.dataCentre = dataCentre;
         info.isDraining = isDraining;
         core.targetListed(info, now);
         core.targetRecorded(id);
@@ -156,6 +164,7 @@
     TimePoint now = TimePoint(1000s);
     // Of the targets that are listed and the jobs that are submitted next.
     std::string service = "pool";
+    std::string dataCentre = "a";
     std::vector<Decision> decisions;
     OwnerCore core;
 };
