--- a/src/control/tests/ownership_tests.cpp
+++ b/src/control/tests/ownership_tests.cpp
@@ -2,18 +2,14 @@
 #include "control/ownership.h"
 
 #include "control/storekeys.h"
-#include "net/httpserver.h"
-#include "store/base64.h"
+#include "net/tests/serverthread.h"
 
-#include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
-#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <atomic>
 #include <memory>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace cyclamenlatch::control {
@@ -26,22 +22,7 @@
 class LeasingStore
 {
 public:
-    LeasingStore()
-        : m_work(asio::make_work_guard(m_context))
-        , m_server(m_context, {},
-                   [this](const auto &request, const auto &respond) { answer(request, respond); })
-    {
-        EXPECT_TRUE(m_server.start());
-        m_thread = std::thread([this] { m_context.run(); });
-    }
-
-    ~LeasingStore()
-    {
-        m_context.stop();
-        m_thread.join();
-    }
-
-    std::string address() const { return fmt::format("127.0.0.1:{}", m_server.port()); }
+    std::string address() const { return m_server.address(); }
 
     std::atomic<bool> isSilent = false;
     std::atomic<bool> hasLease = true;
@@ -51,8 +32,7 @@
     {
         const bool isWatch = request.path == "/v1/kv-watch";
         if (isSilent || isWatch) {
-            m_waiting.push_back(respond);
-            return;
+            return m_server.leaveUnanswered(respond);
         }
         net::HttpReply reply;
         if (request.path == "/v1/kv-range") {
@@ -69,11 +49,8 @@
         respond(std::move(reply));
     }
 
-    asio::io_context m_context;
-    asio::executor_work_guard<asio::io_context::executor_type> m_work;
-    std::vector<net::HttpResponder> m_waiting;
-    net::HttpServer m_server;
-    std::thread m_thread;
+    net::tests::ServerThread m_server{
+            [this](const auto &request, const auto &respond) { answer(request, respond); }};
 };
 
 class OwnershipWorld
--- a/src/control/tests/storelink_tests.cpp
+++ b/src/control/tests/storelink_tests.cpp
@@ -1,16 +1,14 @@
 // Lists over links that break: which pages are asked for again.
 #include "control/storelink.h"
 
-#include "net/httpserver.h"
+#include "net/tests/serverthread.h"
 
-#include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <map>
 #include <string>
-#include <thread>
 
 namespace cyclamenlatch::control {
 
@@ -22,21 +20,9 @@
 public:
     explicit PagedStore(std::map<std::string, int> failures)
         : m_failures(std::move(failures))
-        , m_work(asio::make_work_guard(m_context))
-        , m_server(m_context, {},
-                   [this](const auto &request, const auto &respond) { answer(request, respond); })
-    {
-        EXPECT_TRUE(m_server.start());
-        m_thread = std::thread([this] { m_context.run(); });
-    }
-
-    ~PagedStore()
-    {
-        m_context.stop();
-        m_thread.join();
-    }
+    {}
 
-    std::string address() const { return fmt::format("127.0.0.1:{}", m_server.port()); }
+    std::string address() const { return m_server.address(); }
     // By the key that the page begins after. Read when no call is under way.
     const std::map<std::string, int> &asked() const { return m_asked; }
 
@@ -63,10 +49,8 @@
 
     std::map<std::string, int> m_failures;
     std::map<std::string, int> m_asked;
-    asio::io_context m_context;
-    asio::executor_work_guard<asio::io_context::executor_type> m_work;
-    net::HttpServer m_server;
-    std::thread m_thread;
+    net::tests::ServerThread m_server{
+            [this](const auto &request, const auto &respond) { answer(request, respond); }};
 };
 
 platform::StoreReply list(const PagedStore &store, bool isOnce = false)
