A pool keeps the hosts over which its lasting steps spread, and fetches them first

Found by looking at its pool's lines (E1832 hosts=2) and where its tasks ran. Ruled out: the change of owners at 17.2 s (the new owner saw the task at once). A pool now counts the hosts that its lasting steps need by their bound on tasks a host, keeps one more than that, and gets hosts before pools that lack cores only, twice what it began with at most.

Tests, which failed before: HostKeeper.leavesAPoolTheHostsThatItsLastingStepsSpreadOver, .fetchesAHostForALastingTaskThatNoHostOfItsPoolMayTake. scheduling tests: 64, 0 failed.

--- a/src/scheduling/hostkeeper.h
+++ b/src/scheduling/hostkeeper.h
@@ -125,6 +125,7 @@
     void orderIfEmpty(Host &host, TimePoint now, std::vector<HostOrder> &orders);
     void planMoves(TimePoint now);
     void planReturns(TimePoint now);
+    bool lacksPlaces(const std::string &service, const PoolDemand &demand) const;
     void fetchForPressed(double cores, TimePoint now);
     Host *donorFor(const std::string &service, TimePoint now);
     // When the pool last had a peak, if it can do without so many hosts now; the earliest of times
--- a/src/scheduling/internal/hostmoves.cpp
+++ b/src/scheduling/internal/hostmoves.cpp
@@ -30,6 +30,8 @@
 // Work that waits during a peak is to be cleared within this time.
 constexpr double peakClearSeconds = 2;
 constexpr std::size_t fewestHosts = 2;
+// Beyond the hosts over which lasting steps spread: one may go down for upkeep or fail.
+constexpr std::size_t spreadSpare = 1;
 // A calm pool keeps this part of the hosts that it began with; others are off until its turn.
 constexpr double keptWhenCalm = 0.4;
 // When no short job has come for this long, demand has ended: pools keep what lasting tasks need
@@ -60,6 +62,12 @@
     return demand.lasting + demand.lastingWaiting + shortWork + demand.openWork / clearSeconds;
 }
 
+// Fewer would leave a lasting task without a place.
+std::size_t fewestTargets(const PoolDemand &demand)
+{
+    return std::max(fewestHosts, demand.spread == 0 ? 0 : demand.spread + spreadSpare);
+}
+
 double missingCores(const PoolDemand &demand, double coming)
 {
     return neededCores(demand) - demand.processors - coming;
@@ -155,6 +163,18 @@
     planReturns(now);
 }
 
+// Its lasting steps spread over more hosts than it has or gets. A step that is wider than a pool
+// can become takes no more for it than twice what the pool began with.
+bool HostKeeper::lacksPlaces(const std::string &service, const PoolDemand &demand) const
+{
+    const auto counts = countsOf(service);
+    const auto base = m_bases.find(service);
+    const auto most = base == m_bases.end() ? 0 : 2 * base->second;
+    return demand.spread > 0
+           && demand.targets + counts.coming
+                      < std::min(fewestTargets(demand), most) + counts.leaving;
+}
+
 // The most pressed pool gets the next host, one by one; then those that lent some get theirs back.
 void HostKeeper::fetchForPressed(double cores, TimePoint now)
 {
@@ -168,6 +188,10 @@
             }
             const auto coming = comingTo(rule.name);
             const double comingCores = static_cast<double>(coming) * cores;
+            if (lacksPlaces(rule.name, demand->second)) {
+                pressed = &rule.name;
+                break;
+            }
             if (missingCores(demand->second, comingCores) <= worthMoving * cores
                 || coming >= std::max(leastComing, partOf(m_hosts.size(), mostComing))) {
                 continue;
@@ -247,7 +271,7 @@
                           double cores, TimePoint now) const
 {
     const auto peak = m_peaks.find(service);
-    if (peak == m_peaks.end() || demand.targets < fewestHosts + hosts) {
+    if (peak == m_peaks.end() || demand.targets < fewestTargets(demand) + hosts) {
         return false;
     }
     if (hasDemandEnded(now)) {
@@ -275,7 +299,7 @@
     const auto base = m_bases.find(service);
     const auto kept = demand.targets - std::min(demand.targets, hosts);
     const double taken = static_cast<double>(hosts + idleSpare) * cores;
-    if (peak == m_peaks.end() || base == m_bases.end() || kept < fewestHosts
+    if (peak == m_peaks.end() || base == m_bases.end() || kept < fewestTargets(demand)
         || missingCores(demand, -taken) > 0) {
         return std::nullopt;
     }
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -437,6 +437,10 @@
         const double ratio = runTimeRatio(job->submission.queue);
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const auto &step : occurrence.steps) {
+                if (step.spec->lasts && step.spec->mostPerTarget > 0) {
+                    const std::size_t most = step.spec->mostPerTarget;
+                    demand.spread = std::max(demand.spread, (step.spec->count + most - 1) / most);
+                }
                 if (step.spec->lasts) {
                     demand.lastingWaiting +=
                             step.spec->fills
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -109,6 +109,8 @@
     // Cores in use by anything.
     double used = 0;
     std::size_t targets = 0;
+    // Targets over which its lasting steps have to spread, whatever room each has.
+    std::size_t spread = 0;
     // Cores of lasting tasks that wait for a place.
     double lastingWaiting = 0;
     // Cores that short jobs keep busy when they come as they did in the last seconds.
--- a/src/scheduling/tests/hostkeeper_tests.cpp
+++ b/src/scheduling/tests/hostkeeper_tests.cpp
@@ -413,6 +413,39 @@
     }
 }
 
+// LOST on qalam-ndt trouble-2 --seed 2 of a trial: a step of six lasting tasks, two on a host at
+// most, in a pool that had lent all hosts but two.
+TEST(HostKeeper, leavesAPoolTheHostsThatItsLastingStepsSpreadOver)
+{
+    HostWorldInTurns hosts;
+    hosts.world.service = "other";
+    auto lasting = makeStep(6);
+    lasting.lasts = true;
+    lasting.mostPerTarget = 2;
+    hosts.world.submit(900, {lasting});
+    ASSERT_EQ(hosts.world.startAll().size(), 6U);
+    hosts.world.advance(1s);
+    hosts.press("pool", 101);
+    // Three hosts for the step and one more.
+    EXPECT_EQ(hosts.plan().size(), 4U);
+}
+
+TEST(HostKeeper, fetchesAHostForALastingTaskThatNoHostOfItsPoolMayTake)
+{
+    HostWorld hosts;
+    hosts.add("a");
+    hosts.add("b");
+    hosts.add("x", "off");
+    hosts.add("y", "off");
+    auto lasting = makeStep(5, 100);
+    lasting.lasts = true;
+    lasting.mostPerTarget = 2;
+    hosts.world.service = "pool";
+    hosts.world.submit(1, {lasting});
+    hosts.world.startAll();
+    EXPECT_EQ(hosts.plan().size(), 2U);
+}
+
 // Two pools in their turns: the one with the longer backlog has most of the hosts already.
 TEST(HostKeeper, bringsTheNextHostToThePoolThatHasLeastForWhatItNeeds)
 {
