--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -63,7 +63,8 @@
 void OwnerCore::jobArrived(JobSubmission submission, JobProgress progress, std::uint64_t revision,
                            std::uint64_t submittedAt, bool isNew, TimePoint now, WallTime wallNow)
 {
-    if (m_jobs.contains(submission.id) || isFinal(progress.phase)) {
+    if (m_jobs.contains(submission.id) || m_ended.contains(submission.id)
+        || isFinal(progress.phase)) {
         return;
     }
     auto job = std::make_unique<JobState>();
@@ -111,9 +112,23 @@
         return;
     }
     const auto node = m_jobs.extract(found);
+    noteEnded(id, now);
     stopRunsOf(*node.mapped(), now);
 }
 
+void OwnerCore::noteEnded(JobNumber id, TimePoint now)
+{
+    // Longer than any list takes: a page is given up after 20 s and asked for again four times.
+    constexpr std::chrono::seconds longestList{120};
+    while (!m_endedAt.empty() && now - m_endedAt.front().first > longestList) {
+        m_ended.erase(m_endedAt.front().second);
+        m_endedAt.pop_front();
+    }
+    if (m_ended.insert(id).second) {
+        m_endedAt.emplace_back(now, id);
+    }
+}
+
 bool OwnerCore::arrivedBefore(JobNumber id, std::uint64_t revision) const
 {
     const auto found = m_jobs.find(id);
--- a/src/scheduling/internal/ownerrecords.cpp
+++ b/src/scheduling/internal/ownerrecords.cpp
@@ -131,6 +131,7 @@
     job.hasWaitingMark = job.hasWaitingMark && !job.isMarkLeaving;
     if (isFinal(job.phase) && !job.isDirty) {
         m_jobs.erase(found);
+        noteEnded(id, now);
     }
 }
 
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -16,6 +16,7 @@
 #include "scheduling/targetinfo.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -252,6 +253,9 @@
     // Remembers that a task of the job may run there.
     static std::size_t noteTarget(JobState &job, const TargetState &target);
 
+    // The pages of a list are not read at one time: one may still show a job that has ended since.
+    void noteEnded(JobNumber id, TimePoint now);
+
     // Runs.
     // Takes its room of the target and of its workspace.
     RunState &addRun(TargetState &target, const TaskRef &task, const JobState &job,
@@ -329,6 +333,9 @@
     // When all of them were looked at.
     std::optional<TimePoint> m_allLookedAt;
     std::unordered_map<JobNumber, std::unique_ptr<JobState>> m_jobs;
+    // Jobs that ended under this owner lately, by when; they do not arrive again.
+    std::unordered_set<JobNumber> m_ended;
+    std::deque<std::pair<TimePoint, JobNumber>> m_endedAt;
     // What each workspace has running, by orders that are not known to have ended.
     std::unordered_map<std::string, Room> m_used;
     // Job starts that each workspace is still owed in this second.
--- a/src/scheduling/tests/ownercore_tests.cpp
+++ b/src/scheduling/tests/ownercore_tests.cpp
@@ -24,6 +24,28 @@
     EXPECT_FALSE(world.core.knowsJob(7));
 }
 
+// TWICE 130 on fqcc-berth-large scale-2 --seed 493993712457: the history of the store was dropped,
+// and a page of the list that followed showed jobs that ended before its last page came.
+TEST(OwnerCore, startsNoJobAnewThatAnOldPageOfAListStillShows)
+{
+    OwnerWorld world;
+    world.join("t1");
+    world.submit(7, {makeStep(1)});
+    const auto starts = world.startAll();
+    ASSERT_EQ(starts.size(), 1U);
+    world.report("t1", {}, {OwnerWorld::end(1, starts[0], RunEnd::Done)});
+    world.flush();
+    ASSERT_FALSE(world.core.knowsJob(7));
+    world.submit(7, {makeStep(1)});
+    EXPECT_FALSE(world.core.knowsJob(7));
+    EXPECT_TRUE(world.startAll().empty());
+    // Nor one that was cancelled.
+    world.submit(8, {makeStep(1)});
+    world.core.jobCancelled(8, world.now);
+    world.submit(8, {makeStep(1)});
+    EXPECT_TRUE(world.startAll().empty());
+}
+
 TEST(OwnerCore, startsAStepOnlyAfterTheOnesItFollows)
 {
     OwnerWorld world;
