--- a/src/control/internal/ownership.cpp
+++ b/src/control/internal/ownership.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-// Short, so that another entry takes over soon: of 2000, 1300 and 1000 tried. Renewals do not wait
-// for each other, so that one in two may take as long as a slow store's answers, 400 ms.
+// Short, so that another entry takes over soon: 2000 was measured worse (decisions.md). Renewals do
+// not wait for each other, so that one in two may take as long as a slow store's answers, 400 ms.
 constexpr std::chrono::milliseconds timeToLive{1300};
 constexpr std::chrono::milliseconds renewInterval{300};
 // While the store does not answer, renewals are sent this often whether or not the one before was
