Say once what is known of a target's answers; the store's stand-in of the ownership tests beside the adapter

Found on reading the whole change: hasHeardAll spelled out what contact() already says, now both ask contactOf; and ownership_tests.cpp named paths of the users' pages outside the adapter, so its stand-in moves to src/platform/tests beside HangingStore.

--- a/src/control/tests/ownership_tests.cpp
+++ b/src/control/tests/ownership_tests.cpp
@@ -1,13 +1,11 @@
 // Ownership while the store is silent: what is kept, what is lost, and what is never done.
 #include "control/ownership.h"
 
-#include "control/storekeys.h"
-#include "net/tests/serverthread.h"
+#include "platform/tests/leasingstore.h"
 
 #include <asio/io_context.hpp>
 #include <gtest/gtest.h>
 
-#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,41 +16,6 @@
 
 using namespace std::chrono_literals;
 
-// A store with one lease and no owner, which falls silent and forgets its lease when it is told.
-class LeasingStore
-{
-public:
-    std::string address() const { return m_server.address(); }
-
-    std::atomic<bool> isSilent = false;
-    std::atomic<bool> hasLease = true;
-
-private:
-    void answer(const net::HttpRequest &request, const net::HttpResponder &respond)
-    {
-        const bool isWatch = request.path == "/v1/kv-watch";
-        if (isSilent || isWatch) {
-            return m_server.leaveUnanswered(respond);
-        }
-        net::HttpReply reply;
-        if (request.path == "/v1/kv-range") {
-            reply.body = R"({"items":[],"at":5})";
-        } else if (request.path == "/v1/kv-lease") {
-            reply.body = R"({"lease":9,"ttl_ms":1300})";
-        } else if (request.path == "/v1/kv-txn") {
-            reply.body = R"({"revision":6})";
-        } else if (request.path.starts_with("/v1/kv-keep/") && hasLease) {
-            reply.body = R"({"ttl_ms":1300})";
-        } else {
-            reply.status = 404;
-        }
-        respond(std::move(reply));
-    }
-
-    net::tests::ServerThread m_server{
-            [this](const auto &request, const auto &respond) { answer(request, respond); }};
-};
-
 class OwnershipWorld
 {
 public:
@@ -84,7 +47,7 @@
         return told.size() >= count;
     }
 
-    LeasingStore store;
+    platform::tests::LeasingStore store;
     std::vector<std::string> told;
 
 private:
--- /dev/null
+++ b/src/platform/tests/leasingstore.h
@@ -0,0 +1,47 @@
+// A stand-in of the users' store that knows one lease and no owner's key.
+#pragma once
+
+#include "net/tests/serverthread.h"
+
+#include <atomic>
+#include <string>
+#include <utility>
+
+namespace cyclamenlatch::platform::tests {
+
+// Falls silent and forgets its lease when it is told.
+class LeasingStore
+{
+public:
+    std::string address() const { return m_server.address(); }
+
+    std::atomic<bool> isSilent = false;
+    std::atomic<bool> hasLease = true;
+
+private:
+    void answer(const net::HttpRequest &request, const net::HttpResponder &respond)
+    {
+        const bool isWatch = request.path == "/v1/kv-watch";
+        if (isSilent || isWatch) {
+            return m_server.leaveUnanswered(respond);
+        }
+        net::HttpReply reply;
+        if (request.path == "/v1/kv-range") {
+            reply.body = R"({"items":[],"at":5})";
+        } else if (request.path == "/v1/kv-lease") {
+            reply.body = R"({"lease":9,"ttl_ms":1300})";
+        } else if (request.path == "/v1/kv-txn") {
+            reply.body = R"({"revision":6})";
+        } else if (request.path.starts_with("/v1/kv-keep/") && hasLease) {
+            reply.body = R"({"ttl_ms":1300})";
+        } else {
+            reply.status = 404;
+        }
+        respond(std::move(reply));
+    }
+
+    net::tests::ServerThread m_server{
+            [this](const auto &request, const auto &respond) { answer(request, respond); }};
+};
+
+} // namespace cyclamenlatch::platform::tests
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -361,18 +361,22 @@
 {
     return !m_targets.empty()
            && std::none_of(m_targets.begin(), m_targets.end(), [](const auto &item) {
-                  return item.second->isListed && !item.second->isAdopted
-                         && item.second->failedCalls == 0;
+                  return item.second->isListed && contactOf(*item.second) == Contact::Unheard;
               });
 }
 
 OwnerCore::Contact OwnerCore::contact(const std::string &id) const
 {
     const auto *target = findTarget(id);
-    if (target != nullptr && target->failedCalls > 0) {
+    return target == nullptr ? Contact::Unheard : contactOf(*target);
+}
+
+OwnerCore::Contact OwnerCore::contactOf(const TargetState &target)
+{
+    if (target.failedCalls > 0) {
         return Contact::Silent;
     }
-    return target != nullptr && target->isAdopted ? Contact::Heard : Contact::Unheard;
+    return target.isAdopted ? Contact::Heard : Contact::Unheard;
 }
 
 double OwnerCore::runTimeRatio(const std::string &queue) const
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -231,6 +231,7 @@
     // It is looked at in the next plan, not only when its turn comes.
     void mark(TargetState &target);
     TargetState *findTarget(const std::string &id) const;
+    static Contact contactOf(const TargetState &target);
     const QueueRule *queueRule(const std::string &name) const;
     const WorkspaceRule *workspaceRule(const std::string &name) const;
     std::uint32_t mostAttempts(const JobState &job) const;
