--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -11,6 +11,7 @@
 asio::awaitable<int> otherKind(World &world);
 asio::awaitable<int> pendingCount(World &world);
 asio::awaitable<int> longSchedule(World &world);
+asio::awaitable<int> unadvisedTasks(World &world);
 asio::awaitable<int> upkeepAfterZoneCut(World &world);
 
 // A small deployment: the configuration with one queue for each service, and one tenant.
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -13,6 +13,7 @@
             {"other-kind", otherKind},
             {"pending-count", pendingCount},
             {"long-schedule", longSchedule},
+            {"unadvised-tasks", unadvisedTasks},
             {"upkeep-after-zone-cut", upkeepAfterZoneCut},
     };
     const auto script = argc == 4 ? scripts.find(argv[1]) : scripts.end();
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -741,6 +741,29 @@
                              [this](const Message &request, const Respond &respond) {
                                  m_world.cloud.handle(m_number, request, respond);
                              });
+    m_advice = Server::listen(
+            world.context, "127.0.3." + std::to_string(number + 1), 0,
+            [this](const Message &request, const Respond &respond) { advise(request, respond); });
+}
+
+// The advice service, which answers after decision_ms and per_worker_ms for each minion named.
+void Entry::advise(const Message &request, const Respond &respond) const
+{
+    constexpr Milliseconds decision{20};
+    constexpr Milliseconds perWorker{2};
+    constexpr int validMs = 5000;
+    const auto body = Json::parse(request.body);
+    const auto phase = body.value("phase", std::string{});
+    Json approved = Json::array();
+    const auto workers = body.value("workers", std::vector<std::string>{});
+    for (const auto &worker : workers) {
+        if (m_world.isAdvised && m_world.isAdvised(phase, worker)) {
+            approved.push_back({worker, "ticket-" + phase + "-" + worker});
+        }
+    }
+    m_world.note("advice: " + phase + " on " + Json(workers).dump() + ": " + approved.dump());
+    respondAfter(m_world.context, decision + perWorker * static_cast<int>(workers.size()), respond,
+                 {200, Json{{"approved", approved}, {"valid_ms", validMs}}.dump()});
 }
 
 Entry::~Entry()
@@ -770,7 +793,9 @@
             << "platform:\n  address: \"" << m_store->address()
             << "\"\n  form: \"kv\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n"
             << "  max_value_bytes: 1048576\n  min_ttl_ms: 1000\ncloud:\n  address: \""
-            << m_cloud->address() << "\"\n  rate_per_s: 64.0\n  duties: []\n  duty_per_s: 64.0\n";
+            << m_cloud->address()
+            << "\"\n  rate_per_s: 64.0\n  duties: []\n  duty_per_s: 64.0\nrecommendation: \""
+            << m_advice->address() << "\"\n";
     m_isAskedToEnd = false;
     m_pid = fork();
     if (m_pid == 0) {
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -232,6 +232,8 @@
     void cutFromPlatform(bool isCut);
 
 private:
+    void advise(const Message &request, const Respond &respond) const;
+
     World &m_world;
     int m_number;
     std::string m_name;
@@ -242,6 +244,7 @@
     std::string m_settingsPath;
     std::shared_ptr<Server> m_store;
     std::shared_ptr<Server> m_cloud;
+    std::shared_ptr<Server> m_advice;
     int m_pid = 0;
     bool m_isAskedToEnd = false;
     bool m_hasCrashed = false;
@@ -294,6 +297,8 @@
     // What tasks do.
     std::function<Work(const std::string &spec, const std::string &task, std::uint32_t attempt)>
             work;
+    // What the advice service allows: a step (its phase) on a minion.
+    std::function<bool(const std::string &phase, const std::string &minion)> isAdvised;
     // Told of each start that a minion has begun.
     std::function<void(const Start &)> onStart;
     // Told of each order that the platform has carried out: entry, machine, call.
