--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -21,6 +21,20 @@
 constexpr Milliseconds historyTime{20000};
 constexpr std::size_t pageItems = 500;
 constexpr std::size_t maxValueBytes = 1048576;
+// Third parts of the addresses; minions have the numbers below.
+constexpr int storeNet = 210;
+constexpr int cloudNet = 211;
+constexpr int adviceNet = 212;
+constexpr int entryNet = 220;
+
+// A loopback address of this run: runs beside each other have networks of their own.
+std::string loopback(int third, int fourth)
+{
+    constexpr int networks = 250;
+    static const int network = 2 + static_cast<int>(getpid()) % networks;
+    return "127." + std::to_string(network) + "." + std::to_string(third) + "."
+           + std::to_string(fourth);
+}
 
 std::string toBase64(const std::string &text)
 {
@@ -364,7 +378,7 @@
 {
     const auto number = world.minions.size() + 1;
     for (std::size_t entry = 0; entry < world.entries.size(); ++entry) {
-        const auto ip = "127.1." + std::to_string(number) + "." + std::to_string(entry + 1);
+        const auto ip = loopback(static_cast<int>(number), static_cast<int>(entry) + 1);
         m_servers.push_back(
                 Server::listen(world.context, ip, 0,
                                [this, entry](const Message &request, const Respond &respond) {
@@ -755,21 +769,21 @@
     , m_number(number)
     , m_name("edge-" + zone + "-" + std::to_string(number + 1))
     , m_zone(std::move(zone))
-    , m_ip("127.0." + std::to_string(10 + number) + ".1")
+    , m_ip(loopback(entryNet + number, 1))
     , m_frontend(m_ip + ":" + std::to_string(freePort(m_ip)))
     , m_readiness(m_ip + ":" + std::to_string(freePort(m_ip)))
     , m_settingsPath(world.directory + "/" + m_name + ".yaml")
 {
-    m_store = Server::listen(world.context, "127.0.1." + std::to_string(number + 1), 0,
+    m_store = Server::listen(world.context, loopback(storeNet, number + 1), 0,
                              [this](const Message &request, const Respond &respond) {
                                  m_world.store.handle(m_number, request, respond);
                              });
-    m_cloud = Server::listen(world.context, "127.0.2." + std::to_string(number + 1), 0,
+    m_cloud = Server::listen(world.context, loopback(cloudNet, number + 1), 0,
                              [this](const Message &request, const Respond &respond) {
                                  m_world.cloud.handle(m_number, request, respond);
                              });
     m_advice = Server::listen(
-            world.context, "127.0.3." + std::to_string(number + 1), 0,
+            world.context, loopback(adviceNet, number + 1), 0,
             [this](const Message &request, const Respond &respond) { advise(request, respond); });
 }
 
