Reserve targets only where the long-running task may start

Ten accepted jobs of a service had nothing running 14 s later, with four of its five targets idle, for as long as long-running tasks waited for the one target that advice allows them.

Cause: OwnerCore::reserve checked label, spread and free resources of a target, but not advice, as choose does for a start. Each waiting step reserved one more target and renewed that with each plan. A reservation also outlived what it was made under by up to 4 s: the task's wait, its job, the target's labels, room under the workspace's cap.

Evidence: the record of the case shows advice for i-1 only and no start on the idle targets. There was no log line for reservations, so they are logged now (E1814, target-reserved, reservation-released).

Change: a reservation needs a valid ticket where the queue needs advice, and each plan releases those whose task no longer waits or which label, spread, advice or cap exclude. An expired ticket alone does not release, but also does not renew, so that a silent advice service keeps no target free for longer than 4 s.

--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -569,6 +569,8 @@
             {Kind::Stalled, "stalled"},
             {Kind::Adopted, "adopted"},
             {Kind::Evacuated, "evacuated"},
+            {Kind::Reserved, "target-reserved"},
+            {Kind::ReservationReleased, "reservation-released"},
     };
     static constexpr NameTable names{entries};
     m_metrics.count(fmt::format(R"(decisions_total{{what="{}"}})", names.name(decision.kind)));
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -17,12 +17,8 @@
 
 namespace {
 
-// A long-running task that fits on no target gets a target reserved after the first time, and
-// short tasks there are preempted after the second. The platform requires a long-running task to be
-// back within nine seconds.
+// A long-running task that fits on no target gets a target reserved after this time.
 constexpr std::chrono::milliseconds reserveAfter{300};
-constexpr std::chrono::milliseconds preemptAfter{2500};
-constexpr std::chrono::seconds reservationTime{4};
 // Range of attempt numbers of one task in one term, so that those of the next owner are higher.
 constexpr std::uint32_t attemptsPerTerm = 4096;
 
@@ -96,6 +92,7 @@
         }
     }
     countUncertainUse(now);
+    releaseReservations(now);
     // By service, an upper bound of the free resources of each of its targets.
     std::unordered_map<std::string, Resources> mostFree;
     for (const auto &open : steps) {
@@ -251,75 +248,22 @@
 bool OwnerCore::allows(const OpenStep &open, const TargetState &target, const TaskRef &ref,
                        TimePoint now)
 {
-    const auto &spec = *open.step->spec;
     const bool isReservedForOther =
             target.reservedFor && *target.reservedFor != ref && target.reservedUntil > now;
-    if (isReservedForOther
-        || (!spec.requiredLabel.empty() && !target.info.hasLabel(spec.requiredLabel))) {
-        return false;
-    }
-    return spec.maxTasksPerTarget == 0
-           || std::count_if(open.step->tasks.begin(), open.step->tasks.end(),
-                            [&](const auto &other) { return other.target == &target; })
-                      < spec.maxTasksPerTarget;
+    return !isReservedForOther && meetsConstraints(*open.step, target);
 }
 
-// Reserves a target for a long-running task, and after preemptAfter preempts short tasks there.
-void OwnerCore::reserve(const OpenStep &open, const TaskState &task, const TaskRef &ref,
-                        const std::vector<TargetState *> &pool, TimePoint now)
+// Whether the target has the step's label and may run one more of its tasks.
+bool OwnerCore::meetsConstraints(const StepState &step, const TargetState &target)
 {
-    const auto &spec = *open.step->spec;
-    const auto resources = spec.allocatedResources();
-    TargetState *best = nullptr;
-    for (auto *target : pool) {
-        if (!allows(open, *target, ref, now)) {
-            continue;
-        }
-        if (target->reservedFor == ref && target->reservedUntil > now) {
-            best = target;
-            break;
-        }
-        Resources longRunning;
-        for (const auto &[other, run] : target->runs) {
-            if (run.isLongRunning) {
-                longRunning += run.resources;
-            }
-        }
-        if (!resources.fitsIn(target->info.capacity - longRunning)) {
-            continue;
-        }
-        if (best == nullptr || target->used.processors < best->used.processors) {
-            best = target;
-        }
-    }
-    if (best == nullptr) {
-        return;
-    }
-    best->reservedFor = ref;
-    best->reservedUntil = now + reservationTime;
-    if (now - task.waitingSince < preemptAfter) {
-        return;
-    }
-    Resources beingReleased;
-    std::vector<std::pair<int, TaskRef>> candidates;
-    for (const auto &[other, run] : best->runs) {
-        if (run.phase == RunPhase::Stopping || run.phase == RunPhase::OutcomeUnknown) {
-            beingReleased += run.resources;
-        } else if (!run.isLongRunning && run.phase == RunPhase::Running) {
-            candidates.emplace_back(run.percent, other);
-        }
-    }
-    std::sort(candidates.begin(), candidates.end());
-    for (const auto &[percent, other] : candidates) {
-        if (resources.fitsIn(best->info.capacity - best->used + beingReleased)) {
-            return;
-        }
-        auto &run = best->runs.at(other);
-        beingReleased += run.resources;
-        reportDecision(Decision::Kind::Preempted, other, run.attempt, best->info.id,
-                       "for the task that reserved the target");
-        stopRun(*best, other, run, now);
+    const auto &spec = *step.spec;
+    if (!spec.requiredLabel.empty() && !target.info.hasLabel(spec.requiredLabel)) {
+        return false;
     }
+    return spec.maxTasksPerTarget == 0
+           || std::count_if(step.tasks.begin(), step.tasks.end(), [&](const auto &other) {
+                  return other.target == &target;
+              }) < spec.maxTasksPerTarget;
 }
 
 void OwnerCore::startGang(const OpenStep &open, const std::vector<TargetState *> &pool,
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -78,6 +78,8 @@
         Stalled,
         Adopted,
         Evacuated,
+        Reserved,
+        ReservationReleased,
     };
     Kind kind = Kind::Started;
     TaskRef task;
@@ -307,11 +309,18 @@
     // resources are free.
     static bool allows(const OpenStep &open, const TargetState &target, const TaskRef &ref,
                        TimePoint now);
+    static bool meetsConstraints(const StepState &step, const TargetState &target);
     // Whether the queue needs no advice or a valid ticket allows the step on the target.
     static bool isAdvised(const OpenStep &open, const TargetState &target, TimePoint now);
     void askAdvice(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     void reserve(const OpenStep &open, const TaskState &task, const TaskRef &ref,
                  const std::vector<TargetState *> &pool, TimePoint now);
+    static TargetState *chooseReservation(const OpenStep &open, const TaskRef &ref,
+                                          const std::vector<TargetState *> &pool, TimePoint now);
+    void preemptShortTasks(TargetState &target, const Resources &resources, TimePoint now);
+    void releaseReservations(TimePoint now);
+    // Why the task no longer needs the reservation or may not use it; empty: it keeps it.
+    std::string reasonToRelease(const TargetState &target, const TaskRef &ref, TimePoint now) const;
     void start(const OpenStep &open, std::uint32_t index, TargetState &target,
                std::uint32_t attempt, TimePoint now);
     void sendStart(TargetState &target, const TaskRef &ref, RunState &run, TimePoint now);
--- a/src/scheduling/tests/ownerfixture.h
+++ b/src/scheduling/tests/ownerfixture.h
@@ -98,7 +98,7 @@
     {
         JobSubmission submission;
         submission.id = id;
-        submission.queue = "queue";
+        submission.queue = queue;
         submission.service = service;
         submission.workspace = workspace;
         submission.submitted = wall();
@@ -165,6 +165,8 @@
     TimePoint now = TimePoint(1000s);
     // Service of targets that are listed and jobs that are submitted from now on.
     std::string service = "pool";
+    // Queue of jobs that are submitted from now on.
+    std::string queue = "queue";
     // Data centre of targets that are listed from now on.
     std::string dataCentre = "a";
     std::vector<Decision> decisions;
