Keep the limits of jobs whose queue or workspace is not configured

An accepted job was shown as failed for good after one of its three attempts, since a configuration without its route was in force when its first run failed.

Cause: limits were looked up in the present configuration only, with a default for what it does not name: one attempt, the highest priority, no advice, no cap, never in excess of a weight. An owner that has an older configuration than the entry that accepted the job, and a new owner, had the same defaults. A limit that is lowered did not count failures from before.

Evidence: the owner's lines on the old code. E1804 version=4 queues=1, then E1814 ended "failed" of attempt 1 and E1815 how=failed in the same millisecond. The lines did not name the limit; E1814 attempts-exhausted and attempt-limit-unknown do now.

Change: the accepting entry stores the limits and the version of their configuration with the job. The owner takes the present configuration, else the latest version that it has seen, in a configuration or with a job. Unknown limits are not assumed: a failed task waits, and nothing of a workspace with an unknown cap starts. Attempts are checked before each start. The limits follow the fields of the record that earlier versions read, so that both read each other's records.

The simulated fleet of the tests had a workspace that no configuration names, and so no cap by the old default; its configuration names it now, with a weight that no job exceeds.

--- a/src/control/internal/jobrequesthandler.cpp
+++ b/src/control/internal/jobrequesthandler.cpp
@@ -169,6 +169,7 @@
     submission.workspace = pending->workspace;
     submission.submitted = wallNow();
     submission.spec = std::move(spec).value();
+    submission.limits = m_rules->limitsOf(pending->queue, pending->workspace);
     platform::StoreTransaction transaction;
     transaction.expected = {{stateKey(pending->id), 0}};
     transaction.writes = {{jobKey(pending->id), encodeSubmission(submission), 0},
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -569,6 +569,8 @@
             {Kind::Stalled, "stalled"},
             {Kind::Adopted, "adopted"},
             {Kind::Evacuated, "evacuated"},
+            {Kind::AttemptsExhausted, "attempts-exhausted"},
+            {Kind::AttemptLimitUnknown, "attempt-limit-unknown"},
             {Kind::Reserved, "target-reserved"},
             {Kind::ReservationReleased, "reservation-released"},
     };
--- a/src/control/internal/records.cpp
+++ b/src/control/internal/records.cpp
@@ -65,6 +65,48 @@
     job.spec.interval = std::chrono::milliseconds(interval);
 }
 
+template<typename Archive>
+void save(Archive &archive, const QueueLimits &limits)
+{
+    const auto advice = limits.advice.value_or(AdviceRule{});
+    archive(std::int32_t{limits.priority}, limits.maxAttempts, limits.slackFactor,
+            std::int64_t{limits.targetLatency.count()}, limits.advice.has_value(),
+            std::int64_t{advice.decision.count()}, std::int64_t{advice.perTarget.count()},
+            std::int64_t{advice.validity.count()});
+}
+
+template<typename Archive>
+void load(Archive &archive, QueueLimits &limits)
+{
+    std::int32_t priority = 0;
+    bool needsAdvice = false;
+    std::int64_t targetLatency = 0;
+    std::int64_t decision = 0;
+    std::int64_t perTarget = 0;
+    std::int64_t validity = 0;
+    archive(priority, limits.maxAttempts, limits.slackFactor, targetLatency, needsAdvice, decision,
+            perTarget, validity);
+    limits.priority = priority;
+    limits.targetLatency = std::chrono::milliseconds(targetLatency);
+    if (needsAdvice) {
+        limits.advice = AdviceRule{std::chrono::milliseconds(decision),
+                                   std::chrono::milliseconds(perTarget),
+                                   std::chrono::milliseconds(validity)};
+    }
+}
+
+template<typename Archive>
+void serialize(Archive &archive, WorkspaceLimits &limits)
+{
+    archive(limits.weight, limits.cap);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, JobLimits &limits)
+{
+    archive(limits.version, limits.queue, limits.workspace);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, StepProgress &progress)
 {
@@ -86,6 +128,30 @@
 
 constexpr std::uint8_t recordVersion = 2;
 
+template<typename Value>
+void saveTail(cereal::PortableBinaryOutputArchive &, const Value &)
+{}
+
+template<typename Value>
+void loadTail(membership::BoundedInputArchive &, Value &)
+{}
+
+// The limits come last: entries that do not know them read the rest of the record.
+void saveTail(cereal::PortableBinaryOutputArchive &archive,
+              const scheduling::JobSubmission &submission)
+{
+    if (submission.limits) {
+        archive(*submission.limits);
+    }
+}
+
+void loadTail(membership::BoundedInputArchive &archive, scheduling::JobSubmission &submission)
+{
+    if (archive.remainingBytes() > 0) {
+        archive(submission.limits.emplace());
+    }
+}
+
 template<typename Value>
 std::string encode(const Value &value)
 {
@@ -93,6 +159,7 @@
     {
         cereal::PortableBinaryOutputArchive archive(stream);
         archive(recordVersion, value);
+        saveTail(archive, value);
     }
     return stream.str();
 }
@@ -107,6 +174,7 @@
         archive(version);
         if (version == recordVersion) {
             archive(value);
+            loadTail(archive, value);
             return value;
         }
     } catch (const std::exception &) {
--- a/src/control/tests/records_tests.cpp
+++ b/src/control/tests/records_tests.cpp
@@ -27,6 +27,53 @@
     EXPECT_EQ(read.value().spec.steps[1].dataRack, "r1-3");
 }
 
+TEST(Records, limitsOfASubmissionSurviveARoundTrip)
+{
+    scheduling::JobSubmission job;
+    job.limits.emplace();
+    job.limits->version = 7;
+    job.limits->queue.maxAttempts = 3;
+    job.limits->queue.priority = 2;
+    job.limits->queue.slackFactor = 1.6;
+    job.limits->queue.targetLatency = std::chrono::milliseconds(600);
+    job.limits->queue.advice =
+            scheduling::AdviceRule{std::chrono::milliseconds(20), std::chrono::milliseconds(2),
+                                   std::chrono::milliseconds(5000)};
+    job.limits->workspace.weight = 12.5;
+    job.limits->workspace.cap = scheduling::Resources{10000, 2000, 1};
+    const auto read = decodeSubmission(encodeSubmission(job));
+    ASSERT_TRUE(read);
+    ASSERT_TRUE(read.value().limits.has_value());
+    const auto &limits = *read.value().limits;
+    EXPECT_EQ(limits.version, 7U);
+    EXPECT_EQ(limits.queue.maxAttempts, 3U);
+    EXPECT_EQ(limits.queue.priority, 2);
+    EXPECT_EQ(limits.queue.slackFactor, 1.6);
+    EXPECT_EQ(limits.queue.targetLatency.count(), 600);
+    ASSERT_TRUE(limits.queue.advice.has_value());
+    EXPECT_EQ(limits.queue.advice->perTarget.count(), 2);
+    EXPECT_EQ(limits.queue.advice->validity.count(), 5000);
+    EXPECT_EQ(limits.workspace.weight, 12.5);
+    EXPECT_EQ(limits.workspace.cap.processors, 10000);
+    EXPECT_EQ(limits.workspace.cap.accelerators, 1);
+}
+
+// A record of an entry that does not store limits ends where they would begin, and such an entry
+// reads a record with limits: it ignores what follows the fields that it knows.
+TEST(Records, submissionsWithAndWithoutLimitsShareAFormat)
+{
+    scheduling::JobSubmission job;
+    job.id = 5;
+    job.spec.text = "text";
+    job.spec.steps.resize(1);
+    const auto without = encodeSubmission(job);
+    EXPECT_FALSE(decodeSubmission(without).value().limits.has_value());
+    job.limits.emplace();
+    const auto with = encodeSubmission(job);
+    EXPECT_EQ(with.substr(0, without.size()), without);
+    EXPECT_FALSE(decodeSubmission(with.substr(0, with.size() - 1)));
+}
+
 TEST(Records, progressSurvivesARoundTrip)
 {
     rc::check([](const std::vector<std::uint32_t> &done, const std::string &checkpoint) {
--- a/src/membership/boundedinputarchive.h
+++ b/src/membership/boundedinputarchive.h
@@ -37,6 +37,8 @@
         m_bytes.remove_prefix(size);
     }
 
+    std::size_t remainingBytes() const { return m_bytes.size(); }
+
     void requireBytes(std::size_t size) const
     {
         if (size > m_bytes.size()) {
--- a/src/scheduling/fleetrules.h
+++ b/src/scheduling/fleetrules.h
@@ -22,22 +22,27 @@
     std::chrono::milliseconds validity{};
 };
 
-struct QueueRule
+// What a queue's rule says about its jobs.
+struct QueueLimits
 {
-    std::string name;
-    // A request goes to the queue with its host and the longest matching path prefix.
-    std::string host;
-    std::string prefix;
-    std::string service;
     // 0 is the highest.
     int priority = 0;
     std::uint32_t maxAttempts = 1;
     // A job's objective is slackFactor times its critical path, plus targetLatency.
     double slackFactor = 1;
     std::chrono::milliseconds targetLatency{};
+    std::optional<AdviceRule> advice;
+};
+
+struct QueueRule : QueueLimits
+{
+    std::string name;
+    // A request goes to the queue with its host and the longest matching path prefix.
+    std::string host;
+    std::string prefix;
+    std::string service;
     // Requests need no key.
     bool isPublic = false;
-    std::optional<AdviceRule> advice;
 };
 
 struct ServiceRule
@@ -49,16 +54,30 @@
     bool isStandby = false;
 };
 
-struct WorkspaceRule
+// What a workspace's rule says about its jobs.
+struct WorkspaceLimits
 {
-    std::string name;
-    std::vector<std::string> keys;
     // Relative share when the fleet is full, and the jobs per second that are within its share.
     double weight = 1;
     // Cap on the resources of its runs over all targets; 0: unlimited.
     Resources cap;
 };
 
+struct WorkspaceRule : WorkspaceLimits
+{
+    std::string name;
+    std::vector<std::string> keys;
+};
+
+// The limits of a job in the configuration under which it was accepted.
+struct JobLimits
+{
+    // Version of that configuration.
+    std::uint64_t version = 0;
+    QueueLimits queue;
+    WorkspaceLimits workspace;
+};
+
 struct RequestLimits
 {
     std::size_t maxBodyBytes = std::size_t{256} * 1024;
@@ -72,6 +91,18 @@
     std::vector<ServiceRule> services;
     std::vector<WorkspaceRule> workspaces;
     RequestLimits limits;
+
+    // Limits of a job that is accepted now. workspace: empty for a public queue.
+    JobLimits limitsOf(const QueueRule &queue, const std::string &workspace) const
+    {
+        JobLimits accepted{version, queue, {}};
+        for (const auto &rule : workspaces) {
+            if (rule.name == workspace) {
+                accepted.workspace = rule;
+            }
+        }
+        return accepted;
+    }
 };
 
 } // namespace cyclamenlatch::scheduling
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -19,39 +19,6 @@
 
 OwnerCore::~OwnerCore() = default;
 
-void OwnerCore::setRules(FleetRules rules, TimePoint)
-{
-    m_rules = std::move(rules);
-    m_queues.clear();
-    for (const auto &queue : m_rules.queues) {
-        m_queues.emplace(queue.name, &queue);
-    }
-    m_workspaces.clear();
-    for (const auto &workspace : m_rules.workspaces) {
-        m_workspaces.emplace(workspace.name, &workspace);
-    }
-}
-
-const QueueRule *OwnerCore::queueRule(const std::string &name) const
-{
-    const auto found = m_queues.find(name);
-    return found == m_queues.end() ? nullptr : found->second;
-}
-
-const WorkspaceRule *OwnerCore::workspaceRule(const std::string &name) const
-{
-    const auto found = m_workspaces.find(name);
-    return found == m_workspaces.end() ? nullptr : found->second;
-}
-
-// Jobs of a queue that is no longer configured get one attempt: 1 is within every limit that the
-// queue may have had.
-std::uint32_t OwnerCore::maxAttempts(const JobState &job) const
-{
-    const auto *rule = queueRule(job.submission.queue);
-    return rule == nullptr ? 1 : std::max<std::uint32_t>(rule->maxAttempts, 1);
-}
-
 void OwnerCore::reportDecision(Decision::Kind kind, const TaskRef &task, std::uint32_t attempt,
                                const std::string &target, std::string detail)
 {
@@ -86,9 +53,10 @@
         }
     }
     job->occurrenceDone.assign(job->submission.spec.occurrenceCount(), false);
-    if (const auto *workspace = workspaceRule(job->submission.workspace)) {
+    learnLimits(job->submission);
+    if (const auto *workspace = workspaceLimits(job->submission.workspace)) {
         // A burst of up to one second at the rate is allowed.
-        auto &bucket = m_startTokenBuckets[workspace->name];
+        auto &bucket = m_startTokenBuckets[job->submission.workspace];
         const double rate = std::max(workspace->weight, 1.0);
         bucket.jobs =
                 bucket.refilled == TimePoint{}
@@ -176,7 +144,7 @@
             spec.isTimed() ? spec.firstDue + spec.interval * number : job.submission.submitted;
     // The wall clocks may differ, so an age of more than a minute is not trusted.
     const auto age = std::clamp<WallTime::duration>(wallNow - due, {}, std::chrono::minutes(1));
-    const auto *queue = queueRule(job.submission.queue);
+    const auto *queue = queueLimits(job.submission.queue);
     const double slack = queue == nullptr ? 1 : queue->slackFactor;
     occurrence.objective =
             now - age
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -270,9 +270,10 @@
 
 bool OwnerCore::mayUse(const std::string &workspace, const Resources &requiredResources) const
 {
-    const auto *rule = workspaceRule(workspace);
-    if (rule == nullptr) {
-        return true;
+    const auto *limits = workspaceLimits(workspace);
+    if (limits == nullptr) {
+        // Jobs of public queues have no workspace. A cap that is not known must not be exceeded.
+        return workspace.empty();
     }
     Resources used = m_orphanedUse + requiredResources;
     if (const auto found = m_used.find(workspace); found != m_used.end()) {
@@ -281,7 +282,7 @@
     if (const auto found = m_uncertainUse.find(workspace); found != m_uncertainUse.end()) {
         used += found->second;
     }
-    return used.isWithinCap(m_hasUncontactedTargets ? reduced(rule->cap) : rule->cap);
+    return used.isWithinCap(m_hasUncontactedTargets ? reduced(limits->cap) : limits->cap);
 }
 
 } // namespace cyclamenlatch::scheduling
--- a/src/scheduling/internal/ownerreservations.cpp
+++ b/src/scheduling/internal/ownerreservations.cpp
@@ -132,7 +132,7 @@
     }
     // An expired ticket is no reason: the advice for a step does not change, and the reservation is
     // not renewed before there is a valid ticket again.
-    const auto *queue = queueRule(job->submission.queue);
+    const auto *queue = queueLimits(job->submission.queue);
     const auto ticket = step->tickets.find(target.info.id);
     if (queue != nullptr && queue->advice
         && (ticket == step->tickets.end() || ticket->second.text.empty())) {
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -190,9 +190,11 @@
     }
     failed.push_back(end.attempt);
     markDirty(job, false, now);
-    if (failed.size() >= maxAttempts(job)) {
-        finishJob(job, JobPhase::Failed, now);
+    if (attemptsLeft(job, step, task) == AttemptsLeft::Unknown) {
+        reportDecision(Decision::Kind::AttemptLimitUnknown, end.task, end.attempt, target.info.id,
+                       "waits until the configuration names the queue");
     }
+    checkAttempts(job, step, end.task, now);
 }
 
 void OwnerCore::handleRunStatus(TargetState &target, const RunStatus &row, TimePoint sentAt,
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -46,7 +46,7 @@
 
 void OwnerCore::addOpenSteps(JobState &job, TimePoint now, std::vector<OpenStep> &open) const
 {
-    const auto *queue = queueRule(job.submission.queue);
+    const auto *queue = queueLimits(job.submission.queue);
     const double ratio = runTimeRatio(job.submission.queue);
     for (auto &[number, occurrence] : job.occurrences) {
         const bool hasBegun =
@@ -98,7 +98,7 @@
     for (const auto &open : steps) {
         const auto &service = open.job->submission.service;
         const auto pool = pools.find(service);
-        if (pool == pools.end() || isUncertain(*open.job, now)) {
+        if (pool == pools.end() || isFinal(open.job->phase) || isUncertain(*open.job, now)) {
             continue;
         }
         if (open.advice != nullptr) {
@@ -175,6 +175,12 @@
             continue;
         }
         const TaskRef ref{open.job->submission.id, open.occurrence->number, open.stepIndex, index};
+        if (!checkAttempts(*open.job, *open.step, ref, now)) {
+            if (isFinal(open.job->phase)) {
+                return;
+            }
+            continue;
+        }
         if (!mayUse(open.job->submission.workspace, resources)) {
             return;
         }
@@ -270,7 +276,8 @@
                           TimePoint now)
 {
     auto &step = *open.step;
-    if (step.waiting != step.spec->count) {
+    const TaskRef first{open.job->submission.id, open.occurrence->number, open.stepIndex, 0};
+    if (step.waiting != step.spec->count || !checkAttempts(*open.job, step, first, now)) {
         return;
     }
     if (!mayUse(open.job->submission.workspace, step.spec->requiredResources * step.spec->count)) {
--- a/src/scheduling/jobrecord.h
+++ b/src/scheduling/jobrecord.h
@@ -1,12 +1,14 @@
 // Stored state of a job: its submission, written once, and its progress, written by the owner.
 #pragma once
 
+#include "scheduling/fleetrules.h"
 #include "scheduling/jobphase.h"
 #include "scheduling/jobspec.h"
 #include "scheduling/taskref.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +26,9 @@
     // When the entry accepted the job.
     WallTime submitted{};
     JobSpec spec;
+    // They hold while the configuration does not name the queue or the workspace. Empty in records
+    // of entries that did not store them.
+    std::optional<JobLimits> limits;
 };
 
 // Progress of one step of an occurrence.
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -78,6 +78,9 @@
         Stalled,
         Adopted,
         Evacuated,
+        // A task has failed as often as its queue allows, or the queue's limit is not known.
+        AttemptsExhausted,
+        AttemptLimitUnknown,
         Reserved,
         ReservationReleased,
     };
@@ -239,9 +242,19 @@
     void scheduleForPlanning(TargetState &target);
     TargetState *findTarget(const std::string &id) const;
     static Contact contactOf(const TargetState &target);
-    const QueueRule *queueRule(const std::string &name) const;
-    const WorkspaceRule *workspaceRule(const std::string &name) const;
-    std::uint32_t maxAttempts(const JobState &job) const;
+    // Limits of a queue or workspace: those of the configuration, or the latest known ones if the
+    // configuration does not name it; null if none are known.
+    const QueueLimits *queueLimits(const std::string &name) const;
+    const WorkspaceLimits *workspaceLimits(const std::string &name) const;
+    // Keeps the limits that live jobs need and the next configuration does not name.
+    void retainFormerLimits(const FleetRules &next);
+    void learnLimits(const JobSubmission &submission);
+    // Whether the task, or the gang as a whole, may be started once more.
+    enum class AttemptsLeft { Yes, No, Unknown };
+    AttemptsLeft attemptsLeft(const JobState &job, const StepState &step,
+                              const TaskState &task) const;
+    // Ends the job if the task has no attempts left; returns whether the task may be started.
+    bool checkAttempts(JobState &job, const StepState &step, const TaskRef &ref, TimePoint now);
     void reportDecision(Decision::Kind kind, const TaskRef &task, std::uint32_t attempt,
                         const std::string &target, std::string detail = {});
 
@@ -342,6 +355,16 @@
     // By name, of m_rules.
     std::unordered_map<std::string, const QueueRule *> m_queues;
     std::unordered_map<std::string, const WorkspaceRule *> m_workspaces;
+    // Limits of queues and workspaces of live jobs that m_rules does not name, and the version of
+    // the configuration that they are from.
+    template<typename Limits>
+    struct FormerLimits
+    {
+        std::uint64_t version = 0;
+        Limits limits;
+    };
+    std::unordered_map<std::string, FormerLimits<QueueLimits>> m_formerQueues;
+    std::unordered_map<std::string, FormerLimits<WorkspaceLimits>> m_formerWorkspaces;
     std::unordered_map<std::string, std::unique_ptr<TargetState>> m_targets;
     // The same targets sorted by id, so that choices among equal targets are deterministic.
     std::vector<TargetState *> m_targetsById;
--- a/src/scheduling/tests/fleetsimulation.h
+++ b/src/scheduling/tests/fleetsimulation.h
@@ -61,6 +61,11 @@
             rules.queues.push_back(queue);
             rules.services.push_back({poolOf(pool), false, false});
         }
+        WorkspaceRule workspace;
+        workspace.name = "space";
+        // No job exceeds its workspace's rate.
+        workspace.weight = 1e6;
+        rules.workspaces.push_back(workspace);
         core.setRules(rules, now);
         for (std::uint32_t pool = 0; pool < shape.pools; ++pool) {
             for (std::uint32_t number = 0; number < shape.targetsPerPool; ++number) {
--- a/src/scheduling/tests/ownerfixture.h
+++ b/src/scheduling/tests/ownerfixture.h
@@ -103,6 +103,7 @@
         submission.workspace = workspace;
         submission.submitted = wall();
         submission.spec.steps = std::move(steps);
+        submission.limits = limits;
         core.jobArrived(submission, std::move(progress), 1, 1, isNew, now, wall());
     }
 
@@ -167,6 +168,8 @@
     std::string service = "pool";
     // Queue of jobs that are submitted from now on.
     std::string queue = "queue";
+    // Limits that are stored with jobs that are submitted from now on.
+    std::optional<JobLimits> limits;
     // Data centre of targets that are listed from now on.
     std::string dataCentre = "a";
     std::vector<Decision> decisions;
