Use targets once the configuration or a live job names their service

What callers would see (found by reading, same cause as the former limits): jobs of a service wait for targets that the platform lists. The owner dropped a listed target whose service the present configuration does not name, and did not look at it again before its entry changed. So a service that is configured after its targets have registered stays without them, and a service that is removed loses its targets with the next change of their entries, also for accepted jobs.

Change: the core decides which targets are used. Targets of a service that neither the configuration nor a live job names are set aside, and are listed with the configuration or the job that names it (E1825 target-assigned). The fixture of the host planner's tests gives the core the same configuration as the planner; their checks are unchanged.

--- a/src/control/controlevents.h
+++ b/src/control/controlevents.h
@@ -56,6 +56,10 @@
         "A target does not answer the owner; its runs go on until their leases expire."};
 inline constexpr Event targetRecovered{1817, Severity::Info, "target-recovered",
                                        "A target answers the owner again."};
+inline constexpr Event targetAssigned{
+        1825, Severity::Info, "target-assigned",
+        "A target came into use that the platform had listed before: the configuration or a job "
+        "names its service now."};
 inline constexpr Event jobAccepted{1820, Severity::Info, "job-accepted",
                                    "A caller's job is stored; the owner will run it."};
 inline constexpr Event jobRefused{
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -111,12 +111,9 @@
 
 void OwnerService::setRules(const scheduling::FleetRules &rules)
 {
-    m_services.clear();
-    for (const auto &service : rules.services) {
-        m_services.insert(service.name);
-    }
     m_core.setRules(rules, bootNow());
     m_hostService.setRules(rules);
+    keepAliveAssigned();
     schedulePlan();
 }
 
@@ -225,6 +222,7 @@
         m_targetWatcher.start();
         m_hostService.start();
     }
+    keepAliveAssigned();
     schedulePlan();
 }
 
@@ -259,6 +257,7 @@
     const auto now = bootNow();
     const auto prefix = platform::targetsPrefix.size();
     if (isSnapshot) {
+        m_core.forgetUnassignedTargets();
         std::unordered_set<std::string> listed;
         for (const auto &item : items) {
             listed.insert(item.key.substr(std::min(prefix, item.key.size())));
@@ -275,10 +274,10 @@
         }
         const auto id = item.key.substr(prefix);
         auto target = item.deleted ? std::nullopt : platform::decodeTarget(item.key, item.value);
-        if (target && m_services.contains(target->service)) {
+        if (target) {
             m_core.targetListed(*target, now);
             keepAliveListed(id);
-        } else if (item.deleted || m_core.target(id) != nullptr) {
+        } else {
             m_core.targetUnlisted(id, now);
         }
     }
@@ -338,9 +337,21 @@
             });
 }
 
+void OwnerService::keepAliveAssigned()
+{
+    const auto ids = m_core.takeAssignedTargets();
+    for (const auto &id : ids) {
+        logEvent(targetAssigned, "target={}", id);
+        keepAliveListed(id);
+    }
+    if (!ids.empty()) {
+        recordTargets();
+    }
+}
+
 void OwnerService::keepAliveListed(const std::string &id)
 {
-    if (!m_keepAliveLoops.contains(id)) {
+    if (m_core.target(id) != nullptr && !m_keepAliveLoops.contains(id)) {
         m_keepAliveLoops.emplace(id, std::make_unique<KeepAliveLoop>(m_context));
         keepAlive(id);
     }
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -65,6 +65,8 @@
 
     // Targets.
     void keepAliveListed(const std::string &id);
+    // Starts the keep-alives of targets that came into use without being listed again.
+    void keepAliveAssigned();
     void keepAlive(const std::string &id);
     void keepAliveAfter(const std::string &id, Duration delay);
     void handleKeepAliveReply(const std::string &id, const net::HttpCallResult &result,
@@ -118,7 +120,6 @@
     // States read at the start; each is removed when its job is listed.
     std::unordered_map<scheduling::JobNumber, platform::StoreItem> m_states;
     std::unordered_map<std::string, std::unique_ptr<KeepAliveLoop>> m_keepAliveLoops;
-    std::unordered_set<std::string> m_services;
     // Revision of the stored list of targets that may have orders; 0: not stored yet.
     platform::StoreRevision m_orderedTargetsRevision = 0;
     bool m_isRecordingTargets = false;
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -72,6 +72,12 @@
     }
     auto &added = *m_jobs.emplace(id, std::move(job)).first->second;
     openDue(added, now, wallNow);
+    const bool isAwaited = std::any_of(
+            m_unassignedTargets.begin(), m_unassignedTargets.end(),
+            [&](const auto &item) { return item.second.service == added.submission.service; });
+    if (isAwaited) {
+        listUnassignedTargets(now);
+    }
 }
 
 void OwnerCore::jobCancelled(JobNumber id, TimePoint now)
--- a/src/scheduling/internal/ownerlimits.cpp
+++ b/src/scheduling/internal/ownerlimits.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-void OwnerCore::setRules(FleetRules rules, TimePoint)
+void OwnerCore::setRules(FleetRules rules, TimePoint now)
 {
     retainFormerLimits(rules);
     m_rules = std::move(rules);
@@ -50,6 +50,7 @@
         m_workspaces.emplace(workspace.name, &workspace);
         m_formerWorkspaces.erase(workspace.name);
     }
+    listUnassignedTargets(now);
 }
 
 void OwnerCore::retainFormerLimits(const FleetRules &next)
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -88,8 +88,35 @@
     return found == nullptr ? nullptr : &found->info;
 }
 
+bool OwnerCore::isServiceKnown(const std::string &service) const
+{
+    return std::any_of(m_rules.services.begin(), m_rules.services.end(),
+                       [&](const auto &rule) { return rule.name == service; })
+           || std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto &item) {
+                  return item.second->submission.service == service;
+              });
+}
+
+void OwnerCore::listUnassignedTargets(TimePoint now)
+{
+    const auto targets = std::exchange(m_unassignedTargets, {});
+    for (const auto &[id, info] : targets) {
+        // A target whose service is still not known is set aside again.
+        targetListed(info, now);
+        if (!m_unassignedTargets.contains(id)) {
+            m_assignedTargets.push_back(id);
+        }
+    }
+}
+
 void OwnerCore::targetListed(const TargetInfo &info, TimePoint now)
 {
+    if (!isServiceKnown(info.service)) {
+        targetUnlisted(info.id, now);
+        m_unassignedTargets[info.id] = info;
+        return;
+    }
+    m_unassignedTargets.erase(info.id);
     auto &target = targetState(info.id);
     const bool hasRestarted = info.incarnation != 0 && target.incarnation != 0
                               && info.incarnation > target.incarnation;
@@ -111,6 +138,7 @@
 
 void OwnerCore::targetUnlisted(const std::string &id, TimePoint)
 {
+    m_unassignedTargets.erase(id);
     if (auto *target = findTarget(id)) {
         target->isListed = false;
         scheduleForPlanning(*target);
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -146,9 +146,14 @@
 
     void setRules(FleetRules rules, TimePoint now);
 
-    // The platform lists a target that is new or has changed.
+    // The platform lists a target that is new or has changed. A target of a service that neither
+    // the configuration nor a live job names is not used until one of them does.
     void targetListed(const TargetInfo &info, TimePoint now);
     void targetUnlisted(const std::string &id, TimePoint now);
+    // The platform's list is read anew: targets that were set aside are given again if they exist.
+    void forgetUnassignedTargets() { m_unassignedTargets.clear(); }
+    // Targets that were set aside and came into use since the last call.
+    std::vector<std::string> takeAssignedTargets() { return std::exchange(m_assignedTargets, {}); }
     // An earlier owner gave orders to the target, and the platform does not list it now.
     void targetRestored(const std::string &id, TimePoint now);
     // The target's id is stored among those that may have been given orders.
@@ -237,6 +242,9 @@
     struct OpenStep;
 
     TargetState &targetState(const std::string &id);
+    bool isServiceKnown(const std::string &service) const;
+    // Lists the targets that were set aside and whose service is known now.
+    void listUnassignedTargets(TimePoint now);
     void eraseTarget(const std::string &id);
     // Has the next plan examine the target, rather than the next full scan.
     void scheduleForPlanning(TargetState &target);
@@ -366,6 +374,9 @@
     std::unordered_map<std::string, FormerLimits<QueueLimits>> m_formerQueues;
     std::unordered_map<std::string, FormerLimits<WorkspaceLimits>> m_formerWorkspaces;
     std::unordered_map<std::string, std::unique_ptr<TargetState>> m_targets;
+    // Listed targets whose service is not known, by id.
+    std::map<std::string, TargetInfo> m_unassignedTargets;
+    std::vector<std::string> m_assignedTargets;
     // The same targets sorted by id, so that choices among equal targets are deterministic.
     std::vector<TargetState *> m_targetsById;
     // Targets that changed since they were last examined; each has isScheduledForPlanning set.
--- a/src/scheduling/tests/hostplanner_tests.cpp
+++ b/src/scheduling/tests/hostplanner_tests.cpp
@@ -18,6 +18,7 @@
         rules.services.push_back({"off", false, true});
         rules.services.push_back({"other", false, false});
         planner.setRules(rules);
+        fixture.core.setRules(rules, fixture.now);
     }
 
     void add(const std::string &name, const std::string &pool = "pool",
