Order no host down while it is not known what runs there

Long-running tasks of one step ended together, beyond its budget, when a new owner took hosts down for a late wave whose targets it had not reached.

Cause: OwnerCore::load gave a target that has not answered one run that is not long-running, and HostPlanner::orderIfDrained orders such a host when the drain timeout is over, at once for a late wave. So "not heard yet" counted as "only short tasks left". The same load stood for targets that are not listed, have restarted under their id or fall silent while their host is drained, and for moves; and an order was judged by the target that the host had when it was planned.

Evidence: lines of the new owner on the old code. Owner at 0 s; m-8 and m-9 "being drained" at 3.232 s, when the cooldown is over, and "ordered" 5 ms later, although it had not reached their targets. The line of an order says what is known of the load now.

Change: a load says whether it is known: the target answers, or the longest lease has expired. Hosts with an unknown load are not chosen for a wave and get no order; a host whose target has changed is planned anew.

--- a/src/scheduling/internal/hostplanner.cpp
+++ b/src/scheduling/internal/hostplanner.cpp
@@ -37,6 +37,13 @@
 // within some milliseconds.
 constexpr std::chrono::milliseconds maxSettleTime{1000};
 
+std::string describe(const TargetLoad &load)
+{
+    return std::string(load.isKnown ? "" : "its target's runs are not known, ") + "runs="
+           + std::to_string(load.runs) + " long_running=" + std::to_string(load.longRunning)
+           + " unrecorded_ends=" + (load.hasUnrecordedEnds ? "yes" : "no");
+}
+
 } // namespace
 
 HostPlanner::HostPlanner(HostPlannerSettings settings, OwnerCore &core, TimePoint now,
@@ -202,8 +209,12 @@
         isOpen = true;
         if (!isOrderedByEarlierHolder && !host.pendingOrder && !host.unavailableSince
             && host.info.state == HostState::Up) {
-            const auto load = m_core.load(host.info.target);
-            candidates.push_back({{load.nonEvictable, load.longRunning, load.runs}, &host});
+            const auto load = m_core.load(host.info.target, now);
+            // Draining has no effect on a target that does not answer, and the host would count
+            // against the wave's limit meanwhile.
+            if (load.isKnown) {
+                candidates.push_back({{load.nonEvictable, load.longRunning, load.runs}, &host});
+            }
         }
     }
     if (!isOpen) {
@@ -308,10 +319,14 @@
         || isInTakeoverDelay(host.info.name, now) || !m_recorded.contains(host.info.name)) {
         return;
     }
-    const auto load = m_core.load(host.pendingOrderTarget);
+    if (host.info.target != host.pendingOrderTarget && !host.isOutcomeUnknown) {
+        m_listener(host.info.name, "no longer drained: another target runs there");
+        return cancelDraining(host);
+    }
+    const auto load = m_core.load(host.pendingOrderTarget, now);
     const bool isDue = now - host.drainingSince > drainTimeout(host, now);
     const bool isBusy = load.runs > 0 && (!isDue || load.longRunning > 0);
-    if ((isBusy || load.hasUnrecordedEnds) && !host.isOutcomeUnknown) {
+    if ((!load.isKnown || isBusy || load.hasUnrecordedEnds) && !host.isOutcomeUnknown) {
         return;
     }
     if (m_orderTokens < 1) {
@@ -320,7 +335,7 @@
     m_orderTokens -= 1;
     host.isOrderInFlight = true;
     host.orderedAt = now;
-    m_listener(host.info.name, "ordered");
+    m_listener(host.info.name, "ordered; " + describe(load));
     orders.push_back(*host.pendingOrder);
 }
 
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -195,8 +195,7 @@
     const auto margin = m_settings.stopTimeout + leaseExpiryMargin;
     if (!target.clock || !target.isAdopted) {
         // An earlier owner may have granted the longest lease just before this one took over.
-        const auto since = std::max(m_began, target.lastOrderAt);
-        return toSeconds(now - since) * minClockRate > toSeconds(m_settings.maxRunLease + margin);
+        return hasLongestLeaseExpired(std::max(m_began, target.lastOrderAt), now);
     }
     const auto clockNow = *target.clock
                           + std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -204,6 +203,12 @@
     return clockNow > target.leaseUntil + margin;
 }
 
+bool OwnerCore::hasLongestLeaseExpired(TimePoint granted, TimePoint now) const
+{
+    const auto margin = m_settings.stopTimeout + leaseExpiryMargin;
+    return toSeconds(now - granted) * minClockRate > toSeconds(m_settings.maxRunLease + margin);
+}
+
 std::optional<KeepAliveOrder> OwnerCore::keepAliveOrder(const std::string &id, TimePoint now)
 {
     auto *target = findTarget(id);
@@ -360,17 +365,21 @@
     }
 }
 
-TargetLoad OwnerCore::load(const std::string &id) const
+TargetLoad OwnerCore::load(const std::string &id, TimePoint now) const
 {
     TargetLoad load;
     const auto *target = findTarget(id);
     if (target == nullptr) {
-        load.runs = id.empty() ? 0 : 1;
+        // This owner has never used the target, or has seen all of its runs end.
+        load.isKnown = id.empty() || hasLongestLeaseExpired(m_began, now);
+        load.runs = load.isKnown ? 0 : 1;
         return load;
     }
+    const bool hasExpired = hasLeaseExpired(*target, now);
+    load.isKnown = contactOf(*target) == Contact::Reachable || hasExpired;
     // A target that was not contacted may have runs.
-    load.runs =
-            target->isAdopted ? target->runs.size() : std::max<std::size_t>(target->runs.size(), 1);
+    load.runs = target->isAdopted || hasExpired ? target->runs.size()
+                                                : std::max<std::size_t>(target->runs.size(), 1);
     load.hasUnrecordedEnds = target->endsSeen > target->endsRecorded;
     load.usedShare =
             static_cast<double>(target->used.processors)
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -96,6 +96,9 @@
 // Load of a target, for the decision whether its host may be taken down.
 struct TargetLoad
 {
+    // The target answers this owner, or every lease that it may have has expired. Otherwise it may
+    // run more than the other fields tell, and may have ended runs that it has not listed.
+    bool isKnown = false;
     std::size_t runs = 0;
     // Long-running tasks, and those among them whose step has exhausted its disruption budget.
     std::size_t longRunning = 0;
@@ -217,7 +220,7 @@
     void hostsListed(const std::vector<HostInfo> &hosts, TimePoint now);
     // The host of the target was taken down, so all its runs have ended.
     void targetHostDown(const std::string &id, TimePoint now);
-    TargetLoad load(const std::string &id) const;
+    TargetLoad load(const std::string &id, TimePoint now) const;
     // Whether nothing runs on the target and all ends there are stored. An unknown target may run
     // anything, so it is not idle; the empty id stands for no target, which is idle.
     bool isIdle(const std::string &id) const;
@@ -304,6 +307,8 @@
     void recordTargetFailure(TargetState &target, JobNumber job, TimePoint now);
     void stopRun(TargetState &target, const TaskRef &task, RunState &run, TimePoint now);
     bool hasLeaseExpired(const TargetState &target, TimePoint now) const;
+    // Whether the longest lease that was granted at this time has expired on every target's clock.
+    bool hasLongestLeaseExpired(TimePoint granted, TimePoint now) const;
     std::chrono::milliseconds leaseFrom(const TargetState &target, TimePoint now) const;
 
     // Planning.
