Take the target of a host from its entry if the list of hosts names none

Found by reading, same cause as the unreached hosts; no caller reported it. A host that the platform's list shows as up and without a target counted as idle, so that a wave or a move could order it at once while a target that names the host ran tasks there.

--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -403,6 +403,15 @@
                                        && target->endsSeen <= target->endsRecorded;
 }
 
+std::string OwnerCore::targetOn(const std::string &host) const
+{
+    const auto found =
+            std::find_if(m_targetsById.begin(), m_targetsById.end(), [&](const auto *target) {
+                return target->isListed && target->info.host == host;
+            });
+    return found == m_targetsById.end() ? std::string{} : (*found)->info.id;
+}
+
 bool OwnerCore::hasContactedAllTargets() const
 {
     return !m_targets.empty()
--- a/src/scheduling/tests/unreachedhosts_tests.cpp
+++ b/src/scheduling/tests/unreachedhosts_tests.cpp
@@ -201,6 +201,20 @@
     EXPECT_TRUE(hosts.orderedWithin(8s).empty());
 }
 
+// Guards against the same fault where the list of hosts does not name the host's target.
+TEST(UnreachedHosts, includeThoseWhoseTargetOnlyItsOwnEntryNames)
+{
+    UnreachedHostsFixture hosts;
+    hosts.addUnreached("a");
+    auto entry = *hosts.fixture.core.target("t-a");
+    entry.host = "a";
+    hosts.fixture.core.targetListed(entry, hosts.fixture.now);
+    hosts.hosts[0].target.clear();
+    hosts.requestLateWave({"a"}, 1);
+    EXPECT_TRUE(hosts.orderedWithin(4s).empty());
+    EXPECT_EQ(hosts.orderedWithin(leaseExpiry), Names{"a"});
+}
+
 // Moves are judged in the same way: the target restarts after its idle host was chosen.
 TEST(UnreachedHosts, areNotMovedToAnotherPool)
 {
