Check depth, range and characters of what the platform sends

Reported by operators of systems like ours: one odd entry of another writer among those of the minions, deeply nested, with a number too large or with a port out of range, made the processes that read the list end again and again, or stop following it. No caller of ours has reported it.

Cause: jsonfields.h checked the type of a field and not its range, and an entry was used as far as it could be read. Names were put into headers, URLs and log lines as they came.

Numbers are checked where they are read, in each decoder of src/platform. The log replaces control bytes.

--- a/src/control/internal/eventlog.cpp
+++ b/src/control/internal/eventlog.cpp
@@ -9,6 +9,8 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace cyclamenlatch::control {
@@ -60,9 +62,19 @@
         const auto dropped = std::exchange(m_dropped, 0);
         append(linesDropped, fmt::format("count={}", dropped));
     }
-    fmt::format_to(std::back_inserter(m_buffer), "{} E{} {} {} entry={} {}\n",
+    const auto begin = m_buffer.size();
+    fmt::format_to(std::back_inserter(m_buffer), "{} E{} {} {} entry={} {}",
                    wallNow().time_since_epoch().count(), event.number, event.name,
                    severityName(event.severity), m_entry, details);
+    // Names from other processes must not end the line.
+    std::replace_if(
+            m_buffer.begin() + static_cast<std::ptrdiff_t>(begin), m_buffer.end(),
+            [](const char character) {
+                const auto byte = static_cast<unsigned char>(character);
+                return byte < 0x20 || byte == 0x7f;
+            },
+            '?');
+    m_buffer.push_back('\n');
     flushLater();
 }
 
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -278,6 +278,9 @@
             m_core.targetListed(*target, now);
             keepAliveListed(id);
         } else {
+            if (!item.deleted) {
+                logEvent(recordUnreadable, "key={} revision={}", item.key, item.revision);
+            }
             m_core.targetUnlisted(id, now);
         }
     }
--- a/src/platform/internal/callercodec.cpp
+++ b/src/platform/internal/callercodec.cpp
@@ -2,9 +2,11 @@
 #include "platform/callercodec.h"
 
 #include "platform/internal/jsonfields.h"
+#include "platform/internal/plaintext.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -21,7 +23,8 @@
 constexpr std::int64_t maxTasks = 10000;
 constexpr std::size_t maxSteps = 200;
 constexpr std::int64_t maxRepeats = 100000;
-constexpr std::int64_t maxAmount = std::int64_t{1} << 40;
+// The longest time that a caller waits.
+constexpr std::chrono::hours maxCallerTimeout{24};
 
 Error malformed(std::string message)
 {
@@ -39,7 +42,7 @@
         return false;
     }
     const double value = field->get<double>();
-    return value >= 0 && value <= static_cast<double>(maxAmount);
+    return value >= 0 && value <= static_cast<double>(detail::maxAmount);
 }
 
 std::uint32_t uint32Field(const nlohmann::json &json, const char *name)
@@ -139,6 +142,10 @@
                                      maxRepeats));
     }
     spec.repeatCount = static_cast<std::uint32_t>(repeatCount);
+    const auto *firstDue = detail::findField(json, "start_at_ms");
+    if (firstDue != nullptr && !detail::toInteger(*firstDue, 0, detail::maxExactInteger)) {
+        return malformed("start_at_ms is not a number between 0 and 2^53");
+    }
     spec.firstDue = WallTime(
             std::chrono::milliseconds(detail::integerField(json, "start_at_ms").value_or(0)));
     spec.interval =
@@ -169,12 +176,10 @@
         return std::nullopt;
     }
     std::int64_t number = 0;
-    const auto [end, error] =
-            std::from_chars(header->data(), header->data() + header->size(), number);
-    if (error != std::errc{} || end == header->data() || number < 0) {
+    if (!detail::parseWholeNumber(*header, number)) {
         return std::nullopt;
     }
-    return std::chrono::milliseconds(number);
+    return std::min<std::chrono::milliseconds>(std::chrono::milliseconds(number), maxCallerTimeout);
 }
 
 } // namespace cyclamenlatch::platform
--- a/src/platform/internal/configcodec.cpp
+++ b/src/platform/internal/configcodec.cpp
@@ -13,9 +13,18 @@
 
 using scheduling::FleetRules;
 
+constexpr std::int64_t maxPriority = 1'000'000;
+constexpr std::int64_t maxAttemptLimit = 1'000'000;
+// Upper bound of slack factors and weights.
+constexpr double maxFactor = 1e9;
+constexpr std::int64_t maxRequestBytes = std::int64_t{1} << 30;
+constexpr double maxWaveSeconds = 1e9;
+constexpr std::int64_t maxHosts = 1'000'000;
+
 std::chrono::milliseconds millisecondsField(const nlohmann::json &json, const char *name)
 {
-    return std::chrono::milliseconds(detail::integerField(json, name).value_or(0));
+    return std::chrono::milliseconds(
+            detail::integerField(json, name, 0, detail::maxAmount).value_or(0));
 }
 
 scheduling::QueueRule decodeQueueRule(const nlohmann::json &json)
@@ -25,10 +34,11 @@
     queue.host = detail::stringField(json, "host");
     queue.prefix = detail::stringField(json, "prefix");
     queue.service = detail::stringField(json, "service");
-    queue.priority = static_cast<int>(detail::integerField(json, "priority").value_or(0));
-    queue.maxAttempts =
-            static_cast<std::uint32_t>(detail::integerField(json, "max_attempts").value_or(1));
-    queue.slackFactor = detail::realField(json, "slack_factor", 1);
+    queue.priority =
+            static_cast<int>(detail::integerField(json, "priority", 0, maxPriority).value_or(0));
+    queue.maxAttempts = static_cast<std::uint32_t>(
+            detail::integerField(json, "max_attempts", 0, maxAttemptLimit).value_or(1));
+    queue.slackFactor = detail::realField(json, "slack_factor", 1, maxFactor);
     queue.targetLatency = millisecondsField(json, "target_latency_ms");
     queue.isPublic = detail::boolField(json, "public");
     const auto *advice = detail::findField(json, "recommendation");
@@ -44,7 +54,7 @@
 {
     scheduling::WorkspaceRule workspace;
     workspace.name = detail::stringField(json, "name");
-    workspace.weight = detail::realField(json, "weight", 1);
+    workspace.weight = detail::realField(json, "weight", 1, maxFactor);
     workspace.keys = detail::stringListField(json, "api_keys");
     if (const auto *cap = detail::findField(json, "cap"); cap != nullptr) {
         workspace.cap = detail::decodeResources(*cap);
@@ -62,7 +72,9 @@
     }
     entries.reserve(list->size());
     for (const auto &item : *list) {
-        entries.push_back(decode(item));
+        if (item.is_object()) {
+            entries.push_back(decode(item));
+        }
     }
 }
 
@@ -78,7 +90,7 @@
                        "write a complete configuration; the current one stays in force until then");
     }
     FleetRules rules;
-    rules.version = static_cast<std::uint64_t>(*version);
+    rules.version = detail::unsignedField(json, "version");
     decodeList(json, "routes", rules.queues, decodeQueueRule);
     decodeList(json, "tenants", rules.workspaces, decodeWorkspaceRule);
     decodeList(json, "services", rules.services, [](const nlohmann::json &item) {
@@ -88,10 +100,10 @@
     });
     if (const auto *limits = detail::findField(json, "limits"); limits != nullptr) {
         rules.limits.maxBodyBytes = static_cast<std::size_t>(
-                detail::integerField(*limits, "max_body_bytes")
+                detail::integerField(*limits, "max_body_bytes", 0, maxRequestBytes)
                         .value_or(static_cast<std::int64_t>(rules.limits.maxBodyBytes)));
         rules.limits.maxHeaderBytes = static_cast<std::size_t>(
-                detail::integerField(*limits, "max_header_bytes")
+                detail::integerField(*limits, "max_header_bytes", 0, maxRequestBytes)
                         .value_or(static_cast<std::int64_t>(rules.limits.maxHeaderBytes)));
     }
     return rules;
@@ -100,7 +112,7 @@
 std::optional<scheduling::WavePlan> decodeWave(const std::string &value)
 {
     const auto json = detail::parseJson(value);
-    const auto number = detail::integerField(json, "wave");
+    const auto number = detail::integerField(json, "wave", 0, detail::maxExactInteger);
     const auto *hosts = detail::findField(json, "machines");
     if (!number || hosts == nullptr || !hosts->is_array()) {
         return std::nullopt;
@@ -108,10 +120,10 @@
     scheduling::WavePlan wave;
     wave.number = static_cast<std::uint64_t>(*number);
     wave.hosts = detail::stringListField(json, "machines");
-    wave.duration = std::chrono::milliseconds(
-            static_cast<std::int64_t>(detail::realField(json, "duration_s", 0) * 1000));
+    wave.duration = std::chrono::milliseconds(static_cast<std::int64_t>(
+            detail::realField(json, "duration_s", 0, maxWaveSeconds) * 1000));
     wave.maxConcurrent = static_cast<std::uint32_t>(
-            std::max<std::int64_t>(detail::integerField(json, "cap").value_or(1), 1));
+            std::max<std::int64_t>(detail::integerField(json, "cap", 0, maxHosts).value_or(1), 1));
     return wave;
 }
 
--- a/src/platform/internal/entrysettings.cpp
+++ b/src/platform/internal/entrysettings.cpp
@@ -1,10 +1,12 @@
 // Decodes the settings file (YAML).
 #include "platform/entrysettings.h"
 
+#include "platform/internal/plaintext.h"
+
 #include <fmt/format.h>
 #include <yaml-cpp/yaml.h>
 
-#include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -20,7 +22,8 @@
 void readScalar(const YAML::Node &mapping, const char *name, Number &value)
 {
     if (mapping && mapping[name] && mapping[name].IsScalar()) {
-        value = mapping[name].as<Number>(value);
+        const auto number = mapping[name].as<Number>(value);
+        value = std::isfinite(static_cast<double>(number)) ? number : value;
     }
 }
 
@@ -28,19 +31,25 @@
 void readMilliseconds(const YAML::Node &mapping, const char *name, std::chrono::milliseconds &value,
                       double millisecondsPerUnit = 1)
 {
+    constexpr double maxMilliseconds = 1e12;
     double number = static_cast<double>(value.count()) / millisecondsPerUnit;
     readScalar(mapping, name, number);
-    value = std::chrono::milliseconds(static_cast<std::int64_t>(number * millisecondsPerUnit));
+    number *= millisecondsPerUnit;
+    // False also for a number that is not finite.
+    if (number >= 0 && number <= maxMilliseconds) {
+        value = std::chrono::milliseconds(static_cast<std::int64_t>(number));
+    }
 }
 
 Result<std::uint16_t> parsePort(const std::string &address, const char *field)
 {
     const auto colon = address.rfind(':');
     std::uint16_t port = 0;
+    bool isNumber = false;
     if (colon != std::string::npos) {
-        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+        isNumber = detail::parseWholeNumber(std::string_view(address).substr(colon + 1), port);
     }
-    if (port == 0) {
+    if (!isNumber || port == 0) {
         return failure(
                 ErrorKind::InvalidInput,
                 fmt::format("settings: {} is \"{}\"; it must be address:port", field, address),
--- a/src/platform/internal/hostcodec.cpp
+++ b/src/platform/internal/hostcodec.cpp
@@ -4,6 +4,8 @@
 #include "global/nametable.h"
 #include "platform/internal/jsonfields.h"
 #include "platform/internal/jsonpost.h"
+#include "platform/internal/plaintext.h"
+#include "platform/internal/urlquery.h"
 
 #include <fmt/format.h>
 
@@ -27,6 +29,7 @@
     return call;
 }
 
+// A host in an unknown state is not used, and is not taken for removed.
 std::optional<HostInfo> decodeHost(const nlohmann::json &json)
 {
     static constexpr NamedValue<HostState> entries[] = {{HostState::Up, "up"},
@@ -39,11 +42,13 @@
     host.pool = detail::stringField(json, "pool");
     host.dataCentre = detail::stringField(json, "zone");
     host.target = detail::stringField(json, "id");
-    const auto state = names.value(detail::stringField(json, "state"));
-    if (host.name.empty() || !state) {
+    if (host.name.empty() || !detail::isPlainText(host.name)) {
         return std::nullopt;
     }
-    host.state = *state;
+    const bool isValid = detail::isPlainText(host.pool) && detail::isPlainText(host.dataCentre)
+                         && (host.target.empty() || detail::isIdentifier(host.target));
+    host.state = isValid ? names.value(detail::stringField(json, "state")).value_or(HostState::Down)
+                         : HostState::Down;
     host.labels = detail::stringListField(json, "labels");
     if (const auto *capacity = detail::findField(json, "capacity"); capacity != nullptr) {
         host.capacity = detail::decodeResources(*capacity);
@@ -58,7 +63,7 @@
     net::HttpCall call;
     call.url = m_base + "/v1/machines";
     if (!page.empty()) {
-        call.url += "?page_token=" + page;
+        call.url += "?page_token=" + detail::escapeQuery(page);
     }
     return call;
 }
--- a/src/platform/internal/jsonfields.h
+++ b/src/platform/internal/jsonfields.h
@@ -1,31 +1,71 @@
-// Reads fields of JSON received from other processes. A missing field or one of the wrong type is
-// not an error here: the functions return an empty or default value and the caller decides.
+// Reads fields of JSON received from other processes. A missing field, one of the wrong type or a
+// number out of range is not an error here: the functions return an empty or default value and the
+// caller decides.
 #pragma once
 
 #include "scheduling/resources.h"
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamenlatch::platform::detail {
 
-// Returns a discarded value when the text is not valid JSON; it has no fields.
-inline nlohmann::json parseJson(const std::string &text)
+// Every format of the platform is at most six levels deep.
+constexpr int maxNesting = 32;
+// Integers up to this one are exact in any JSON implementation: 2^53.
+constexpr std::int64_t maxExactInteger = std::int64_t{1} << 53;
+// Upper bound of amounts and durations in milliseconds; 34 years, if it is a duration.
+constexpr std::int64_t maxAmount = std::int64_t{1} << 40;
+
+// Whether arrays and objects are nested too deeply. Each level of a parsed value takes memory, so
+// that a small text could exhaust the process's.
+inline bool isNestedTooDeeply(std::string_view text)
 {
+    int depth = 0;
+    bool isInString = false;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const char character = text[at];
+        if (isInString) {
+            at += character == '\\' ? 1 : 0;
+            isInString = character != '"';
+        } else if (character == '"') {
+            isInString = true;
+        } else if (character == '[' || character == '{') {
+            if (++depth > maxNesting) {
+                return true;
+            }
+        } else if (character == ']' || character == '}') {
+            --depth;
+        }
+    }
+    return false;
+}
+
+// Returns a discarded value when the text is not valid JSON or is nested too deeply; it has no
+// fields.
+inline nlohmann::json parseJson(std::string_view text)
+{
+    if (isNestedTooDeeply(text)) {
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    }
     return nlohmann::json::parse(text, nullptr, false);
 }
 
+// A field that is null counts as missing.
 inline const nlohmann::json *findField(const nlohmann::json &object, const char *name)
 {
     if (!object.is_object()) {
         return nullptr;
     }
     const auto found = object.find(name);
-    return found == object.end() ? nullptr : &*found;
+    return found == object.end() || found->is_null() ? nullptr : &*found;
 }
 
 inline std::string stringField(const nlohmann::json &object, const char *name)
@@ -34,15 +74,54 @@
     return field != nullptr && field->is_string() ? field->get<std::string>() : std::string{};
 }
 
-// Truncates a floating-point number towards zero.
+// Truncates a floating-point number towards zero. Empty for a number that 64 bits can't hold, or a
+// floating-point one that is not exact.
+inline std::optional<std::int64_t> toInteger(const nlohmann::json &value)
+{
+    if (value.is_number_float()) {
+        const auto number = value.get<double>();
+        return std::abs(number) <= static_cast<double>(maxExactInteger)
+                       ? std::optional(static_cast<std::int64_t>(number))
+                       : std::nullopt;
+    }
+    if (value.is_number_unsigned()) {
+        const auto number = value.get<std::uint64_t>();
+        return number <= static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max())
+                       ? std::optional(static_cast<std::int64_t>(number))
+                       : std::nullopt;
+    }
+    return value.is_number_integer() ? std::optional(value.get<std::int64_t>()) : std::nullopt;
+}
+
+// Empty also for a number outside the bounds.
+inline std::optional<std::int64_t> toInteger(const nlohmann::json &value, std::int64_t lowest,
+                                             std::int64_t highest)
+{
+    const auto number = toInteger(value);
+    return number && *number >= lowest && *number <= highest ? number : std::nullopt;
+}
+
 inline std::optional<std::int64_t> integerField(const nlohmann::json &object, const char *name)
 {
     const auto *field = findField(object, name);
-    if (field == nullptr || !field->is_number()) {
-        return std::nullopt;
+    return field == nullptr ? std::nullopt : toInteger(*field);
+}
+
+inline std::optional<std::int64_t> integerField(const nlohmann::json &object, const char *name,
+                                                std::int64_t lowest, std::int64_t highest)
+{
+    const auto *field = findField(object, name);
+    return field == nullptr ? std::nullopt : toInteger(*field, lowest, highest);
+}
+
+// Revisions and other numbers that may take all 64 bits.
+inline std::uint64_t unsignedField(const nlohmann::json &object, const char *name)
+{
+    const auto *field = findField(object, name);
+    if (field != nullptr && field->is_number_unsigned()) {
+        return field->get<std::uint64_t>();
     }
-    return field->is_number_float() ? static_cast<std::int64_t>(field->get<double>())
-                                    : field->get<std::int64_t>();
+    return static_cast<std::uint64_t>(integerField(object, name, 0, maxExactInteger).value_or(0));
 }
 
 // Returns the strings of a list; elements of other types are skipped.
@@ -61,10 +140,13 @@
     return texts;
 }
 
+// Amounts that are missing or out of range are 0.
 inline scheduling::Resources decodeResources(const nlohmann::json &object)
 {
-    return {integerField(object, "cpu").value_or(0), integerField(object, "mem_mb").value_or(0),
-            integerField(object, "gpu").value_or(0)};
+    const auto amount = [&](const char *name) {
+        return integerField(object, name, 0, maxAmount).value_or(0);
+    };
+    return {amount("cpu"), amount("mem_mb"), amount("gpu")};
 }
 
 inline double realField(const nlohmann::json &object, const char *name, double defaultValue)
@@ -73,6 +155,14 @@
     return field != nullptr && field->is_number() ? field->get<double>() : defaultValue;
 }
 
+// Returns the default also for a number outside 0 to highest.
+inline double realField(const nlohmann::json &object, const char *name, double defaultValue,
+                        double highest)
+{
+    const auto value = realField(object, name, defaultValue);
+    return value >= 0 && value <= highest ? value : defaultValue;
+}
+
 inline bool boolField(const nlohmann::json &object, const char *name)
 {
     const auto *field = findField(object, name);
--- a/src/platform/internal/storecodec.cpp
+++ b/src/platform/internal/storecodec.cpp
@@ -3,6 +3,7 @@
 
 #include "platform/internal/jsonfields.h"
 #include "platform/internal/jsonpost.h"
+#include "platform/internal/urlquery.h"
 #include "store/base64.h"
 
 #include <fmt/format.h>
@@ -13,24 +14,6 @@
 
 namespace {
 
-// Percent-encodes a value for the query of a URL.
-std::string escapeQuery(const std::string &text)
-{
-    std::string escaped;
-    for (const unsigned char character : text) {
-        const bool isPlain = (character >= 'a' && character <= 'z')
-                             || (character >= 'A' && character <= 'Z')
-                             || (character >= '0' && character <= '9') || character == '-'
-                             || character == '_' || character == '.' || character == '/';
-        if (isPlain) {
-            escaped.push_back(static_cast<char>(character));
-        } else {
-            escaped += fmt::format("%{:02X}", character);
-        }
-    }
-    return escaped;
-}
-
 net::HttpCall makeCall(std::string method, std::string url)
 {
     net::HttpCall call;
@@ -43,7 +26,7 @@
 {
     StoreItem item;
     item.key = detail::stringField(json, "key");
-    item.revision = static_cast<StoreRevision>(detail::integerField(json, "revision").value_or(0));
+    item.revision = detail::unsignedField(json, "revision");
     item.deleted = detail::boolField(json, "deleted");
     const auto value = detail::stringField(json, "value");
     item.value = store::fromBase64(value).value_or("");
@@ -73,11 +56,10 @@
         reply.failure = "the store's reply is not valid JSON";
         return;
     }
-    const auto at = detail::integerField(json, "at");
-    const auto revision = detail::integerField(json, "revision");
-    reply.revision = static_cast<StoreRevision>(at ? *at : revision.value_or(0));
+    const auto *at = detail::findField(json, "at");
+    reply.revision = detail::unsignedField(json, at != nullptr ? "at" : "revision");
     reply.hasMore = detail::boolField(json, "has_more");
-    reply.lease = static_cast<LeaseId>(detail::integerField(json, "lease").value_or(0));
+    reply.lease = detail::unsignedField(json, "lease");
     decodeItems(json, "items", reply);
     decodeItems(json, "events", reply);
     if (detail::findField(json, "key") != nullptr) {
@@ -89,14 +71,14 @@
 
 net::HttpCall StoreCodec::get(const std::string &key) const
 {
-    return makeCall("GET", fmt::format("{}/v1/kv-key?key={}", m_base, escapeQuery(key)));
+    return makeCall("GET", fmt::format("{}/v1/kv-key?key={}", m_base, detail::escapeQuery(key)));
 }
 
 net::HttpCall StoreCodec::range(const std::string &prefix, const std::string &after) const
 {
-    auto url = fmt::format("{}/v1/kv-range?prefix={}", m_base, escapeQuery(prefix));
+    auto url = fmt::format("{}/v1/kv-range?prefix={}", m_base, detail::escapeQuery(prefix));
     if (!after.empty()) {
-        url += "&after=" + escapeQuery(after);
+        url += "&after=" + detail::escapeQuery(after);
     }
     return makeCall("GET", std::move(url));
 }
@@ -105,7 +87,7 @@
                                 std::chrono::milliseconds wait) const
 {
     return makeCall("GET", fmt::format("{}/v1/kv-watch?prefix={}&after={}&wait_ms={}", m_base,
-                                       escapeQuery(prefix), after, wait.count()));
+                                       detail::escapeQuery(prefix), after, wait.count()));
 }
 
 net::HttpCall StoreCodec::transaction(const StoreTransaction &transaction) const
--- a/src/platform/internal/targetcodec.cpp
+++ b/src/platform/internal/targetcodec.cpp
@@ -3,10 +3,14 @@
 
 #include "platform/internal/jsonfields.h"
 #include "platform/internal/jsonpost.h"
+#include "platform/internal/plaintext.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
+#include <limits>
 #include <utility>
 
 namespace cyclamenlatch::platform {
@@ -18,6 +22,13 @@
 using scheduling::TaskRef;
 
 constexpr std::size_t jobIdDigits = 16;
+// An entry has some hundred bytes. A larger one is from another writer.
+constexpr std::size_t maxEntryBytes = std::size_t{64} * 1024;
+constexpr std::size_t maxLabels = 64;
+// Larger checkpoints are not kept: they would not fit into the record of the task's job.
+constexpr std::size_t maxCheckpointBytes = std::size_t{16} * 1024;
+constexpr std::int64_t maxAttempt = std::numeric_limits<std::uint32_t>::max();
+constexpr std::int64_t maxTicketValidity = 24LL * 60 * 60 * 1000;
 
 // A task is named job.occurrence.step.index; the job in hexadecimal, the rest in decimal.
 std::string formatTaskName(const TaskRef &task)
@@ -25,12 +36,6 @@
     return fmt::format("{:016x}.{}.{}.{}", task.job, task.occurrence, task.step, task.index);
 }
 
-bool parseNumber(std::string_view text, std::uint32_t &number)
-{
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    return error == std::errc{} && end == text.data() + text.size() && !text.empty();
-}
-
 std::optional<TaskRef> parseTaskName(std::string_view text)
 {
     if (text.size() < jobIdDigits + 1 || text[jobIdDigits] != '.') {
@@ -42,9 +47,9 @@
     const auto second = first == std::string_view::npos ? first : text.find('.', first + 1);
     TaskRef task;
     if (!id || second == std::string_view::npos
-        || !parseNumber(text.substr(0, first), task.occurrence)
-        || !parseNumber(text.substr(first + 1, second - first - 1), task.step)
-        || !parseNumber(text.substr(second + 1), task.index)) {
+        || !detail::parseWholeNumber(text.substr(0, first), task.occurrence)
+        || !detail::parseWholeNumber(text.substr(first + 1, second - first - 1), task.step)
+        || !detail::parseWholeNumber(text.substr(second + 1), task.index)) {
         return std::nullopt;
     }
     task.job = *id;
@@ -64,6 +69,43 @@
     return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+// Resources that are 0 may be left out.
+bool isCapacity(const nlohmann::json &json)
+{
+    constexpr const char *names[] = {"cpu", "mem_mb", "gpu"};
+    return json.is_object()
+           && std::all_of(std::begin(names), std::end(names), [&](const auto *name) {
+                  return detail::findField(json, name) == nullptr
+                         || detail::integerField(json, name, 0, detail::maxAmount);
+              });
+}
+
+bool isTextOrMissing(const nlohmann::json &json, const char *name)
+{
+    const auto *field = detail::findField(json, name);
+    return field == nullptr || field->is_string();
+}
+
+// The labels may be left out.
+bool hasValidLabels(const nlohmann::json &json)
+{
+    const auto *labels = detail::findField(json, "labels");
+    return labels == nullptr
+           || (labels->is_array() && labels->size() <= maxLabels
+               && std::all_of(labels->begin(), labels->end(), [](const auto &label) {
+                      return label.is_string()
+                             && detail::isPlainText(label.template get_ref<const std::string &>());
+                  }));
+}
+
+// The time of the start may be left out; it is a whole number.
+bool hasValidIncarnation(const nlohmann::json &json)
+{
+    const auto *born = detail::findField(json, "born");
+    return born == nullptr
+           || (born->is_number_integer() && detail::toInteger(*born, 0, detail::maxExactInteger));
+}
+
 std::optional<RunOutcome> decodeRunOutcome(const std::string &outcome)
 {
     static constexpr NamedValue<RunOutcome> entries[] = {
@@ -78,24 +120,32 @@
     return names.value(outcome);
 }
 
+std::string decodeCheckpoint(const nlohmann::json &json)
+{
+    return json.is_string() && json.get_ref<const std::string &>().size() <= maxCheckpointBytes
+                   ? json.get<std::string>()
+                   : std::string{};
+}
+
 // A row of running is [task, attempt, checkpoint, percent] and optionally the metric.
 std::optional<scheduling::RunStatus> decodeRunStatus(const nlohmann::json &json)
 {
-    if (!json.is_array() || json.size() < 4 || !json[0].is_string() || !json[1].is_number()
-        || !json[3].is_number()) {
+    if (!json.is_array() || json.size() < 4 || !json[0].is_string()) {
         return std::nullopt;
     }
     const auto task = parseTaskName(json[0].get_ref<const std::string &>());
-    if (!task) {
+    const auto attempt = detail::toInteger(json[1], 0, maxAttempt);
+    const auto percent = detail::toInteger(json[3]);
+    if (!task || !attempt || !percent) {
         return std::nullopt;
     }
     scheduling::RunStatus row;
     row.task = *task;
-    row.attempt = json[1].get<std::uint32_t>();
-    row.checkpoint = json[2].is_string() ? json[2].get<std::string>() : std::string{};
-    row.percent = static_cast<int>(json[3].get<double>());
-    if (json.size() > 4 && json[4].is_number()) {
-        row.metric = static_cast<std::int64_t>(json[4].get<double>());
+    row.attempt = static_cast<std::uint32_t>(*attempt);
+    row.checkpoint = decodeCheckpoint(json[2]);
+    row.percent = static_cast<int>(std::clamp<std::int64_t>(*percent, 0, 100));
+    if (json.size() > 4) {
+        row.metric = detail::toInteger(json[4], 0, detail::maxExactInteger);
     }
     return row;
 }
@@ -103,21 +153,23 @@
 // A row of finished is [number, task, attempt, outcome] and optionally the checkpoint.
 std::optional<scheduling::EndedRun> decodeEndedRun(const nlohmann::json &json)
 {
-    if (!json.is_array() || json.size() < 4 || !json[0].is_number() || !json[1].is_string()
-        || !json[2].is_number() || !json[3].is_string()) {
+    if (!json.is_array() || json.size() < 4 || !json[1].is_string() || !json[3].is_string()) {
         return std::nullopt;
     }
+    // A number that is too high would hide all later ends.
+    const auto number = detail::toInteger(json[0], 1, detail::maxExactInteger);
+    const auto attempt = detail::toInteger(json[2], 0, maxAttempt);
     const auto task = parseTaskName(json[1].get_ref<const std::string &>());
     const auto outcome = decodeRunOutcome(json[3].get_ref<const std::string &>());
-    if (!task || !outcome) {
+    if (!number || !task || !attempt || !outcome) {
         return std::nullopt;
     }
     scheduling::EndedRun row;
-    row.number = json[0].get<std::uint64_t>();
+    row.number = static_cast<std::uint64_t>(*number);
     row.task = *task;
-    row.attempt = json[2].get<std::uint32_t>();
+    row.attempt = static_cast<std::uint32_t>(*attempt);
     row.outcome = *outcome;
-    row.checkpoint = json.size() > 4 && json[4].is_string() ? json[4].get<std::string>() : "";
+    row.checkpoint = json.size() > 4 ? decodeCheckpoint(json[4]) : std::string{};
     return row;
 }
 
@@ -143,11 +195,11 @@
 
 std::optional<scheduling::TargetInfo> decodeTarget(const std::string &key, const std::string &value)
 {
-    const auto json = detail::parseJson(value);
-    scheduling::TargetInfo target;
-    if (!json.is_object() || key.size() <= targetsPrefix.size()) {
+    if (key.size() <= targetsPrefix.size() || value.size() > maxEntryBytes) {
         return std::nullopt;
     }
+    const auto json = detail::parseJson(value);
+    scheduling::TargetInfo target;
     target.id = key.substr(targetsPrefix.size());
     target.service = detail::stringField(json, "service");
     target.address = detail::stringField(json, "address");
@@ -155,9 +207,13 @@
     target.host = detail::stringField(json, "machine");
     const auto state = detail::stringField(json, "state");
     const auto *capacity = detail::findField(json, "capacity");
-    if (target.service.empty() || target.address.find(':') == std::string::npos
+    if (!detail::isIdentifier(target.id) || target.service.empty()
+        || !detail::isPlainText(target.service) || !detail::isPlainText(target.dataCentre)
+        || !detail::isPlainText(target.host) || !detail::isEndpoint(target.address)
         || (state != "ready" && state != "draining") || capacity == nullptr
-        || !capacity->is_object()) {
+        || !isCapacity(*capacity) || !isTextOrMissing(json, "zone")
+        || !isTextOrMissing(json, "machine") || !hasValidLabels(json)
+        || !hasValidIncarnation(json)) {
         return std::nullopt;
     }
     target.isDraining = state == "draining";
@@ -231,7 +287,8 @@
         return std::nullopt;
     }
     AdviceReply answer;
-    answer.validity = std::chrono::milliseconds(detail::integerField(json, "valid_ms").value_or(0));
+    answer.validity = std::chrono::milliseconds(
+            detail::integerField(json, "valid_ms", 0, maxTicketValidity).value_or(0));
     for (const auto &row : *approved) {
         if (row.is_array() && row.size() >= 2 && row[0].is_string() && row[1].is_string()) {
             answer.approved.push_back({row[0].get<std::string>(), row[1].get<std::string>()});
@@ -278,11 +335,11 @@
         return answer;
     }
     const auto json = detail::parseJson(result.reply->body);
-    const auto clock = detail::integerField(json, "clock_ms");
+    const auto clock = detail::integerField(json, "clock_ms", 0, detail::maxExactInteger);
     const auto *running = detail::findField(json, "running");
     const auto *ends = detail::findField(json, "finished");
-    if (!clock || running == nullptr || !running->is_array() || ends == nullptr
-        || !ends->is_array()) {
+    if (!clock || running == nullptr || !running->is_array() || ends == nullptr || !ends->is_array()
+        || !hasValidIncarnation(json)) {
         answer.failure = "the target's list is malformed: a required field is absent or invalid";
         return answer;
     }
