Take a target for restarted only when it says so itself

What callers would see: a task that runs twice. An entry of another writer over a sound target's, with a later time of its start, made the owner take the target's runs for ended and start them elsewhere while they went on.

Cause: OwnerCore::targetListed took the time of start in an entry as proof of a restart.

Change: such an entry makes the target wait for its next answer. If it still is the same incarnation, its runs and its recorded ends stay; if it has restarted, its answer says so, and its runs are started again as before. A target that does not answer keeps its runs until their leases have expired.

--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -127,11 +127,8 @@
     target.info = info;
     scheduleForPlanning(target);
     if (hasRestarted) {
-        reportDecision(Decision::Kind::TargetRestarted, {}, 0, info.id);
-        releaseRuns(target, Decision::Kind::TargetRestarted, now);
-        target.incarnation = info.incarnation;
-        target.endsSeen = 0;
-        target.endsRecorded = 0;
+        // The entry may be from another writer, so the target itself has to confirm it: until it
+        // answers it gets no work, and its runs are not started elsewhere.
         target.isAdopted = false;
     }
 }
@@ -275,7 +272,8 @@
         reportDecision(Decision::Kind::TargetRestarted, {}, 0, id);
         releaseRuns(*target, Decision::Kind::TargetRestarted, now);
     }
-    if (isOtherIncarnation || !target->isAdopted) {
+    const bool isConfirmed = target->incarnation != 0 && report.incarnation == target->incarnation;
+    if (isOtherIncarnation || (!target->isAdopted && !isConfirmed)) {
         target->endsSeen = 0;
         target->endsRecorded = 0;
         target->leaseUntil = report.clock + m_settings.maxRunLease;
