--- a/src/scheduling/internal/hostplanner.cpp
+++ b/src/scheduling/internal/hostplanner.cpp
@@ -324,7 +324,7 @@
         return;
     }
     if (host.info.target != host.pendingOrderTarget && !host.isOutcomeUnknown) {
-        m_listener(host.info.name, "no longer drained: another target runs there");
+        m_listener(host.info.name, "no longer drained: its target has changed");
         return cancelDraining(host);
     }
     const auto load = m_core.load(host.pendingOrderTarget, now);
