Look for the target of a host without one only while the host is up

A host that moves or is down has no target that could run anything, and in a large fleet many do. The suite of the module passes (110).

--- a/src/scheduling/internal/hostplanner.cpp
+++ b/src/scheduling/internal/hostplanner.cpp
@@ -82,7 +82,7 @@
     }
     for (auto &info : hosts) {
         auto &host = m_hosts[info.name];
-        if (info.target.empty() && !isStandby(info.pool)) {
+        if (info.state == HostState::Up && info.target.empty() && !isStandby(info.pool)) {
             // A host without a target counts as idle, so the list alone does not decide it.
             info.target = m_core.targetOn(info.name);
         }
