Count an adopted task as unavailable while it may still be being stopped

Cause: a new owner takes every run that a target lists for one that stays. A run that the target is still stopping for the earlier owner is listed as well, so the new owner stopped another task of the step.

Change: for the stop timeout and 150 ms after its adoption a task counts as unavailable. Later stops of the earlier owner are refused by their fencing token.

--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -232,11 +232,12 @@
             continue;
         }
         const auto *step = findStep(task, nullptr, nullptr);
-        if (step == nullptr || (isDisruptionBudgetExhausted(*step) && !target.info.isDraining)) {
+        if (step == nullptr
+            || (isDisruptionBudgetExhausted(*step, now) && !target.info.isDraining)) {
             continue;
         }
         // One at a time also for a step without a disruption budget.
-        if (step->spec->maxUnavailable == 0 && unavailableTasks(*step) > 0
+        if (step->spec->maxUnavailable == 0 && unavailableTasks(*step, now) > 0
             && !target.info.isDraining) {
             continue;
         }
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -272,6 +272,7 @@
     }
     task->phase = TaskPhase::Ordered;
     task->target = &target;
+    task->adoptedAt = now;
     task->isAtWork = row.percent >= atWorkPercent;
     --step->waiting;
     ++step->ordered;
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -36,6 +36,8 @@
     std::string failedOn;
     std::string checkpoint;
     TimePoint waitingSince{};
+    // When a run of the task that this owner did not start was last adopted.
+    TimePoint adoptedAt{};
 };
 
 struct Ticket
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -19,6 +19,8 @@
 constexpr double minClockRate = 0.98;
 // Added to the lease for messages that are on their way when it expires.
 constexpr std::chrono::milliseconds leaseExpiryMargin{150};
+// Added to the stop timeout of an earlier owner's stops, for the list that shows the end.
+constexpr std::chrono::milliseconds earlierStopMargin{150};
 // How long the target may delay the answer to a keep-alive until a run ends. This also bounds the
 // time until an unreachable target is noticed.
 constexpr std::chrono::milliseconds keepAliveWait{1500};
@@ -388,7 +390,7 @@
         }
         ++load.longRunning;
         const auto *step = findStep(task, nullptr, nullptr);
-        load.nonEvictable += step != nullptr && isDisruptionBudgetExhausted(*step) ? 1 : 0;
+        load.nonEvictable += step != nullptr && isDisruptionBudgetExhausted(*step, now) ? 1 : 0;
     }
     return load;
 }
@@ -519,21 +521,29 @@
     return demands;
 }
 
-// The number of tasks of a long-running step that are not at work, whatever the cause.
-std::uint32_t OwnerCore::unavailableTasks(const StepState &step) const
+// The number of tasks of a long-running step that are not at work, whatever the cause. A run
+// that was adopted just now may still be being stopped for an earlier owner, whose later stops the
+// target refuses.
+std::uint32_t OwnerCore::unavailableTasks(const StepState &step, TimePoint now) const
 {
+    const auto mayBeStopping = [&](const TaskState &task) {
+        return now - task.adoptedAt < m_settings.stopTimeout + earlierStopMargin;
+    };
     std::uint32_t unavailable = 0;
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
         const auto &task = step.tasks[index];
-        unavailable +=
-                task.target == nullptr || !task.isAtWork || task.target->failedCalls > 0 ? 1 : 0;
+        unavailable += task.target == nullptr || !task.isAtWork || task.target->failedCalls > 0
+                                       || mayBeStopping(task)
+                               ? 1
+                               : 0;
     }
     return unavailable;
 }
 
-bool OwnerCore::isDisruptionBudgetExhausted(const StepState &step) const
+bool OwnerCore::isDisruptionBudgetExhausted(const StepState &step, TimePoint now) const
 {
-    return step.spec->maxUnavailable > 0 && unavailableTasks(step) >= step.spec->maxUnavailable;
+    return step.spec->maxUnavailable > 0
+           && unavailableTasks(step, now) >= step.spec->maxUnavailable;
 }
 
 } // namespace cyclamenlatch::scheduling
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -323,9 +323,9 @@
     void planPaces(TargetState &target, TimePoint now);
     void planStalls(TargetState &target, TimePoint now);
     void planEvacuation(TargetState &target, TimePoint now);
-    std::uint32_t unavailableTasks(const StepState &step) const;
+    std::uint32_t unavailableTasks(const StepState &step, TimePoint now) const;
     // Whether no more tasks of the step may be made unavailable now.
-    bool isDisruptionBudgetExhausted(const StepState &step) const;
+    bool isDisruptionBudgetExhausted(const StepState &step, TimePoint now) const;
     void planStarts(TimePoint now);
     std::vector<OpenStep> openSteps(TimePoint now);
     void addOpenSteps(JobState &job, TimePoint now, std::vector<OpenStep> &open) const;
--- a/src/scheduling/tests/ownerchange_tests.cpp
+++ b/src/scheduling/tests/ownerchange_tests.cpp
@@ -178,4 +178,39 @@
     EXPECT_TRUE(fixture.plan().empty());
 }
 
+// Guards against broken availability budgets: the earlier owner had a task stopped to evacuate its
+// target right before the change of owners. The target still listed it as at work, and the new
+// owner stopped another one.
+TEST(OwnerCore, stopsNoTaskWhileAnEarlierOwnersStopMayStillTakeEffect)
+{
+    for (const std::uint32_t maxUnavailable : {0U, 1U}) {
+        OwnerFixture fixture(2);
+        fixture.core.setEvacuated({"a"});
+        auto longRunning = makeStep(2);
+        longRunning.isLongRunning = true;
+        longRunning.maxUnavailable = maxUnavailable;
+        JobProgress progress;
+        progress.phase = JobPhase::Running;
+        progress.targets = {"t1"};
+        fixture.submit(7, {longRunning}, "space", progress, false);
+        fixture.list("t1");
+        StartOrder stopping;
+        stopping.task = TaskRef{7, 0, 0, 0};
+        stopping.attempt = 1;
+        auto other = stopping;
+        other.task.index = 1;
+        fixture.report("t1",
+                       {OwnerFixture::running(stopping, 100), OwnerFixture::running(other, 100)},
+                       {});
+        EXPECT_TRUE(fixture.planned<StopOrder>().empty());
+        fixture.advance(200ms);
+        EXPECT_TRUE(fixture.planned<StopOrder>().empty());
+        fixture.report("t1", {OwnerFixture::running(other, 100)},
+                       {OwnerFixture::end(1, stopping, RunOutcome::Stopped)});
+        fixture.advance(500ms);
+        fixture.report("t1", {OwnerFixture::running(other, 100)}, {});
+        EXPECT_TRUE(fixture.planned<StopOrder>().empty());
+    }
+}
+
 } // namespace cyclamenlatch::scheduling::tests
