--- a/src/control/internal/eventlog.cpp
+++ b/src/control/internal/eventlog.cpp
@@ -3,6 +3,7 @@
 
 #include "control/clock.h"
 #include "control/controlevents.h"
+#include "global/controlbyte.h"
 #include "global/time.h"
 
 #include <fmt/format.h>
@@ -67,13 +68,8 @@
                    wallNow().time_since_epoch().count(), event.number, event.name,
                    severityName(event.severity), m_entry, details);
     // Names from other processes must not end the line.
-    std::replace_if(
-            m_buffer.begin() + static_cast<std::ptrdiff_t>(begin), m_buffer.end(),
-            [](const char character) {
-                const auto byte = static_cast<unsigned char>(character);
-                return byte < 0x20 || byte == 0x7f;
-            },
-            '?');
+    std::replace_if(m_buffer.begin() + static_cast<std::ptrdiff_t>(begin), m_buffer.end(),
+                    isControlByte, '?');
     m_buffer.push_back('\n');
     flushLater();
 }
--- a/src/control/internal/records.cpp
+++ b/src/control/internal/records.cpp
@@ -4,6 +4,7 @@
 #include "membership/boundedinputarchive.h"
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
@@ -44,55 +45,26 @@
 }
 
 template<typename Archive>
-void save(Archive &archive, const JobSubmission &job)
+void serialize(Archive &archive, AdviceRule &advice)
 {
-    archive(job.id, job.queue, job.service, job.workspace,
-            std::int64_t{job.submitted.time_since_epoch().count()}, job.spec.text, job.spec.steps,
-            job.spec.repeatCount, std::int64_t{job.spec.firstDue.time_since_epoch().count()},
-            std::int64_t{job.spec.interval.count()});
-}
-
-template<typename Archive>
-void load(Archive &archive, JobSubmission &job)
-{
-    std::int64_t submitted = 0;
-    std::int64_t firstDue = 0;
-    std::int64_t interval = 0;
-    archive(job.id, job.queue, job.service, job.workspace, submitted, job.spec.text, job.spec.steps,
-            job.spec.repeatCount, firstDue, interval);
-    job.submitted = WallTime(std::chrono::milliseconds(submitted));
-    job.spec.firstDue = WallTime(std::chrono::milliseconds(firstDue));
-    job.spec.interval = std::chrono::milliseconds(interval);
+    archive(advice.decision, advice.perTarget, advice.validity);
 }
 
 template<typename Archive>
 void save(Archive &archive, const QueueLimits &limits)
 {
-    const auto advice = limits.advice.value_or(AdviceRule{});
-    archive(std::int32_t{limits.priority}, limits.maxAttempts, limits.slackFactor,
-            std::int64_t{limits.targetLatency.count()}, limits.advice.has_value(),
-            std::int64_t{advice.decision.count()}, std::int64_t{advice.perTarget.count()},
-            std::int64_t{advice.validity.count()});
+    archive(limits.priority, limits.maxAttempts, limits.slackFactor, limits.targetLatency,
+            limits.advice.has_value(), limits.advice.value_or(AdviceRule{}));
 }
 
 template<typename Archive>
 void load(Archive &archive, QueueLimits &limits)
 {
-    std::int32_t priority = 0;
     bool needsAdvice = false;
-    std::int64_t targetLatency = 0;
-    std::int64_t decision = 0;
-    std::int64_t perTarget = 0;
-    std::int64_t validity = 0;
-    archive(priority, limits.maxAttempts, limits.slackFactor, targetLatency, needsAdvice, decision,
-            perTarget, validity);
-    limits.priority = priority;
-    limits.targetLatency = std::chrono::milliseconds(targetLatency);
-    if (needsAdvice) {
-        limits.advice = AdviceRule{std::chrono::milliseconds(decision),
-                                   std::chrono::milliseconds(perTarget),
-                                   std::chrono::milliseconds(validity)};
-    }
+    AdviceRule advice;
+    archive(limits.priority, limits.maxAttempts, limits.slackFactor, limits.targetLatency,
+            needsAdvice, advice);
+    limits.advice = needsAdvice ? std::optional(advice) : std::nullopt;
 }
 
 template<typename Archive>
@@ -107,6 +79,35 @@
     archive(limits.version, limits.queue, limits.workspace);
 }
 
+// The limits come last: entries that do not know them read the rest of the record.
+template<typename Archive>
+void save(Archive &archive, const JobSubmission &job)
+{
+    archive(job.id, job.queue, job.service, job.workspace,
+            std::int64_t{job.submitted.time_since_epoch().count()}, job.spec.text, job.spec.steps,
+            job.spec.repeatCount, std::int64_t{job.spec.firstDue.time_since_epoch().count()},
+            std::int64_t{job.spec.interval.count()});
+    if (job.limits) {
+        archive(*job.limits);
+    }
+}
+
+template<typename Archive>
+void load(Archive &archive, JobSubmission &job)
+{
+    std::int64_t submitted = 0;
+    std::int64_t firstDue = 0;
+    std::int64_t interval = 0;
+    archive(job.id, job.queue, job.service, job.workspace, submitted, job.spec.text, job.spec.steps,
+            job.spec.repeatCount, firstDue, interval);
+    job.submitted = WallTime(std::chrono::milliseconds(submitted));
+    job.spec.firstDue = WallTime(std::chrono::milliseconds(firstDue));
+    job.spec.interval = std::chrono::milliseconds(interval);
+    if (archive.remainingBytes() > 0) {
+        archive(job.limits.emplace());
+    }
+}
+
 template<typename Archive>
 void serialize(Archive &archive, StepProgress &progress)
 {
@@ -128,30 +129,6 @@
 
 constexpr std::uint8_t recordVersion = 2;
 
-template<typename Value>
-void saveTail(cereal::PortableBinaryOutputArchive &, const Value &)
-{}
-
-template<typename Value>
-void loadTail(membership::BoundedInputArchive &, Value &)
-{}
-
-// The limits come last: entries that do not know them read the rest of the record.
-void saveTail(cereal::PortableBinaryOutputArchive &archive,
-              const scheduling::JobSubmission &submission)
-{
-    if (submission.limits) {
-        archive(*submission.limits);
-    }
-}
-
-void loadTail(membership::BoundedInputArchive &archive, scheduling::JobSubmission &submission)
-{
-    if (archive.remainingBytes() > 0) {
-        archive(submission.limits.emplace());
-    }
-}
-
 template<typename Value>
 std::string encode(const Value &value)
 {
@@ -159,7 +136,6 @@
     {
         cereal::PortableBinaryOutputArchive archive(stream);
         archive(recordVersion, value);
-        saveTail(archive, value);
     }
     return stream.str();
 }
@@ -174,7 +150,6 @@
         archive(version);
         if (version == recordVersion) {
             archive(value);
-            loadTail(archive, value);
             return value;
         }
     } catch (const std::exception &) {
--- a/src/net/internal/loophttpclient.cpp
+++ b/src/net/internal/loophttpclient.cpp
@@ -1,15 +1,14 @@
 // Connections by host, calls that wait for one, and the times at which calls are given up.
 #include "net/loophttpclient.h"
 
+#include "net/endpoint.h"
 #include "net/internal/loopconnection.h"
 
-#include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <deque>
 #include <optional>
@@ -30,23 +29,6 @@
 constexpr int idleSweeps = 4;
 constexpr std::string_view scheme = "http://";
 
-std::optional<asio::ip::tcp::endpoint> endpointOf(const std::string &host)
-{
-    const auto colon = host.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    asio::error_code error;
-    const auto address = asio::ip::make_address_v4(host.substr(0, colon), error);
-    std::uint16_t port = 0;
-    const auto *end = host.data() + host.size();
-    const auto parsed = std::from_chars(host.data() + colon + 1, end, port);
-    if (error || parsed.ec != std::errc{} || parsed.ptr != end) {
-        return std::nullopt;
-    }
-    return asio::ip::tcp::endpoint(address, port);
-}
-
 std::string requestOf(const HttpCall &call, std::string_view host, std::string_view path)
 {
     std::string request;
@@ -108,7 +90,7 @@
                                path == std::string_view::npos ? path : path - scheme.size());
         call.path = path == std::string_view::npos ? std::string_view{} : url.substr(path);
         const auto &asked = call.call;
-        if (!url.starts_with(scheme) || !endpointOf(call.host) || asked.requiredEcho
+        if (!url.starts_with(scheme) || !parseEndpoint(call.host) || asked.requiredEcho
             || asked.cancelKey != 0 || !asked.caFile.empty()) {
             return asio::post(m_context, [this, number, alive = std::weak_ptr(m_alive)] {
                 if (!alive.expired()) {
@@ -164,7 +146,7 @@
         m_connections.insert(connection);
         connection->callNumber = number;
         call.connection = connection;
-        connection->connect(*endpointOf(call.host));
+        connection->connect(*parseEndpoint(call.host));
     }
 
     void write(std::uint64_t number, Call &call, std::shared_ptr<LoopConnection> connection)
--- a/src/platform/internal/callercodec.cpp
+++ b/src/platform/internal/callercodec.cpp
@@ -7,7 +7,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace cyclamenlatch::platform {
@@ -31,20 +30,6 @@
     return Error{ErrorKind::InvalidInput, std::move(message), "correct the job and send it again"};
 }
 
-// True also when the field is missing, which leaves it at its default.
-bool hasValidAmount(const nlohmann::json &json, const char *name)
-{
-    const auto *field = detail::findField(json, name);
-    if (field == nullptr) {
-        return true;
-    }
-    if (!field->is_number()) {
-        return false;
-    }
-    const double value = field->get<double>();
-    return value >= 0 && value <= static_cast<double>(detail::maxAmount);
-}
-
 std::uint32_t uint32Field(const nlohmann::json &json, const char *name)
 {
     return static_cast<std::uint32_t>(detail::integerField(json, name).value_or(0));
@@ -67,7 +52,7 @@
     }
     for (const char *name : {"count", "cpu", "mem_mb", "gpu", "estimated_ms", "anti_affinity",
                              "target_ms", "may_skip"}) {
-        if (!hasValidAmount(json, name)) {
+        if (!detail::hasValidAmount(json, name)) {
             return malformed(
                     fmt::format("phase {}: {} is not a number between 0 and 2^40", number, name));
         }
@@ -136,18 +121,20 @@
         spec.steps.push_back(std::move(step));
     }
     const auto repeatCount = detail::integerField(json, "repeat_count").value_or(0);
-    if (repeatCount < 0 || repeatCount > maxRepeats || !hasValidAmount(json, "interval_ms")) {
+    if (repeatCount < 0 || repeatCount > maxRepeats
+        || !detail::hasValidAmount(json, "interval_ms")) {
         return malformed(fmt::format("repeat_count is not between 0 and {}, or the interval is not "
                                      "between 0 and 2^40 ms",
                                      maxRepeats));
     }
     spec.repeatCount = static_cast<std::uint32_t>(repeatCount);
-    const auto *firstDue = detail::findField(json, "start_at_ms");
-    if (firstDue != nullptr && !detail::toInteger(*firstDue, 0, detail::maxExactInteger)) {
-        return malformed("start_at_ms is not a number between 0 and 2^53");
+    if (const auto *field = detail::findField(json, "start_at_ms"); field != nullptr) {
+        const auto firstDue = detail::toInteger(*field, 0, detail::maxExactInteger);
+        if (!firstDue) {
+            return malformed("start_at_ms is not a number between 0 and 2^53");
+        }
+        spec.firstDue = WallTime(std::chrono::milliseconds(*firstDue));
     }
-    spec.firstDue = WallTime(
-            std::chrono::milliseconds(detail::integerField(json, "start_at_ms").value_or(0)));
     spec.interval =
             std::chrono::milliseconds(detail::integerField(json, "interval_ms").value_or(0));
     return spec;
--- a/src/platform/internal/configcodec.cpp
+++ b/src/platform/internal/configcodec.cpp
@@ -90,7 +90,7 @@
                        "write a complete configuration; the current one stays in force until then");
     }
     FleetRules rules;
-    rules.version = detail::unsignedField(json, "version");
+    rules.version = static_cast<std::uint64_t>(std::max<std::int64_t>(*version, 0));
     decodeList(json, "routes", rules.queues, decodeQueueRule);
     decodeList(json, "tenants", rules.workspaces, decodeWorkspaceRule);
     decodeList(json, "services", rules.services, [](const nlohmann::json &item) {
--- a/src/platform/internal/jsonfields.h
+++ b/src/platform/internal/jsonfields.h
@@ -74,44 +74,55 @@
     return field != nullptr && field->is_string() ? field->get<std::string>() : std::string{};
 }
 
-// Truncates a floating-point number towards zero. Empty for a number that 64 bits can't hold, or a
+constexpr std::int64_t lowestInteger = std::numeric_limits<std::int64_t>::min();
+constexpr std::int64_t highestInteger = std::numeric_limits<std::int64_t>::max();
+
+// Truncates a floating-point number towards zero. Empty for a number outside the bounds, and for a
 // floating-point one that is not exact.
-inline std::optional<std::int64_t> toInteger(const nlohmann::json &value)
+inline std::optional<std::int64_t> toInteger(const nlohmann::json &value,
+                                             std::int64_t lowest = lowestInteger,
+                                             std::int64_t highest = highestInteger)
 {
+    std::int64_t number = 0;
     if (value.is_number_float()) {
-        const auto number = value.get<double>();
-        return std::abs(number) <= static_cast<double>(maxExactInteger)
-                       ? std::optional(static_cast<std::int64_t>(number))
-                       : std::nullopt;
-    }
-    if (value.is_number_unsigned()) {
-        const auto number = value.get<std::uint64_t>();
-        return number <= static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max())
-                       ? std::optional(static_cast<std::int64_t>(number))
-                       : std::nullopt;
+        const auto real = value.get<double>();
+        if (std::abs(real) > static_cast<double>(maxExactInteger)) {
+            return std::nullopt;
+        }
+        number = static_cast<std::int64_t>(real);
+    } else if (value.is_number_unsigned()) {
+        if (value.get<std::uint64_t>() > static_cast<std::uint64_t>(highestInteger)) {
+            return std::nullopt;
+        }
+        number = value.get<std::int64_t>();
+    } else if (value.is_number_integer()) {
+        number = value.get<std::int64_t>();
+    } else {
+        return std::nullopt;
     }
-    return value.is_number_integer() ? std::optional(value.get<std::int64_t>()) : std::nullopt;
+    return number >= lowest && number <= highest ? std::optional(number) : std::nullopt;
 }
 
-// Empty also for a number outside the bounds.
-inline std::optional<std::int64_t> toInteger(const nlohmann::json &value, std::int64_t lowest,
-                                             std::int64_t highest)
-{
-    const auto number = toInteger(value);
-    return number && *number >= lowest && *number <= highest ? number : std::nullopt;
-}
-
-inline std::optional<std::int64_t> integerField(const nlohmann::json &object, const char *name)
+inline std::optional<std::int64_t> integerField(const nlohmann::json &object, const char *name,
+                                                std::int64_t lowest = lowestInteger,
+                                                std::int64_t highest = highestInteger)
 {
     const auto *field = findField(object, name);
-    return field == nullptr ? std::nullopt : toInteger(*field);
+    return field == nullptr ? std::nullopt : toInteger(*field, lowest, highest);
 }
 
-inline std::optional<std::int64_t> integerField(const nlohmann::json &object, const char *name,
-                                                std::int64_t lowest, std::int64_t highest)
+// Whether the field is a number between 0 and maxAmount, or missing.
+inline bool hasValidAmount(const nlohmann::json &object, const char *name)
 {
     const auto *field = findField(object, name);
-    return field == nullptr ? std::nullopt : toInteger(*field, lowest, highest);
+    if (field == nullptr) {
+        return true;
+    }
+    if (!field->is_number()) {
+        return false;
+    }
+    const auto value = field->get<double>();
+    return value >= 0 && value <= static_cast<double>(maxAmount);
 }
 
 // Revisions and other numbers that may take all 64 bits.
@@ -149,17 +160,12 @@
     return {amount("cpu"), amount("mem_mb"), amount("gpu")};
 }
 
-inline double realField(const nlohmann::json &object, const char *name, double defaultValue)
-{
-    const auto *field = findField(object, name);
-    return field != nullptr && field->is_number() ? field->get<double>() : defaultValue;
-}
-
-// Returns the default also for a number outside 0 to highest.
+// Returns the default when the field is missing, is no number or is outside 0 to highest.
 inline double realField(const nlohmann::json &object, const char *name, double defaultValue,
                         double highest)
 {
-    const auto value = realField(object, name, defaultValue);
+    const auto *field = findField(object, name);
+    const auto value = field != nullptr && field->is_number() ? field->get<double>() : defaultValue;
     return value >= 0 && value <= highest ? value : defaultValue;
 }
 
--- a/src/platform/internal/plaintext.h
+++ b/src/platform/internal/plaintext.h
@@ -2,9 +2,13 @@
 // and are written to the log.
 #pragma once
 
+#include "global/controlbyte.h"
+#include "net/endpoint.h"
+
 #include <algorithm>
 #include <charconv>
-#include <cstdint>
+#include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace cyclamenlatch::platform::detail {
@@ -14,11 +18,7 @@
 // A name without control bytes, of a bounded length; it may be empty.
 inline bool isPlainText(std::string_view text)
 {
-    return text.size() <= maxNameBytes
-           && std::none_of(text.begin(), text.end(), [](const char character) {
-                  const auto byte = static_cast<unsigned char>(character);
-                  return byte < 0x20 || byte == 0x7f;
-              });
+    return text.size() <= maxNameBytes && std::none_of(text.begin(), text.end(), isControlByte);
 }
 
 // A name of visible ASCII characters, so that it can be the value of a header.
@@ -39,27 +39,11 @@
     return !text.empty() && text.front() != '-' && parsed.ec == std::errc{} && parsed.ptr == end;
 }
 
-// Whether the text is an IPv4 address and a port other than 0.
+// Whether the text is an IPv4 address and a port that can be called.
 inline bool isEndpoint(std::string_view text)
 {
-    const auto colon = text.find(':');
-    std::uint16_t port = 0;
-    if (colon == std::string_view::npos || !parseWholeNumber(text.substr(colon + 1), port)
-        || port == 0) {
-        return false;
-    }
-    auto rest = text.substr(0, colon);
-    for (int octets = 4; octets > 0; --octets) {
-        const auto dot = rest.find('.');
-        std::uint8_t octet = 0;
-        const bool isLast = octets == 1;
-        if ((dot == std::string_view::npos) != isLast
-            || !parseWholeNumber(rest.substr(0, dot), octet)) {
-            return false;
-        }
-        rest.remove_prefix(isLast ? rest.size() : dot + 1);
-    }
-    return true;
+    const auto endpoint = isPlainText(text) ? net::parseEndpoint(text) : std::nullopt;
+    return endpoint && endpoint->port() != 0;
 }
 
 } // namespace cyclamenlatch::platform::detail
--- a/src/platform/internal/targetcodec.cpp
+++ b/src/platform/internal/targetcodec.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -72,12 +71,8 @@
 // Resources that are 0 may be left out.
 bool isCapacity(const nlohmann::json &json)
 {
-    constexpr const char *names[] = {"cpu", "mem_mb", "gpu"};
-    return json.is_object()
-           && std::all_of(std::begin(names), std::end(names), [&](const auto *name) {
-                  return detail::findField(json, name) == nullptr
-                         || detail::integerField(json, name, 0, detail::maxAmount);
-              });
+    return json.is_object() && detail::hasValidAmount(json, "cpu")
+           && detail::hasValidAmount(json, "mem_mb") && detail::hasValidAmount(json, "gpu");
 }
 
 bool isTextOrMissing(const nlohmann::json &json, const char *name)
--- a/src/platform/tests/oddmessages_tests.cpp
+++ b/src/platform/tests/oddmessages_tests.cpp
@@ -149,6 +149,8 @@
                                 "10.0.0.1:80/x",
                                 "10.0.0.1:80/ HTTP/1.1\\r\\nX: y",
                                 "10.0.0.1:80\\u0000",
+                                "10.0.0.1\\u0000:80",
+                                "010.0.0.1:80",
                                 "10.0.0.1\\n:80",
                                 ":80",
                                 "10.0.0:80",
--- a/src/scheduling/internal/hostplanner.cpp
+++ b/src/scheduling/internal/hostplanner.cpp
@@ -39,8 +39,8 @@
 
 std::string describe(const TargetLoad &load)
 {
-    return std::string(load.isKnown ? "" : "its target's runs are not known, ") + "runs="
-           + std::to_string(load.runs) + " long_running=" + std::to_string(load.longRunning)
+    return std::string(load.isKnown ? "" : "its target's runs are not known, ")
+           + "runs=" + std::to_string(load.runs) + " lasting=" + std::to_string(load.longRunning)
            + " unrecorded_ends=" + (load.hasUnrecordedEnds ? "yes" : "no");
 }
 
--- a/src/scheduling/internal/ownerlimits.cpp
+++ b/src/scheduling/internal/ownerlimits.cpp
@@ -5,7 +5,10 @@
 #include "scheduling/internal/ownerstate.h"
 
 #include <algorithm>
+#include <string>
+#include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace cyclamenlatch::scheduling {
 
@@ -23,14 +26,28 @@
 }
 
 // The limits of the latest configuration hold.
-template<typename Former, typename Limits>
-void learn(Former &former, const std::string &name, std::uint64_t version, const Limits &limits)
+template<typename Former>
+void learn(Former &former, const std::string &name, typename Former::mapped_type limits)
 {
-    const auto known = former.find(name);
-    if (known == former.end()) {
-        former.emplace(name, typename Former::mapped_type{version, limits});
-    } else if (known->second.version < version) {
-        known->second = {version, limits};
+    const auto [known, isNew] = former.try_emplace(name, limits);
+    if (!isNew && known->second.version < limits.version) {
+        known->second = limits;
+    }
+}
+
+// Keeps the limits of the names that are in use and that the next rules lack.
+template<typename Former, typename Rule>
+void retain(Former &former, std::unordered_set<std::string> inUse, const std::vector<Rule> &current,
+            std::uint64_t version, const std::vector<Rule> &next)
+{
+    for (const auto &rule : next) {
+        inUse.erase(rule.name);
+    }
+    std::erase_if(former, [&](const auto &item) { return !inUse.contains(item.first); });
+    for (const auto &rule : current) {
+        if (inUse.contains(rule.name)) {
+            learn(former, rule.name, {version, rule});
+        }
     }
 }
 
@@ -43,12 +60,10 @@
     m_queues.clear();
     for (const auto &queue : m_rules.queues) {
         m_queues.emplace(queue.name, &queue);
-        m_formerQueues.erase(queue.name);
     }
     m_workspaces.clear();
     for (const auto &workspace : m_rules.workspaces) {
         m_workspaces.emplace(workspace.name, &workspace);
-        m_formerWorkspaces.erase(workspace.name);
     }
     listUnassignedTargets(now);
 }
@@ -61,27 +76,9 @@
         queues.insert(job->submission.queue);
         workspaces.insert(job->submission.workspace);
     }
-    for (const auto &rule : next.queues) {
-        queues.erase(rule.name);
-    }
-    for (const auto &rule : next.workspaces) {
-        workspaces.erase(rule.name);
-    }
-    std::erase_if(m_formerQueues, [&](const auto &item) { return !queues.contains(item.first); });
-    std::erase_if(m_formerWorkspaces,
-                  [&](const auto &item) { return !workspaces.contains(item.first); });
-    for (const auto &rule : m_rules.queues) {
-        if (queues.contains(rule.name)) {
-            learn<decltype(m_formerQueues), QueueLimits>(m_formerQueues, rule.name, m_rules.version,
-                                                         rule);
-        }
-    }
-    for (const auto &rule : m_rules.workspaces) {
-        if (workspaces.contains(rule.name)) {
-            learn<decltype(m_formerWorkspaces), WorkspaceLimits>(m_formerWorkspaces, rule.name,
-                                                                 m_rules.version, rule);
-        }
-    }
+    retain(m_formerQueues, std::move(queues), m_rules.queues, m_rules.version, next.queues);
+    retain(m_formerWorkspaces, std::move(workspaces), m_rules.workspaces, m_rules.version,
+           next.workspaces);
 }
 
 // Another entry may have accepted the job under a configuration that this owner no longer has, or
@@ -93,10 +90,10 @@
     }
     const auto &limits = *submission.limits;
     if (!m_queues.contains(submission.queue)) {
-        learn(m_formerQueues, submission.queue, limits.version, limits.queue);
+        learn(m_formerQueues, submission.queue, {limits.version, limits.queue});
     }
     if (!submission.workspace.empty() && !m_workspaces.contains(submission.workspace)) {
-        learn(m_formerWorkspaces, submission.workspace, limits.version, limits.workspace);
+        learn(m_formerWorkspaces, submission.workspace, {limits.version, limits.workspace});
     }
 }
 
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -372,14 +372,10 @@
     if (target == nullptr) {
         // This owner has never used the target, or has seen all of its runs end.
         load.isKnown = id.empty() || hasLongestLeaseExpired(m_began, now);
-        load.runs = load.isKnown ? 0 : 1;
         return load;
     }
-    const bool hasExpired = hasLeaseExpired(*target, now);
-    load.isKnown = contactOf(*target) == Contact::Reachable || hasExpired;
-    // A target that was not contacted may have runs.
-    load.runs = target->isAdopted || hasExpired ? target->runs.size()
-                                                : std::max<std::size_t>(target->runs.size(), 1);
+    load.isKnown = contactOf(*target) == Contact::Reachable || hasLeaseExpired(*target, now);
+    load.runs = target->runs.size();
     load.hasUnrecordedEnds = target->endsSeen > target->endsRecorded;
     load.usedShare =
             static_cast<double>(target->used.processors)
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -381,11 +381,12 @@
     std::unordered_map<std::string, FormerLimits<QueueLimits>> m_formerQueues;
     std::unordered_map<std::string, FormerLimits<WorkspaceLimits>> m_formerWorkspaces;
     std::unordered_map<std::string, std::unique_ptr<TargetState>> m_targets;
-    // Listed targets whose service is not known, by id.
-    std::map<std::string, TargetInfo> m_unassignedTargets;
-    std::vector<std::string> m_assignedTargets;
     // The same targets sorted by id, so that choices among equal targets are deterministic.
     std::vector<TargetState *> m_targetsById;
+    // Listed targets whose service is not known, by id, and those that came into use since they
+    // were last taken.
+    std::map<std::string, TargetInfo> m_unassignedTargets;
+    std::vector<std::string> m_assignedTargets;
     // Targets that changed since they were last examined; each has isScheduledForPlanning set.
     std::vector<TargetState *> m_targetsToPlan;
     PlanningStatistics m_statistics;
--- a/src/scheduling/tests/reservations_tests.cpp
+++ b/src/scheduling/tests/reservations_tests.cpp
@@ -46,6 +46,13 @@
         queue = "queue";
     }
 
+    // Submits a job of short tasks of one core each, and lets those start that may.
+    void runShortTasks(JobNumber id, std::uint32_t count, const std::string &workspace = "space")
+    {
+        submit(id, {makeStep(count)}, workspace);
+        run(100ms);
+    }
+
     // Advances in small steps; answers advice calls, flushes and lets targets accept starts.
     void run(Duration duration)
     {
@@ -124,8 +131,7 @@
 {
     ReservationFixture fixture;
     fixture.join("t1");
-    fixture.submit(9, {makeStep(16)});
-    fixture.run(100ms);
+    fixture.runShortTasks(9, 16);
     ASSERT_EQ(fixture.startedTasks(9), 16U);
     fixture.submitAdvised(1, makeLongRunning(1, 9000));
     fixture.run(4s);
@@ -142,8 +148,7 @@
     fixture.approved.reset();
     fixture.submitAdvised(1, makeLongRunning(1, 9000));
     fixture.run(1s);
-    fixture.submit(9, {makeStep(4)});
-    fixture.run(100ms);
+    fixture.runShortTasks(9, 4);
     EXPECT_EQ(fixture.startedTasks(9), 4U);
 }
 
@@ -152,8 +157,7 @@
 {
     ReservationFixture fixture;
     fixture.join("t1");
-    fixture.submit(8, {makeStep(16)});
-    fixture.run(100ms);
+    fixture.runShortTasks(8, 16);
     fixture.approved = {"t1"};
     fixture.submitAdvised(1, makeLongRunning(1, 9000));
     fixture.run(1s);
@@ -164,8 +168,7 @@
         ends.push_back(OwnerFixture::end(ends.size() + 1, start, RunOutcome::Done));
     }
     fixture.report("t1", {}, ends);
-    fixture.submit(9, {makeStep(16)});
-    fixture.run(100ms);
+    fixture.runShortTasks(9, 16);
     EXPECT_EQ(fixture.startedTasks(9), 16U);
 }
 
@@ -175,8 +178,7 @@
     ReservationFixture fixture;
     fixture.join("t1");
     fixture.approved = {"t1"};
-    fixture.submit(8, {makeStep(10)});
-    fixture.run(100ms);
+    fixture.runShortTasks(8, 10);
     fixture.submitAdvised(1, makeLongRunning(1, 9000));
     fixture.run(1s);
     fixture.approved.reset();
@@ -191,8 +193,7 @@
 {
     ReservationFixture fixture;
     fixture.join("t1");
-    fixture.submit(8, {makeStep(10)});
-    fixture.run(100ms);
+    fixture.runShortTasks(8, 10);
     auto labelled = makeLongRunning(1, 9000);
     labelled.requiredLabel = "a";
     fixture.submit(1, {labelled});
@@ -200,8 +201,7 @@
     auto relabelled = *fixture.core.target("t1");
     relabelled.labels = {"b", "r1"};
     fixture.core.targetListed(relabelled, fixture.now);
-    fixture.submit(9, {makeStep(6)});
-    fixture.run(100ms);
+    fixture.runShortTasks(9, 6);
     EXPECT_EQ(fixture.startedTasks(9), 6U);
 }
 
@@ -219,8 +219,7 @@
     fixture.submit(2, {spread});
     fixture.run(1s);
     ASSERT_EQ(fixture.started.size(), 1U);
-    fixture.submit(9, {makeStep(12)});
-    fixture.run(100ms);
+    fixture.runShortTasks(9, 12);
     EXPECT_EQ(fixture.startedTasks(9), 12U);
 }
 
@@ -229,15 +228,13 @@
 {
     ReservationFixture fixture;
     fixture.join("t1");
-    fixture.submit(8, {makeStep(10)}, "other space");
-    fixture.run(100ms);
+    fixture.runShortTasks(8, 10, "other space");
     fixture.submit(1, {makeLongRunning(1, 9000)});
     fixture.run(1s);
     auto rules = ReservationFixture::makeTwoQueues();
     rules.workspaces[0].cap = Resources{8000, 0, 0};
     fixture.setRules(rules);
-    fixture.submit(9, {makeStep(6)}, "other space");
-    fixture.run(100ms);
+    fixture.runShortTasks(9, 6, "other space");
     EXPECT_EQ(fixture.startedTasks(9), 6U);
 }
 
@@ -247,21 +244,18 @@
 {
     ReservationFixture fixture;
     fixture.join("t1");
-    fixture.submit(8, {makeStep(10)});
-    fixture.run(100ms);
+    fixture.runShortTasks(8, 10);
     fixture.submit(1, {makeLongRunning(1, 9000)});
     fixture.run(1s);
     fixture.join("t2", Resources{9000, 64000, 0});
     fixture.run(100ms);
     ASSERT_EQ(fixture.startedTasks(1), 1U);
-    fixture.submit(9, {makeStep(3)});
-    fixture.run(100ms);
+    fixture.runShortTasks(9, 3);
     EXPECT_EQ(fixture.startedTasks(9), 3U);
     fixture.submit(2, {makeLongRunning(1, 9000)});
     fixture.run(1s);
     fixture.core.jobCancelled(2, fixture.now);
-    fixture.submit(10, {makeStep(3)});
-    fixture.run(100ms);
+    fixture.runShortTasks(10, 3);
     EXPECT_EQ(fixture.startedTasks(10), 3U);
 }
 
@@ -275,8 +269,7 @@
     fixture.submit(1, {gang});
     fixture.run(1s);
     ASSERT_TRUE(fixture.started.empty());
-    fixture.submit(9, {makeStep(16)});
-    fixture.run(100ms);
+    fixture.runShortTasks(9, 16);
     EXPECT_EQ(fixture.startedTasks(9), 16U);
 }
 
@@ -286,12 +279,10 @@
     ReservationFixture fixture;
     fixture.join("t1");
     fixture.approved = {"t1"};
-    fixture.submit(8, {makeStep(10)});
-    fixture.run(100ms);
+    fixture.runShortTasks(8, 10);
     fixture.submitAdvised(1, makeLongRunning(1, 9000));
     fixture.run(1s);
-    fixture.submit(9, {makeStep(6)});
-    fixture.run(100ms);
+    fixture.runShortTasks(9, 6);
     EXPECT_EQ(fixture.startedTasks(9), 0U);
 }
 
