Log the lease of a start and of an expired run, and the clock of an order's answer

E1814 started, lapsed and target-reborn now have the incarnation, the end of the lease and the clock that it is compared with; E1826 says that an order was answered on another clock than that of the known incarnation. No decision changes.

--- a/src/control/controlevents.h
+++ b/src/control/controlevents.h
@@ -60,6 +60,10 @@
         1825, Severity::Info, "target-assigned",
         "A target came into use that the platform had listed before: the configuration or a job "
         "names its service now."};
+inline constexpr Event orderAnsweredByOther{
+        1826, Severity::Warning, "order-answered-by-other",
+        "A target answered an order with another clock than that of its known incarnation, so it "
+        "has restarted; says both clocks."};
 inline constexpr Event jobAccepted{1820, Severity::Info, "job-accepted",
                                    "A caller's job is stored; the owner will run it."};
 inline constexpr Event jobRefused{
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -43,6 +43,8 @@
 // Interval of writing the list of targets that may have orders, when ids only leave it.
 constexpr std::chrono::milliseconds targetsRecordInterval{1000};
 constexpr std::chrono::milliseconds workLogInterval{1000};
+// A target's clock that differs by more from what is known of it belongs to another incarnation.
+constexpr std::chrono::milliseconds maxClockDifference{2000};
 
 scheduling::OwnerSettings makeSettings(const platform::EntrySettings &settings,
                                        const Tenure &tenure)
@@ -436,6 +438,16 @@
     pause.count() == 0 ? keepAlive(id) : keepAliveAfter(id, pause);
 }
 
+void OwnerService::checkClock(const std::string &id, const net::HttpCallResult &result)
+{
+    const auto known = m_core.clockOf(id, bootNow());
+    const auto clock = platform::decodeOrderClock(result);
+    if (known && clock && std::chrono::abs(*clock - *known) > maxClockDifference) {
+        logEvent(orderAnsweredByOther, "target={} clock={} expected={}", id, clock->count(),
+                 known->count());
+    }
+}
+
 template<typename Kind>
 void OwnerService::sendOrder(net::HttpCall call, const Kind &order, ReplyHandler<Kind> handler)
 {
@@ -449,6 +461,7 @@
                     }
                     const WorkMeter::Span span(m_work, WorkKind::Orders);
                     const auto answer = platform::decodeOrderReply(result);
+                    checkClock(order.targetId, result);
                     (m_core.*handler)(order, answer, bootNow());
                     if (answer == scheduling::OrderResult::Fenced) {
                         return m_ownership.resign("a target has seen an owner with a higher term");
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -72,6 +72,8 @@
     void handleKeepAliveReply(const std::string &id, const net::HttpCallResult &result,
                               TimePoint sentAt);
     void send(const scheduling::Order &order);
+    // Logs an answer that another incarnation of the target gave than the known one.
+    void checkClock(const std::string &id, const net::HttpCallResult &result);
     template<typename Kind>
     using ReplyHandler = void (scheduling::OwnerCore::*)(const Kind &, scheduling::OrderResult,
                                                          TimePoint);
--- a/src/platform/internal/targetcodec.cpp
+++ b/src/platform/internal/targetcodec.cpp
@@ -316,6 +316,16 @@
     return names.value(reason).value_or(OrderResult::Refused);
 }
 
+std::optional<std::chrono::milliseconds> decodeOrderClock(const net::HttpCallResult &result)
+{
+    if (!result.reply) {
+        return std::nullopt;
+    }
+    const auto clock = detail::integerField(detail::parseJson(result.reply->body), "clock_ms", 0,
+                                            detail::maxExactInteger);
+    return clock ? std::optional(std::chrono::milliseconds(*clock)) : std::nullopt;
+}
+
 KeepAliveReply decodeKeepAliveReply(const net::HttpCallResult &result)
 {
     KeepAliveReply answer;
--- a/src/platform/targetcodec.h
+++ b/src/platform/targetcodec.h
@@ -9,6 +9,7 @@
 #include "scheduling/orders.h"
 #include "scheduling/targetinfo.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -55,6 +56,8 @@
 // A call without a reply that may have been sent, and the statuses 500, 502 and 504, give
 // OutcomeUnknown.
 scheduling::OrderResult decodeOrderReply(const net::HttpCallResult &result);
+// The target's clock in its reply to an order; nothing if the reply does not name it.
+std::optional<std::chrono::milliseconds> decodeOrderClock(const net::HttpCallResult &result);
 
 struct KeepAliveReply
 {
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -72,7 +72,9 @@
         lost.push_back(task);
     }
     for (const auto &task : lost) {
-        reportDecision(kind, task, target.runs.at(task).attempt, target.info.id);
+        reportDecision(kind, task, target.runs.at(task).attempt, target.info.id,
+                       kind == Decision::Kind::LeaseExpired ? leaseText(target, now)
+                                                            : std::string{});
         releaseRun(target, task, now);
     }
 }
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -5,6 +5,8 @@
 #include "scheduling/internal/openstep.h"
 #include "scheduling/internal/ownerstate.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <iterator>
 #include <tuple>
@@ -374,7 +376,13 @@
     m_orders.emplace_back(startOrder(target, ref, run));
     if (m_listener) {
         const auto *task = findTask(ref);
-        Decision decision{Decision::Kind::Started, ref, run.attempt, target.info.id, {}, {}};
+        Decision decision{
+                Decision::Kind::Started,
+                ref,
+                run.attempt,
+                target.info.id,
+                fmt::format("incarnation={} {}", target.incarnation, leaseText(target, now)),
+                {}};
         decision.waited = task == nullptr ? std::nullopt : std::optional(now - task->waitingSince);
         m_listener(decision);
     }
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -5,6 +5,8 @@
 #include "scheduling/internal/criticalpath.h"
 #include "scheduling/internal/ownerstate.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -189,6 +191,22 @@
     return *target.clock + toMilliseconds(now - target.clockAt) + m_settings.runLease;
 }
 
+std::string OwnerCore::leaseText(const TargetState &target, TimePoint now) const
+{
+    const auto clock = clockOf(target.info.id, now);
+    return clock ? fmt::format("lease_until={} clock={}", target.leaseUntil.count(), clock->count())
+                 : "clock=unknown";
+}
+
+std::optional<std::chrono::milliseconds> OwnerCore::clockOf(const std::string &id,
+                                                            TimePoint now) const
+{
+    const auto *target = findTarget(id);
+    return target == nullptr || !target->clock
+                   ? std::nullopt
+                   : std::optional(*target->clock + toMilliseconds(now - target->clockAt));
+}
+
 bool OwnerCore::hasLeaseExpired(const TargetState &target, TimePoint now) const
 {
     const auto margin = m_settings.stopTimeout + leaseExpiryMargin;
@@ -271,7 +289,10 @@
     const bool isOtherIncarnation = target->incarnation != 0 && report.incarnation != 0
                                     && report.incarnation != target->incarnation;
     if (isOtherIncarnation) {
-        reportDecision(Decision::Kind::TargetRestarted, {}, 0, id);
+        reportDecision(Decision::Kind::TargetRestarted, {}, 0, id,
+                       fmt::format("incarnation={} new_clock={} before={} {}", report.incarnation,
+                                   report.clock.count(), target->incarnation,
+                                   leaseText(*target, now)));
         releaseRuns(*target, Decision::Kind::TargetRestarted, now);
     }
     const bool isConfirmed = target->incarnation != 0 && report.incarnation == target->incarnation;
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -166,6 +166,8 @@
     bool hasUnrecordedTargets() const;
     std::vector<std::string> targetsToKeepAlive() const;
     const TargetInfo *target(const std::string &id) const;
+    // The clock of the target's known incarnation; nothing before its first answer.
+    std::optional<std::chrono::milliseconds> clockOf(const std::string &id, TimePoint now) const;
 
     // A job that has ended or is already known is ignored.
     // isNew: submitted after this owner took over.
@@ -312,6 +314,8 @@
     // Whether the longest lease that was granted at this time has expired on every target's clock.
     bool hasLongestLeaseExpired(TimePoint granted, TimePoint now) const;
     std::chrono::milliseconds leaseFrom(const TargetState &target, TimePoint now) const;
+    // The lease and the clock as far as known, for log lines.
+    std::string leaseText(const TargetState &target, TimePoint now) const;
 
     // Planning.
     void planTargets(TimePoint now);
