Bind each call to the incarnation of the target that it is for

Cause: the end of a lease is a time on the target's clock, and each incarnation has a clock of its own. A start that waited for its connection while the target restarted was written to the new incarnation, whose clock was behind. It granted itself the longest lease, 10 s from that moment, for everything that runs there, while the owner counted on 4.5 s and started the tasks elsewhere after that.

Change: every order and keep-alive names its incarnation. LoopHttpClient lets the process behind a new connection name itself before it writes such a call there, and hands the call back unsent if it is another one (HttpCall::peerCheck). The core takes the target out of use until its list is read. The request for the identity has no effect, so it is sent again soon when it is not answered, and a start call that was not sent does not count among the three of a start. Why this is enough: a process that ends takes its connections along, so what is written to a connection reaches the process that has named itself on it, or none.

The same cause on related paths: the lease of a keep-alive, the number up to which ends may be forgotten, stops and paces.

E1826 compares with the time since the call was sent: an entry that had been frozen for 3 s reported answers from before.

--- a/src/control/controlevents.h
+++ b/src/control/controlevents.h
@@ -62,8 +62,12 @@
         "names its service now."};
 inline constexpr Event orderAnsweredByOther{
         1826, Severity::Warning, "order-answered-by-other",
-        "A target answered an order with another clock than that of its known incarnation, so it "
-        "has restarted; says both clocks."};
+        "An order was answered on another clock than that of the incarnation that it was for; says "
+        "both clocks."};
+inline constexpr Event orderNotDelivered{
+        1827, Severity::Info, "order-not-delivered",
+        "An order was not sent, because the target has restarted; says for which incarnation it "
+        "was."};
 inline constexpr Event jobAccepted{1820, Severity::Info, "job-accepted",
                                    "A caller's job is stored; the owner will run it."};
 inline constexpr Event jobRefused{
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -380,6 +380,7 @@
     }
     auto call = platform::keepAliveCall(*target, m_tenure.term, *order);
     call.timeout = order->wait + order->timeout;
+    call.peerCheck->timeout = order->timeout;
     call.connectTimeout = connectTimeout;
     call.isPermitted = m_ownership.makeOwnershipCheck(m_alive);
     found->second->isCalling = true;
@@ -438,13 +439,17 @@
     pause.count() == 0 ? keepAlive(id) : keepAliveAfter(id, pause);
 }
 
-void OwnerService::checkClock(const std::string &id, const net::HttpCallResult &result)
+void OwnerService::checkClock(const std::string &id, const net::HttpCallResult &result,
+                              TimePoint sentAt)
 {
-    const auto known = m_core.clockOf(id, bootNow());
+    // The answer was given at some time since the call was sent.
+    const auto earliest = m_core.clockOf(id, sentAt);
+    const auto latest = m_core.clockOf(id, bootNow());
     const auto clock = platform::decodeOrderClock(result);
-    if (known && clock && std::chrono::abs(*clock - *known) > maxClockDifference) {
+    if (earliest && latest && clock
+        && (*clock < *earliest - maxClockDifference || *clock > *latest + maxClockDifference)) {
         logEvent(orderAnsweredByOther, "target={} clock={} expected={}", id, clock->count(),
-                 known->count());
+                 latest->count());
     }
 }
 
@@ -454,22 +459,29 @@
     call.timeout = orderTimeout;
     call.connectTimeout = connectTimeout;
     call.isPermitted = m_ownership.makeOwnershipCheck(m_alive);
-    m_http.send(std::move(call),
-                [this, order, handler, alive = std::weak_ptr(m_alive)](const auto &result) {
-                    if (alive.expired()) {
-                        return;
-                    }
-                    const WorkMeter::Span span(m_work, WorkKind::Orders);
-                    const auto answer = platform::decodeOrderReply(result);
-                    checkClock(order.targetId, result);
-                    (m_core.*handler)(order, answer, bootNow());
-                    if (answer == scheduling::OrderResult::Fenced) {
-                        return m_ownership.resign("a target has seen an owner with a higher term");
-                    }
-                    if (answer != scheduling::OrderResult::Accepted) {
-                        schedulePlan();
-                    }
-                });
+    if (call.peerCheck) {
+        call.peerCheck->timeout = m_core.responseTimeout(order.targetId);
+    }
+    m_http.send(std::move(call), [this, order, handler, sentAt = bootNow(),
+                                  alive = std::weak_ptr(m_alive)](const auto &result) {
+        if (alive.expired()) {
+            return;
+        }
+        const WorkMeter::Span span(m_work, WorkKind::Orders);
+        const auto answer = platform::decodeOrderReply(result);
+        checkClock(order.targetId, result, sentAt);
+        if (answer == scheduling::OrderResult::TargetRestarted) {
+            logEvent(orderNotDelivered, "target={} incarnation={}", order.targetId,
+                     order.incarnation);
+        }
+        (m_core.*handler)(order, answer, bootNow());
+        if (answer == scheduling::OrderResult::Fenced) {
+            return m_ownership.resign("a target has seen an owner with a higher term");
+        }
+        if (answer != scheduling::OrderResult::Accepted) {
+            schedulePlan();
+        }
+    });
 }
 
 void OwnerService::send(const scheduling::Order &order)
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -73,7 +73,7 @@
                               TimePoint sentAt);
     void send(const scheduling::Order &order);
     // Logs an answer that another incarnation of the target gave than the known one.
-    void checkClock(const std::string &id, const net::HttpCallResult &result);
+    void checkClock(const std::string &id, const net::HttpCallResult &result, TimePoint sentAt);
     template<typename Kind>
     using ReplyHandler = void (scheduling::OwnerCore::*)(const Kind &, scheduling::OrderResult,
                                                          TimePoint);
--- a/src/control/tests/targetrestart_tests.cpp
+++ b/src/control/tests/targetrestart_tests.cpp
@@ -8,6 +8,8 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -138,16 +140,18 @@
 
     net::HttpCallResult wait(const std::shared_ptr<std::optional<net::HttpCallResult>> &result)
     {
-        while (!*result) {
-            poll();
-        }
-        return **result;
+        EXPECT_TRUE(runUntil([&] { return result->has_value(); }));
+        return result->value_or(net::HttpCallResult{});
     }
 
-    void poll()
+    bool runUntil(const std::function<bool()> &isDone)
     {
-        m_context.run_one_for(1ms);
-        target.poll();
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        while (!isDone() && std::chrono::steady_clock::now() < end) {
+            m_context.run_one_for(1ms);
+            target.poll();
+        }
+        return isDone();
     }
 
     net::HttpCall keepAliveCall(const KeepAliveOrder &order) const
@@ -199,9 +203,7 @@
     {
         target.answersKeepAlives = false;
         const auto waiting = send(keepAliveCall(*core.keepAliveOrder("t1", now)));
-        while (target.now.leaseUntil < target.now.clock + 4s) {
-            poll();
-        }
+        EXPECT_TRUE(runUntil([&] { return target.now.leaseUntil > target.now.clock + 4s; }));
         target.crash();
         EXPECT_FALSE(wait(waiting).reply);
         target.answersKeepAlives = true;
@@ -249,10 +251,10 @@
 // the number that an earlier one may forget would make the next one forget its first ends.
 TEST(TargetRestart, keepAliveForAnEarlierIncarnationForgetsNoEnds)
 {
-    TargetRestartFixture fixture;
-    KeepAliveOrder order = *fixture.core.keepAliveOrder("t1", fixture.now);
-    order.endsRecorded = 57;
     for (const bool isLeaseGranted : {true, false}) {
+        TargetRestartFixture fixture;
+        KeepAliveOrder order = *fixture.core.keepAliveOrder("t1", fixture.now);
+        order.endsRecorded = 57;
         order.leaseUntil = isLeaseGranted ? order.leaseUntil : 0ms;
         fixture.restartTarget();
         fixture.wait(fixture.send(fixture.keepAliveCall(order)));
--- a/src/net/internal/loopconnection.h
+++ b/src/net/internal/loopconnection.h
@@ -44,6 +44,8 @@
 
     // Set by the client: of the call that it carries; 0 while it carries none.
     std::uint64_t callNumber = 0;
+    // The identity that the peer has named; 0: none yet. See PeerCheck.
+    std::int64_t peer = 0;
     TimePoint idleSince{};
     // When the last byte came.
     TimePoint receivedAt{};
--- a/src/net/internal/loophttpclient.cpp
+++ b/src/net/internal/loophttpclient.cpp
@@ -29,19 +29,33 @@
 constexpr int idleSweeps = 4;
 constexpr std::string_view scheme = "http://";
 
-std::string requestOf(const HttpCall &call, std::string_view host, std::string_view path)
+std::string requestOf(const HttpCall &call, std::string_view host, std::string_view path,
+                      std::string_view body)
 {
     std::string request;
-    request.reserve(256 + call.body.size());
+    request.reserve(256 + body.size());
     fmt::format_to(std::back_inserter(request), "{} {} HTTP/1.1\r\nHost: {}\r\n", call.method,
                    path.empty() ? std::string_view("/") : path, host);
     for (const auto &header : call.headers.all()) {
         request.append(header.name).append(": ").append(header.value).append("\r\n");
     }
-    if (call.method == "POST" || call.method == "PUT" || !call.body.empty()) {
-        fmt::format_to(std::back_inserter(request), "Content-Length: {}\r\n", call.body.size());
+    if (call.method == "POST" || call.method == "PUT" || !body.empty()) {
+        fmt::format_to(std::back_inserter(request), "Content-Length: {}\r\n", body.size());
     }
-    return request.append("\r\n").append(call.body);
+    return request.append("\r\n").append(body);
+}
+
+// Whether the call may be written to a connection to this peer, at the latest after it has named
+// itself.
+bool mayReach(const HttpCall &call, std::int64_t peer)
+{
+    return !call.peerCheck || call.peerCheck->expected == 0 || peer == 0
+           || peer == call.peerCheck->expected;
+}
+
+bool needsIdentity(const HttpCall &call, std::int64_t peer)
+{
+    return call.peerCheck && call.peerCheck->expected != 0 && peer == 0;
 }
 
 } // namespace
@@ -84,6 +98,8 @@
         call.completion = std::move(completion);
         call.endsAt = now + call.call.timeout;
         call.connectEndsAt = now + call.call.connectTimeout;
+        call.identifyTimeout =
+                call.call.peerCheck ? call.call.peerCheck->timeout : std::chrono::milliseconds{};
         const std::string_view url = call.call.url;
         const auto path = url.find('/', scheme.size());
         call.host = url.substr(std::min(scheme.size(), url.size()),
@@ -118,6 +134,10 @@
         TimePoint watchedUntil{};
         std::shared_ptr<LoopConnection> connection;
         bool isWritten = false;
+        // The connection's peer is being asked for its identity.
+        bool isIdentifying = false;
+        // How long the next request for the identity may take; doubled with each.
+        std::chrono::milliseconds identifyTimeout{};
     };
     struct Host
     {
@@ -130,12 +150,12 @@
     // Gives the call a connection, or lets it wait for one.
     void place(std::uint64_t number, Call &call)
     {
-        auto &host = m_hosts[call.host];
-        if (!host.idle.empty() && !call.call.freshConnection) {
-            auto connection = std::move(host.idle.back());
-            host.idle.pop_back();
-            return write(number, call, std::move(connection));
+        if (!call.call.freshConnection) {
+            if (auto connection = takeIdle(call)) {
+                return write(number, call, std::move(connection));
+            }
         }
+        auto &host = m_hosts[call.host];
         if (host.open >= m_settings.maxConnectionsPerHost) {
             host.waiting.push_back(number);
             return;
@@ -149,6 +169,29 @@
         connection->connect(*parseEndpoint(call.host));
     }
 
+    // The idle connection that was used last and may carry the call; null: none may. A connection
+    // to another process than the call's is closed: one of the two processes is gone.
+    std::shared_ptr<LoopConnection> takeIdle(const Call &call)
+    {
+        const auto host = m_hosts.find(call.host);
+        if (host == m_hosts.end()) {
+            return nullptr;
+        }
+        std::vector<std::shared_ptr<LoopConnection>> others;
+        std::shared_ptr<LoopConnection> found;
+        auto &idle = host->second.idle;
+        while (!idle.empty() && !found) {
+            auto &connection =
+                    mayReach(call.call, idle.back()->peer) ? found : others.emplace_back();
+            connection = std::move(idle.back());
+            idle.pop_back();
+        }
+        for (const auto &other : others) {
+            drop(*other);
+        }
+        return found;
+    }
+
     void write(std::uint64_t number, Call &call, std::shared_ptr<LoopConnection> connection)
     {
         connection->callNumber = number;
@@ -162,13 +205,24 @@
                 }
             });
         }
+        if (needsIdentity(call.call, call.connection->peer)) {
+            call.isIdentifying = true;
+            const auto &check = *call.call.peerCheck;
+            watchUntil(number, call.identifyTimeout.count() == 0
+                                       ? call.endsAt
+                                       : std::min<TimePoint>(call.endsAt,
+                                                             steadyNow() + call.identifyTimeout));
+            return call.connection->write(requestOf(call.call, call.host, check.path, check.body),
+                                          call.call.maxReplyBytes);
+        }
         call.isWritten = true;
         auto until = call.endsAt;
         if (call.call.idleTimeout.count() > 0) {
             until = std::min<TimePoint>(until, steadyNow() + call.call.idleTimeout);
         }
         watchUntil(number, until);
-        call.connection->write(requestOf(call.call, call.host, call.path), call.call.maxReplyBytes);
+        call.connection->write(requestOf(call.call, call.host, call.path, call.call.body),
+                               call.call.maxReplyBytes);
     }
 
     void connected(LoopConnection &connection, const std::string &failure)
@@ -182,8 +236,33 @@
         write(found->first, found->second, found->second.connection);
     }
 
+    // Records the identity that the peer names; returns whether the reply was only asked for that
+    // and the call itself was written now.
+    bool identified(LoopConnection &connection, const HttpReply &reply, bool isReusable)
+    {
+        const auto found = m_calls.find(connection.callNumber);
+        if (found == m_calls.end() || !found->second.call.peerCheck) {
+            return false;
+        }
+        auto &call = found->second;
+        if (connection.peer == 0) {
+            connection.peer = call.call.peerCheck->identify(reply);
+        }
+        if (!call.isIdentifying || connection.peer != call.call.peerCheck->expected
+            || !isReusable) {
+            return false;
+        }
+        call.isIdentifying = false;
+        call.endsAt = steadyNow() + call.call.timeout;
+        write(found->first, call, call.connection);
+        return true;
+    }
+
     void answered(LoopConnection &connection, HttpReply reply, bool isReusable)
     {
+        if (identified(connection, reply, isReusable)) {
+            return;
+        }
         auto node = m_calls.extract(std::exchange(connection.callNumber, 0));
         if (node.empty()) {
             return drop(connection);
@@ -198,8 +277,13 @@
             drop(connection);
         }
         HttpCallResult result;
-        result.sendState = SendState::MaybeSent;
-        result.reply = std::move(reply);
+        if (call.isIdentifying) {
+            result.failure = "another process answers at the address";
+            result.peerReply = std::move(reply);
+        } else {
+            result.sendState = SendState::MaybeSent;
+            result.reply = std::move(reply);
+        }
         result.call = std::move(call.call);
         call.completion(std::move(result));
     }
@@ -217,8 +301,12 @@
         auto &host = m_hosts[connection->host()];
         while (!host.waiting.empty()) {
             const auto number = host.waiting.front();
+            const auto next = m_calls.find(number);
+            if (next != m_calls.end() && !mayReach(next->second.call, connection->peer)) {
+                return drop(*connection);
+            }
             host.waiting.pop_front();
-            if (const auto next = m_calls.find(number); next != m_calls.end()) {
+            if (next != m_calls.end()) {
                 return write(number, next->second, std::move(connection));
             }
         }
@@ -239,17 +327,29 @@
         auto &host = m_hosts[kept->host()];
         --host.open;
         std::erase(host.idle, kept);
-        while (!m_isEnding && !host.waiting.empty()
-               && host.open < m_settings.maxConnectionsPerHost) {
-            const auto number = host.waiting.front();
-            host.waiting.pop_front();
+        placeWaiting(kept->host());
+    }
+
+    // Opens connections for calls that wait for one. Placing a call may close connections in turn
+    // and so forget the host.
+    void placeWaiting(const std::string &name)
+    {
+        for (auto host = m_hosts.find(name); host != m_hosts.end(); host = m_hosts.find(name)) {
+            auto &waiting = host->second.waiting;
+            const auto open = host->second.open;
+            if (waiting.empty() && open == 0) {
+                m_hosts.erase(host);
+                return;
+            }
+            if (m_isEnding || waiting.empty() || open >= m_settings.maxConnectionsPerHost) {
+                return;
+            }
+            const auto number = waiting.front();
+            waiting.pop_front();
             if (const auto next = m_calls.find(number); next != m_calls.end()) {
                 place(number, next->second);
             }
         }
-        if (host.open == 0 && host.waiting.empty()) {
-            m_hosts.erase(kept->host());
-        }
     }
 
     // Ends the call without an answer.
@@ -330,12 +430,29 @@
         }
     }
 
+    // The peer has not named itself in time: tries another connection.
+    void identifyAgain(std::uint64_t number, Call &call)
+    {
+        const auto silent = std::exchange(call.connection, nullptr);
+        call.isIdentifying = false;
+        call.identifyTimeout *= 2;
+        silent->callNumber = 0;
+        watchUntil(number, call.endsAt);
+        // First, so that calls that have waited for a connection get theirs before.
+        drop(*silent);
+        place(number, call);
+    }
+
     void giveUpLate()
     {
         const auto now = steadyNow();
         while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
             const auto number = m_deadlines.begin()->second;
             auto &call = m_calls.at(number);
+            if (call.isIdentifying && call.endsAt > now) {
+                identifyAgain(number, call);
+                continue;
+            }
             const auto idleEnd = call.isWritten && call.call.idleTimeout.count() > 0
                                          ? call.connection->receivedAt + call.call.idleTimeout
                                          : call.endsAt;
@@ -343,7 +460,7 @@
                 watchUntil(number, std::min(call.endsAt, idleEnd));
                 continue;
             }
-            fail(number, call.isWritten    ? "no answer came in time"
+            fail(number, call.isWritten || call.isIdentifying ? "no answer came in time"
                          : call.connection ? "the connection was not made in time"
                                            : "no connection became free in time");
         }
--- a/src/net/tests/loophttpclient_tests.cpp
+++ b/src/net/tests/loophttpclient_tests.cpp
@@ -9,6 +9,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -16,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace cyclamenlatch::net {
 
@@ -266,4 +268,234 @@
     }
 }
 
+namespace {
+
+// A process behind an address, which names itself in each answer and keeps the bodies it receives.
+// Answering on its own context, it can be ended together with its connections.
+class NamedProcess
+{
+public:
+    NamedProcess(std::int64_t name, std::uint16_t port)
+        : m_name(name)
+        , m_acceptor(m_context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port))
+    {
+        accept();
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    void poll() { m_context.poll(); }
+
+    std::vector<std::string> received;
+    std::size_t accepted = 0;
+    // Number of requests that are left unanswered from now on.
+    int unanswered = 0;
+    // Answers without a name and closes the connection after each answer, respectively.
+    bool isAnonymous = false;
+    bool closesConnections = false;
+
+private:
+    struct Peer
+    {
+        explicit Peer(asio::ip::tcp::socket accepted)
+            : socket(std::move(accepted))
+        {}
+        asio::ip::tcp::socket socket;
+        std::array<char, 1024> bytes{};
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const asio::error_code &error, auto socket) {
+            if (!error) {
+                ++accepted;
+                serve(std::make_shared<Peer>(std::move(socket)));
+                accept();
+            }
+        });
+    }
+
+    // Requests of these tests are short, so that each comes in one part.
+    void serve(const std::shared_ptr<Peer> &peer)
+    {
+        peer->socket.async_read_some(
+                asio::buffer(peer->bytes), [this, peer](const asio::error_code &error, auto size) {
+                    if (error) {
+                        return;
+                    }
+                    const std::string request(peer->bytes.data(), size);
+                    received.push_back(request.substr(request.find("\r\n\r\n") + 4));
+                    if (unanswered > 0) {
+                        --unanswered;
+                        return serve(peer);
+                    }
+                    const auto body = isAnonymous ? std::string("0") : std::to_string(m_name);
+                    std::string answer = "HTTP/1.1 200 OK\r\n";
+                    answer += closesConnections ? "Connection: close\r\n" : "";
+                    answer += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+                    asio::error_code failed;
+                    asio::write(peer->socket, asio::buffer(answer), failed);
+                    if (!closesConnections) {
+                        serve(peer);
+                    }
+                });
+    }
+
+    asio::io_context m_context;
+    const std::int64_t m_name;
+    asio::ip::tcp::acceptor m_acceptor;
+};
+
+class PeerCheckFixture
+{
+public:
+    PeerCheckFixture()
+        : process(std::make_unique<NamedProcess>(1, 0))
+        , m_port(process->port())
+    {}
+
+    // Sends a call for the process of this name, 0 for any, and waits for its result.
+    HttpCallResult send(std::int64_t expected, const std::string &body)
+    {
+        return wait(begin(expected, body));
+    }
+
+    std::shared_ptr<std::optional<HttpCallResult>> begin(
+            std::int64_t expected, const std::string &body,
+            std::chrono::milliseconds timeout = std::chrono::seconds(5))
+    {
+        HttpCall call;
+        call.method = "POST";
+        call.url = "http://127.0.0.1:" + std::to_string(m_port) + "/order";
+        call.body = body;
+        call.timeout = timeout;
+        call.peerCheck = PeerCheck{expected, "/name", "name", std::chrono::milliseconds(20),
+                                   [](const HttpReply &reply) {
+                                       return static_cast<std::int64_t>(std::stoll(reply.body));
+                                   }};
+        auto result = std::make_shared<std::optional<HttpCallResult>>();
+        m_client.send(std::move(call), [result](auto answer) { *result = std::move(answer); });
+        return result;
+    }
+
+    HttpCallResult wait(const std::shared_ptr<std::optional<HttpCallResult>> &result)
+    {
+        const auto end = steadyNow() + std::chrono::seconds(10);
+        while (!*result && steadyNow() < end) {
+            m_context.run_one_for(std::chrono::milliseconds(1));
+            process->poll();
+        }
+        EXPECT_TRUE(result->has_value());
+        return result->value_or(HttpCallResult{});
+    }
+
+    // The process ends with its connections, and another one takes its address.
+    void replaceProcess(std::int64_t name)
+    {
+        process.reset();
+        process = std::make_unique<NamedProcess>(name, m_port);
+    }
+
+    std::unique_ptr<NamedProcess> process;
+
+private:
+    const std::uint16_t m_port;
+    asio::io_context m_context;
+    LoopHttpClient m_client{m_context, [] {
+                                HttpClientSettings settings;
+                                settings.maxConnectionsPerHost = 2;
+                                return settings;
+                            }()};
+};
+
+using Bodies = std::vector<std::string>;
+
+} // namespace
+
+// TWICE on fqcc-berth: a start that was meant for an earlier incarnation of a target reached the
+// next one, over a connection that was made while the target restarted.
+TEST(LoopHttpClientPeerCheck, writesNoCallToAnotherProcessThanTheOneItIsFor)
+{
+    PeerCheckFixture fixture;
+    EXPECT_TRUE(fixture.send(1, "first").reply);
+    EXPECT_EQ(fixture.process->received, (Bodies{"name", "first"}));
+    fixture.replaceProcess(2);
+    // The connection ends under one call or before it; the next call finds a new one.
+    fixture.send(1, "second");
+    const auto result = fixture.send(1, "third");
+    EXPECT_FALSE(result.reply);
+    EXPECT_EQ(result.sendState, SendState::NotSent);
+    ASSERT_TRUE(result.peerReply);
+    EXPECT_EQ(result.peerReply->body, "2");
+    for (const auto &body : fixture.process->received) {
+        EXPECT_EQ(body, "name");
+    }
+}
+
+// A call for any process learns the name from its own reply, so that it costs no call of its own.
+TEST(LoopHttpClientPeerCheck, asksForTheNameOnceAConnection)
+{
+    PeerCheckFixture fixture;
+    EXPECT_TRUE(fixture.send(0, "any").reply);
+    EXPECT_TRUE(fixture.send(1, "first").reply);
+    EXPECT_TRUE(fixture.send(1, "second").reply);
+    EXPECT_EQ(fixture.process->received, (Bodies{"any", "first", "second"}));
+    EXPECT_EQ(fixture.process->accepted, 1U);
+}
+
+// Calls that wait for a connection get one to the process that they are for.
+TEST(LoopHttpClientPeerCheck, givesEachWaitingCallAConnectionToItsOwnProcess)
+{
+    PeerCheckFixture fixture;
+    constexpr int calls = 12;
+    std::vector<std::shared_ptr<std::optional<HttpCallResult>>> results;
+    results.reserve(calls);
+    for (int call = 0; call < calls; ++call) {
+        results.push_back(fixture.begin(call % 3 == 2 ? 7 : 1, "order"));
+    }
+    for (std::size_t call = 0; call < results.size(); ++call) {
+        const auto result = fixture.wait(results[call]);
+        EXPECT_EQ(result.reply.has_value(), call % 3 != 2) << result.failure;
+        EXPECT_EQ(result.peerReply.has_value(), call % 3 == 2);
+    }
+    EXPECT_EQ(
+            std::count(fixture.process->received.begin(), fixture.process->received.end(), "order"),
+            8);
+}
+
+// A call is not sent either to a process that does not name itself, or whose connection ends with
+// its name.
+TEST(LoopHttpClientPeerCheck, writesNoCallWithoutANamedConnection)
+{
+    PeerCheckFixture fixture;
+    fixture.process->isAnonymous = true;
+    EXPECT_EQ(fixture.send(1, "order").sendState, SendState::NotSent);
+    fixture.process->isAnonymous = false;
+    fixture.process->closesConnections = true;
+    EXPECT_EQ(fixture.send(1, "order").sendState, SendState::NotSent);
+    EXPECT_EQ(fixture.process->received, (Bodies{"name", "name"}));
+}
+
+// Guards against work that stands still while answers are lost: a request for the name has no
+// effect, so it is sent again soon, and the call gets its whole time afterwards.
+TEST(LoopHttpClientPeerCheck, asksAgainForANameThatWasNotAnswered)
+{
+    PeerCheckFixture fixture;
+    fixture.process->unanswered = 3;
+    const auto result = fixture.send(1, "order");
+    EXPECT_TRUE(result.reply) << result.failure;
+    EXPECT_EQ(fixture.process->received, (Bodies{"name", "name", "name", "name", "order"}));
+}
+
+TEST(LoopHttpClientPeerCheck, givesUpACallWhosePeerNeverNamesItself)
+{
+    PeerCheckFixture fixture;
+    fixture.process->unanswered = 1000;
+    const auto lost = fixture.begin(1, "order", std::chrono::milliseconds(300));
+    EXPECT_EQ(fixture.wait(lost).sendState, SendState::NotSent);
+    EXPECT_GT(fixture.process->received.size(), 1U);
+    for (const auto &body : fixture.process->received) {
+        EXPECT_EQ(body, "name");
+    }
+}
+
 } // namespace cyclamenlatch::net
--- a/src/platform/internal/targetcodec.cpp
+++ b/src/platform/internal/targetcodec.cpp
@@ -62,6 +62,26 @@
     return call;
 }
 
+std::int64_t decodeIncarnation(const net::HttpReply &reply)
+{
+    return reply.status != 200 ? 0
+                               : detail::integerField(detail::parseJson(reply.body), "born", 1,
+                                                      detail::maxExactInteger)
+                                         .value_or(0);
+}
+
+// Has the call reach this incarnation of the target only; 0: any. The header that names the
+// expected target holds for all incarnations.
+net::HttpCall forIncarnation(net::HttpCall call, std::int64_t incarnation, std::uint64_t token)
+{
+    call.peerCheck = net::PeerCheck{incarnation,
+                                    "/v1/hold",
+                                    fmt::format(R"({{"fencing_token":{},"ack_cursor":0}})", token),
+                                    {},
+                                    &decodeIncarnation};
+    return call;
+}
+
 // Returns the text as a JSON string with quotes; bytes that are not valid UTF-8 are replaced.
 std::string toJsonString(const std::string &text)
 {
@@ -122,6 +142,22 @@
                    : std::string{};
 }
 
+// Why the target refused a call.
+OrderResult decodeRefusal(const net::HttpReply &reply)
+{
+    if (reply.status != 409) {
+        return OrderResult::Refused;
+    }
+    const auto reason = detail::stringField(detail::parseJson(reply.body), "reason");
+    static constexpr NamedValue<OrderResult> entries[] = {
+            {OrderResult::Fenced, "fence"},          {OrderResult::StaleAttempt, "old"},
+            {OrderResult::DeadlineExceeded, "late"}, {OrderResult::InsufficientResources, "room"},
+            {OrderResult::InvalidTicket, "ticket"},
+    };
+    static constexpr NameTable names{entries};
+    return names.value(reason).value_or(OrderResult::Refused);
+}
+
 // A row of running is [task, attempt, checkpoint, percent] and optionally the metric.
 std::optional<scheduling::RunStatus> decodeRunStatus(const nlohmann::json &json)
 {
@@ -231,23 +267,24 @@
     if (!order.ticket.empty()) {
         body += R"(,"ticket":)" + toJsonString(order.ticket);
     }
-    return orderCall(target, "/v1/run-start", body + "}");
+    return forIncarnation(orderCall(target, "/v1/run-start", body + "}"), order.incarnation, token);
 }
 
 net::HttpCall stopCall(const scheduling::TargetInfo &target, std::uint64_t token,
                        const scheduling::StopOrder &order)
 {
-    return orderCall(target, "/v1/run-stop",
-                     fmt::format(R"({{"task":"{}","attempt":{},"fencing_token":{}}})",
-                                 formatTaskName(order.task), order.attempt, token));
+    auto body = fmt::format(R"({{"task":"{}","attempt":{},"fencing_token":{}}})",
+                            formatTaskName(order.task), order.attempt, token);
+    return forIncarnation(orderCall(target, "/v1/run-stop", std::move(body)), order.incarnation,
+                          token);
 }
 
 net::HttpCall paceCall(const scheduling::TargetInfo &target, std::uint64_t token,
                        const scheduling::PaceOrder &order)
 {
-    return orderCall(target, "/v1/pace",
-                     fmt::format(R"({{"task":"{}","attempt":{},"percent":{},"fencing_token":{}}})",
-                                 formatTaskName(order.task), order.attempt, order.percent, token));
+    auto body = fmt::format(R"({{"task":"{}","attempt":{},"percent":{},"fencing_token":{}}})",
+                            formatTaskName(order.task), order.attempt, order.percent, token);
+    return forIncarnation(orderCall(target, "/v1/pace", std::move(body)), order.incarnation, token);
 }
 
 net::HttpCall keepAliveCall(const scheduling::TargetInfo &target, std::uint64_t token,
@@ -260,7 +297,11 @@
     if (order.wait.count() > 0) {
         body += fmt::format(R"(,"wait_ms":{})", order.wait.count());
     }
-    return orderCall(target, "/v1/hold", body + "}");
+    // A call that neither grants a lease nor lets ends be forgotten may reach any incarnation,
+    // which names itself in its answer.
+    const bool changesTarget = order.leaseUntil.count() > 0 || order.endsRecorded > 0;
+    return forIncarnation(orderCall(target, "/v1/hold", body + "}"),
+                          changesTarget ? order.incarnation : 0, token);
 }
 
 net::HttpCall adviceCall(const std::string &address, const scheduling::AdviseOrder &order)
@@ -294,6 +335,12 @@
 
 OrderResult decodeOrderReply(const net::HttpCallResult &result)
 {
+    if (result.peerReply) {
+        const bool isFenced = decodeRefusal(*result.peerReply) == OrderResult::Fenced;
+        return isFenced                                    ? OrderResult::Fenced
+               : decodeIncarnation(*result.peerReply) == 0 ? OrderResult::NotSent
+                                                           : OrderResult::TargetRestarted;
+    }
     if (!result.reply) {
         return result.sendState == net::SendState::NotSent ? OrderResult::NotSent
                                                            : OrderResult::OutcomeUnknown;
@@ -306,14 +353,7 @@
         return status == 500 || status == 502 || status == 504 ? OrderResult::OutcomeUnknown
                                                                : OrderResult::Refused;
     }
-    const auto reason = detail::stringField(detail::parseJson(result.reply->body), "reason");
-    static constexpr NamedValue<OrderResult> entries[] = {
-            {OrderResult::Fenced, "fence"},          {OrderResult::StaleAttempt, "old"},
-            {OrderResult::DeadlineExceeded, "late"}, {OrderResult::InsufficientResources, "room"},
-            {OrderResult::InvalidTicket, "ticket"},
-    };
-    static constexpr NameTable names{entries};
-    return names.value(reason).value_or(OrderResult::Refused);
+    return decodeRefusal(*result.reply);
 }
 
 std::optional<std::chrono::milliseconds> decodeOrderClock(const net::HttpCallResult &result)
@@ -329,17 +369,19 @@
 KeepAliveReply decodeKeepAliveReply(const net::HttpCallResult &result)
 {
     KeepAliveReply answer;
-    if (!result.reply) {
+    // Another incarnation than the expected one names itself with its list.
+    const auto &reply = result.reply ? result.reply : result.peerReply;
+    if (!reply) {
         answer.failure = result.failure;
         return answer;
     }
-    if (result.reply->status != 200) {
-        answer.isFenced = decodeOrderReply(result) == OrderResult::Fenced;
-        answer.isWrongTarget = result.reply->status == 421;
-        answer.failure = fmt::format("the target answered with HTTP {}", result.reply->status);
+    if (reply->status != 200) {
+        answer.isFenced = decodeRefusal(*reply) == OrderResult::Fenced;
+        answer.isWrongTarget = reply->status == 421;
+        answer.failure = fmt::format("the target answered with HTTP {}", reply->status);
         return answer;
     }
-    const auto json = detail::parseJson(result.reply->body);
+    const auto json = detail::parseJson(reply->body);
     const auto clock = detail::integerField(json, "clock_ms", 0, detail::maxExactInteger);
     const auto *running = detail::findField(json, "running");
     const auto *ends = detail::findField(json, "finished");
--- a/src/platform/tests/codecs_tests.cpp
+++ b/src/platform/tests/codecs_tests.cpp
@@ -226,6 +226,93 @@
     EXPECT_EQ(decodeOrderReply(unanswered), OrderResult::NotSent);
 }
 
+namespace {
+
+// The request by which a call finds out which incarnation of the target it would reach.
+const char *identityRequest = R"({"fencing_token":9,"ack_cursor":0})";
+
+} // namespace
+
+// Guards against orders that the next incarnation of a target carries out: each call is bound to
+// the one that it is for, but for keep-alives that change nothing.
+TEST(TargetCalls, areBoundToTheIncarnationTheyAreFor)
+{
+    scheduling::TargetInfo target;
+    target.id = "t1";
+    target.address = "10.0.0.1:80";
+    scheduling::StartOrder start;
+    start.incarnation = 1000;
+    scheduling::StopOrder stop;
+    stop.incarnation = 1000;
+    scheduling::PaceOrder pace;
+    pace.incarnation = 1000;
+    scheduling::KeepAliveOrder lease;
+    lease.incarnation = 1000;
+    lease.leaseUntil = std::chrono::milliseconds(1);
+    scheduling::KeepAliveOrder ends;
+    ends.incarnation = 1000;
+    ends.endsRecorded = 1;
+    for (const auto &call :
+         {startCall(target, 9, start, "text"), stopCall(target, 9, stop), paceCall(target, 9, pace),
+          keepAliveCall(target, 9, lease), keepAliveCall(target, 9, ends)}) {
+        ASSERT_TRUE(call.peerCheck);
+        EXPECT_EQ(call.peerCheck->expected, 1000);
+        EXPECT_EQ(call.peerCheck->path, "/v1/hold");
+        EXPECT_EQ(call.peerCheck->body, identityRequest);
+    }
+    scheduling::KeepAliveOrder look;
+    look.incarnation = 1000;
+    const auto call = keepAliveCall(target, 9, look);
+    ASSERT_TRUE(call.peerCheck);
+    EXPECT_EQ(call.peerCheck->expected, 0);
+}
+
+TEST(TargetCalls, readTheIncarnationOnlyFromAListThatNamesIt)
+{
+    const auto call = keepAliveCall({}, 9, {});
+    const auto identify = [&](int status, const std::string &body) {
+        return call.peerCheck->identify(net::HttpReply{status, {}, body, false});
+    };
+    EXPECT_EQ(identify(200, R"({"born":1000,"clock_ms":1})"), 1000);
+    EXPECT_EQ(identify(200, R"({"clock_ms":1})"), 0);
+    EXPECT_EQ(identify(200, R"({"born":-1})"), 0);
+    EXPECT_EQ(identify(200, R"({"born":1e300})"), 0);
+    EXPECT_EQ(identify(200, R"({"born":99999999999999999999})"), 0);
+    EXPECT_EQ(identify(200, "["), 0);
+    EXPECT_EQ(identify(503, R"({"born":1000})"), 0);
+}
+
+TEST(OrderReplyDecoding, tellsAnOrderThatFoundAnotherIncarnation)
+{
+    const auto decode = [](int status, const std::string &body) {
+        net::HttpCallResult result;
+        result.peerReply = net::HttpReply{status, {}, body, false};
+        return decodeOrderReply(result);
+    };
+    using scheduling::OrderResult;
+    EXPECT_EQ(decode(200, R"({"born":2000,"clock_ms":1})"), OrderResult::TargetRestarted);
+    EXPECT_EQ(decode(200, R"({"clock_ms":1})"), OrderResult::NotSent);
+    EXPECT_EQ(decode(409, R"({"reason":"fence"})"), OrderResult::Fenced);
+    EXPECT_EQ(decode(421, ""), OrderResult::NotSent);
+    EXPECT_EQ(decode(503, ""), OrderResult::NotSent);
+}
+
+// The list by which another incarnation names itself is as good as an answer.
+TEST(KeepAliveDecoding, readsTheListOfAnotherIncarnation)
+{
+    net::HttpCallResult result;
+    result.failure = "another process answers at the address";
+    result.peerReply = net::HttpReply{
+            200, {}, R"({"clock_ms":5,"running":[],"finished":[],"born":2000})", false};
+    auto answer = decodeKeepAliveReply(result);
+    ASSERT_TRUE(answer.report);
+    EXPECT_EQ(answer.report->incarnation, 2000);
+    result.peerReply = net::HttpReply{409, {}, R"({"reason":"fence"})", false};
+    answer = decodeKeepAliveReply(result);
+    EXPECT_FALSE(answer.report);
+    EXPECT_TRUE(answer.isFenced);
+}
+
 TEST(StoreReplyDecoding, tellsFailuresFromUnknownOutcomes)
 {
     EXPECT_EQ(StoreCodec::decodeReply(makeResult(200, R"({"revision":412})")).revision, 412U);
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -133,7 +133,7 @@
             continue;
         }
         run.stopSentAt = now;
-        m_orders.emplace_back(StopOrder{target.info.id, task, run.attempt});
+        m_orders.emplace_back(StopOrder{target.info.id, task, run.attempt, target.incarnation});
     }
 }
 
@@ -189,7 +189,8 @@
         if (isOff && (run.orderedPace != run.pace || sinceOrder > paceRaiseDelay)) {
             run.orderedPace = run.pace;
             run.paceOrderedAt = now;
-            m_orders.emplace_back(PaceOrder{target.info.id, task, run.attempt, run.pace});
+            m_orders.emplace_back(
+                    PaceOrder{target.info.id, task, run.attempt, run.pace, target.incarnation});
         }
     }
 }
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -90,7 +90,7 @@
     }
     run.stopSentAt = now;
     run.stopAnsweredAt.reset();
-    m_orders.emplace_back(StopOrder{target.info.id, task, run.attempt});
+    m_orders.emplace_back(StopOrder{target.info.id, task, run.attempt, target.incarnation});
     scheduleForPlanning(target);
 }
 
@@ -332,11 +332,17 @@
     auto *task = findTask(order.task, &job, &step);
     const bool isRepeated = run.startCalls > 1;
     run.pendingCalls -= run.pendingCalls > 0 ? 1 : 0;
+    if (isRepeated && answer == OrderResult::NotSent) {
+        // The call does not count; the earlier ones may still be carried out.
+        --run.startCalls;
+        return;
+    }
     if (isRepeated && answer == OrderResult::StaleAttempt) {
         // No later attempt was sent there, so an earlier call was carried out; the next report
         // shows its result.
         answer = OrderResult::Accepted;
-    } else if (isRepeated && answer != OrderResult::Accepted) {
+    } else if (isRepeated && answer != OrderResult::Accepted
+               && answer != OrderResult::TargetRestarted) {
         // An earlier call may still be carried out.
         answer = OrderResult::OutcomeUnknown;
     }
@@ -365,10 +371,14 @@
         break;
     }
     reportDecision(Decision::Kind::StartRefused, order.task, order.attempt, order.targetId,
-                   std::to_string(static_cast<int>(answer)));
+                   std::string(orderResultNames.name(answer)));
     dropRun(*target, order.task);
     if (answer == OrderResult::InvalidTicket && step != nullptr) {
         step->tickets.erase(order.targetId);
+    } else if (answer == OrderResult::TargetRestarted) {
+        // The target gets no work until its next list shows what the new incarnation runs.
+        target->isAdopted = target->isAdopted && order.incarnation != target->incarnation;
+        scheduleForPlanning(*target);
     } else {
         // Keeps the next start from being sent to the same target at once.
         constexpr std::chrono::milliseconds quarantineAfterRefusal{500};
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -396,6 +396,7 @@
     order.task = ref;
     order.attempt = run.attempt;
     order.leaseUntil = target.leaseUntil;
+    order.incarnation = target.incarnation;
     if (const auto *task = findTask(ref); task != nullptr) {
         order.checkpoint = task->checkpoint;
     }
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -198,6 +198,12 @@
                  : "clock=unknown";
 }
 
+std::chrono::milliseconds OwnerCore::responseTimeout(const std::string &id) const
+{
+    const auto *target = findTarget(id);
+    return target == nullptr ? std::chrono::milliseconds{} : target->responseTime.timeout();
+}
+
 std::optional<std::chrono::milliseconds> OwnerCore::clockOf(const std::string &id,
                                                             TimePoint now) const
 {
@@ -233,11 +239,12 @@
         return std::nullopt;
     }
     KeepAliveOrder order;
-    order.endsRecorded = target->endsRecorded;
+    order.incarnation = target->incarnation;
     order.timeout = target->responseTime.timeout();
     target->requestedWait = order.wait;
     if (!target->isAdopted || !target->clock) {
-        // The first keep-alive grants no lease, since the target's clock is not known yet.
+        // The first keep-alive grants no lease, since the target's clock is not known yet. It
+        // changes nothing, so that it may reach any incarnation.
         return order;
     }
     if (target->failedCalls > 0) {
@@ -245,6 +252,7 @@
         // not extended, so that the last one can expire.
         return order;
     }
+    order.endsRecorded = target->endsRecorded;
     order.leaseUntil = leaseFrom(*target, now);
     target->leaseUntil = std::max(target->leaseUntil, order.leaseUntil);
     target->lastOrderAt = now;
@@ -293,7 +301,6 @@
                        fmt::format("incarnation={} new_clock={} before={} {}", report.incarnation,
                                    report.clock.count(), target->incarnation,
                                    leaseText(*target, now)));
-        releaseRuns(*target, Decision::Kind::TargetRestarted, now);
     }
     const bool isConfirmed = target->incarnation != 0 && report.incarnation == target->incarnation;
     if (isOtherIncarnation || (!target->isAdopted && !isConfirmed)) {
@@ -302,6 +309,9 @@
         target->leaseUntil = report.clock + m_settings.maxRunLease;
     }
     target->incarnation = report.incarnation == 0 ? target->incarnation : report.incarnation;
+    if (isOtherIncarnation) {
+        releaseRuns(*target, Decision::Kind::TargetRestarted, now);
+    }
     target->clock = report.clock;
     target->clockAt = now;
     target->lastAnswer = now;
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -1,6 +1,7 @@
 // Orders of the scheduling core to targets and to the advice service, and their results.
 #pragma once
 
+#include "global/nametable.h"
 #include "scheduling/taskref.h"
 
 #include <chrono>
@@ -21,6 +22,9 @@
     std::string checkpoint;
     // Issued by the advice service; empty when the queue needs no advice.
     std::string ticket;
+    // Incarnation of the target that the order is for; see TargetInfo. Another one must not get it:
+    // it has another clock, and its counts start anew. 0: not known.
+    std::int64_t incarnation = 0;
 };
 
 struct StopOrder
@@ -28,6 +32,8 @@
     std::string targetId;
     TaskRef task;
     std::uint32_t attempt = 0;
+    // See StartOrder.
+    std::int64_t incarnation = 0;
 };
 
 struct PaceOrder
@@ -37,6 +43,8 @@
     std::uint32_t attempt = 0;
     // Speed of the task as a percentage of its full speed.
     int percent = 100;
+    // See StartOrder.
+    std::int64_t incarnation = 0;
 };
 
 // Asks the advice service which of these targets may run a step.
@@ -69,6 +77,8 @@
     std::chrono::milliseconds wait{};
     // How long the caller waits for the answer beyond that.
     std::chrono::milliseconds timeout{};
+    // See StartOrder.
+    std::int64_t incarnation = 0;
 };
 
 enum class OrderResult {
@@ -88,8 +98,25 @@
     Refused,
     // Not done: no byte of the order can have reached the target.
     NotSent,
+    // Not done: the target has restarted, so the incarnation that the order was for is gone.
+    TargetRestarted,
     // No answer: the order may have been carried out, or be carried out later or never.
     OutcomeUnknown,
 };
 
+// Names for log lines.
+inline constexpr NamedValue<OrderResult> orderResultEntries[] = {
+        {OrderResult::Accepted, "accepted"},
+        {OrderResult::Fenced, "fenced"},
+        {OrderResult::StaleAttempt, "stale-attempt"},
+        {OrderResult::DeadlineExceeded, "deadline-exceeded"},
+        {OrderResult::InsufficientResources, "insufficient-resources"},
+        {OrderResult::InvalidTicket, "invalid-ticket"},
+        {OrderResult::Refused, "refused"},
+        {OrderResult::NotSent, "not-sent"},
+        {OrderResult::TargetRestarted, "target-restarted"},
+        {OrderResult::OutcomeUnknown, "outcome-unknown"},
+};
+inline constexpr NameTable orderResultNames{orderResultEntries};
+
 } // namespace cyclamenlatch::scheduling
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -166,6 +166,9 @@
     bool hasUnrecordedTargets() const;
     std::vector<std::string> targetsToKeepAlive() const;
     const TargetInfo *target(const std::string &id) const;
+    // How long an answer of the target may take before the call counts as lost; zero for an unknown
+    // target.
+    std::chrono::milliseconds responseTimeout(const std::string &id) const;
     // The clock of the target's known incarnation; nothing before its first answer.
     std::optional<std::chrono::milliseconds> clockOf(const std::string &id, TimePoint now) const;
 
