Say why a call was not sent: closed, unnamed or another peer

A peer that names itself as the expected one and closes the connection counted as another process, so that the owner took its target out of use until the next list.

--- a/src/net/httpcallresult.h
+++ b/src/net/httpcallresult.h
@@ -21,7 +21,8 @@
     SendState sendState = SendState::NotSent;
     // Set only when the whole reply arrived.
     std::optional<HttpReply> reply;
-    // The reply to the request of HttpCall::peerCheck, if the call was not sent because of it.
+    // The reply to the request of HttpCall::peerCheck, if the call was not sent because the peer is
+    // another process or did not name itself.
     std::optional<HttpReply> peerReply;
     // Why there is no reply; empty when there is one.
     std::string failure;
--- a/src/net/internal/loophttpclient.cpp
+++ b/src/net/internal/loophttpclient.cpp
@@ -269,6 +269,7 @@
         }
         auto call = std::move(node.mapped());
         unwatch(node.key(), call);
+        const auto peer = connection.peer;
         auto kept = std::move(call.connection);
         if (isReusable && !call.call.freshConnection
             && m_connections.size() <= m_settings.maxKeptConnections) {
@@ -277,8 +278,11 @@
             drop(connection);
         }
         HttpCallResult result;
-        if (call.isIdentifying) {
-            result.failure = "another process answers at the address";
+        if (call.isIdentifying && peer == call.call.peerCheck->expected) {
+            result.failure = "the peer closed the connection after it had named itself";
+        } else if (call.isIdentifying) {
+            result.failure = peer == 0 ? "the peer does not name itself"
+                                       : "another process answers at the address";
             result.peerReply = std::move(reply);
         } else {
             result.sendState = SendState::MaybeSent;
--- a/src/net/tests/loophttpclient_tests.cpp
+++ b/src/net/tests/loophttpclient_tests.cpp
@@ -468,10 +468,14 @@
 {
     PeerCheckFixture fixture;
     fixture.process->isAnonymous = true;
-    EXPECT_EQ(fixture.send(1, "order").sendState, SendState::NotSent);
+    const auto anonymous = fixture.send(1, "order");
+    EXPECT_EQ(anonymous.sendState, SendState::NotSent);
+    EXPECT_TRUE(anonymous.peerReply);
     fixture.process->isAnonymous = false;
     fixture.process->closesConnections = true;
-    EXPECT_EQ(fixture.send(1, "order").sendState, SendState::NotSent);
+    const auto closed = fixture.send(1, "order");
+    EXPECT_EQ(closed.sendState, SendState::NotSent);
+    EXPECT_FALSE(closed.peerReply);
     EXPECT_EQ(fixture.process->received, (Bodies{"name", "name"}));
 }
 
