--- a/src/control/tests/targetrestart_tests.cpp
+++ b/src/control/tests/targetrestart_tests.cpp
@@ -186,17 +186,6 @@
                 wait(send(platform::stopCall(*core.target("t1"), term, order))));
     }
 
-    // Starts that the next plan sends.
-    std::vector<StartOrder> starts()
-    {
-        auto orders = planned<StartOrder>();
-        if (orders.empty()) {
-            flush();
-            orders = planned<StartOrder>();
-        }
-        return orders;
-    }
-
     // The target restarts with another clock, and its open connections end. The owner learns of
     // that with its next call.
     void restartTarget()
@@ -228,7 +217,7 @@
 {
     TargetRestartFixture fixture;
     fixture.submit(7, {scheduling::tests::makeStep(1)});
-    const auto starts = fixture.starts();
+    const auto starts = fixture.sendStarts();
     ASSERT_EQ(starts.size(), 1U);
     fixture.restartTarget();
     EXPECT_NE(fixture.sendStart(starts[0]), OrderResult::Accepted);
@@ -267,7 +256,7 @@
 {
     TargetRestartFixture fixture;
     fixture.submit(7, {scheduling::tests::makeStep(1)});
-    ASSERT_EQ(fixture.starts().size(), 1U);
+    ASSERT_EQ(fixture.sendStarts().size(), 1U);
     fixture.core.jobCancelled(7, fixture.now);
     const auto stops = fixture.planned<StopOrder>();
     ASSERT_EQ(stops.size(), 1U);
@@ -281,7 +270,7 @@
 {
     TargetRestartFixture fixture;
     fixture.submit(7, {scheduling::tests::makeStep(1)});
-    const auto starts = fixture.starts();
+    const auto starts = fixture.sendStarts();
     ASSERT_EQ(starts.size(), 1U);
     fixture.restartTarget();
     fixture.sendStart(starts[0]);
@@ -289,7 +278,7 @@
     fixture.advance(1s);
     std::vector<StartOrder> next;
     for (int round = 0; round < 5 && next.empty(); ++round) {
-        next = fixture.starts();
+        next = fixture.sendStarts();
     }
     ASSERT_EQ(next.size(), 1U);
     EXPECT_EQ(fixture.sendStart(next[0]), OrderResult::Accepted);
--- a/src/scheduling/tests/ownerfixture.h
+++ b/src/scheduling/tests/ownerfixture.h
@@ -121,14 +121,21 @@
         return found;
     }
 
-    // Plans, stores the targets of the jobs if needed, and lets the targets accept every start.
-    std::vector<StartOrder> startAll()
+    // Plans, stores the targets of the jobs if needed, and returns the starts that are sent.
+    std::vector<StartOrder> sendStarts()
     {
         auto starts = planned<StartOrder>();
         if (starts.empty()) {
             flush();
             starts = planned<StartOrder>();
         }
+        return starts;
+    }
+
+    // Like sendStarts, and lets the targets accept every start.
+    std::vector<StartOrder> startAll()
+    {
+        auto starts = sendStarts();
         for (const auto &start : starts) {
             core.startAnswered(start, OrderResult::Accepted, now);
         }
--- a/src/scheduling/tests/targetincarnations_tests.cpp
+++ b/src/scheduling/tests/targetincarnations_tests.cpp
@@ -21,17 +21,6 @@
         report.running = std::move(running);
         core.keepAliveAnswered("t1", report, now, now);
     }
-
-    // Starts that the next plan sends.
-    std::vector<StartOrder> starts()
-    {
-        auto orders = planned<StartOrder>();
-        if (orders.empty()) {
-            flush();
-            orders = planned<StartOrder>();
-        }
-        return orders;
-    }
 };
 
 } // namespace
@@ -41,7 +30,7 @@
     IncarnationFixture fixture;
     fixture.reportAs(2000);
     fixture.submit(7, {makeStep(1)});
-    const auto starts = fixture.starts();
+    const auto starts = fixture.sendStarts();
     ASSERT_EQ(starts.size(), 1U);
     EXPECT_EQ(starts[0].incarnation, 2000);
     EXPECT_EQ(fixture.core.keepAliveOrder("t1", fixture.now)->incarnation, 2000);
@@ -69,7 +58,7 @@
     for (const unsigned calls : {1U, 2U}) {
         IncarnationFixture fixture;
         fixture.submit(7, {makeStep(1)});
-        const auto starts = fixture.starts();
+        const auto starts = fixture.sendStarts();
         ASSERT_EQ(starts.size(), 1U);
         if (calls == 2) {
             fixture.advance(2s);
@@ -79,9 +68,9 @@
             fixture.core.startAnswered(starts[0], OrderResult::TargetRestarted, fixture.now);
         }
         EXPECT_EQ(fixture.core.contact("t1"), OwnerCore::Contact::NotContacted);
-        EXPECT_TRUE(fixture.starts().empty());
+        EXPECT_TRUE(fixture.sendStarts().empty());
         fixture.reportAs(2000);
-        const auto next = fixture.starts();
+        const auto next = fixture.sendStarts();
         ASSERT_EQ(next.size(), 1U);
         EXPECT_EQ(next[0].incarnation, 2000);
         EXPECT_GT(next[0].attempt, starts[0].attempt);
@@ -93,12 +82,12 @@
 {
     IncarnationFixture fixture;
     fixture.submit(7, {makeStep(1)});
-    const auto starts = fixture.starts();
+    const auto starts = fixture.sendStarts();
     ASSERT_EQ(starts.size(), 1U);
     fixture.reportAs(2000);
     fixture.core.startAnswered(starts[0], OrderResult::TargetRestarted, fixture.now);
     EXPECT_EQ(fixture.core.contact("t1"), OwnerCore::Contact::Reachable);
-    EXPECT_EQ(fixture.starts().size(), 1U);
+    EXPECT_EQ(fixture.sendStarts().size(), 1U);
 }
 
 // Stops that a restart calls for go to the new incarnation: the earlier one is gone.
@@ -106,7 +95,7 @@
 {
     IncarnationFixture fixture;
     fixture.submit(7, {makeStep(1)});
-    ASSERT_EQ(fixture.starts().size(), 1U);
+    ASSERT_EQ(fixture.sendStarts().size(), 1U);
     fixture.reportAs(2000);
     for (const auto &stop : fixture.planned<StopOrder>()) {
         EXPECT_EQ(stop.incarnation, 2000);
@@ -119,7 +108,7 @@
 {
     IncarnationFixture fixture;
     fixture.submit(7, {makeStep(1)});
-    ASSERT_EQ(fixture.starts().size(), 1U);
+    ASSERT_EQ(fixture.sendStarts().size(), 1U);
     for (int call = 0; call < 5; ++call) {
         fixture.advance(2s);
         fixture.report("t1", {}, {});
