Keep the port of an address that must refuse connections bound

The test took a free port and closed it before use, so that another test's server or a connection's own port could have it: then something accepts the connection and ends it. That explains what was seen; the moment itself is not in the log. The port now stays bound without listening, which refuses connections for certain; the checks are the same.

--- a/src/dispatch/tests/dispatcher_tests.cpp
+++ b/src/dispatch/tests/dispatcher_tests.cpp
@@ -79,13 +79,17 @@
     Dispatcher m_dispatcher{m_threads.context(), m_http, settings(), {}, 7};
     // Declared last, so that its completions end before the dispatcher is destroyed.
     net::HttpClient m_http;
-    // Returns an address on which nothing listens.
+    // Returns an address on which nothing listens. Its port stays bound, so that no other process
+    // listens there and no connection gets it as its own.
     std::string refusedAddress()
     {
-        asio::ip::tcp::acceptor acceptor(m_threads.context(),
-                                         {asio::ip::address_v4::loopback(), 0});
-        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        auto &reserved = m_reserved.emplace_back(m_threads.context(), asio::ip::tcp::v4());
+        reserved.bind({asio::ip::address_v4::loopback(), 0});
+        return "127.0.0.1:" + std::to_string(reserved.local_endpoint().port());
     }
+
+private:
+    std::vector<asio::ip::tcp::socket> m_reserved;
 };
 
 TEST_F(DispatcherTest, relaysCompleteAnswer)
