One formula for a target's clock

leaseFrom, clockOf and leaseText each added the time since the last reading; leaseText also looked the target up by its id for every line of a start, although it had it. No behaviour changes.

--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -188,14 +188,19 @@
 
 std::chrono::milliseconds OwnerCore::leaseFrom(const TargetState &target, TimePoint now) const
 {
-    return *target.clock + toMilliseconds(now - target.clockAt) + m_settings.runLease;
+    return clockOf(target, now) + m_settings.runLease;
 }
 
-std::string OwnerCore::leaseText(const TargetState &target, TimePoint now) const
+std::chrono::milliseconds OwnerCore::clockOf(const TargetState &target, TimePoint now)
 {
-    const auto clock = clockOf(target.info.id, now);
-    return clock ? fmt::format("lease_until={} clock={}", target.leaseUntil.count(), clock->count())
-                 : "clock=unknown";
+    return *target.clock + toMilliseconds(now - target.clockAt);
+}
+
+std::string OwnerCore::leaseText(const TargetState &target, TimePoint now)
+{
+    return target.clock ? fmt::format("lease_until={} clock={}", target.leaseUntil.count(),
+                                      clockOf(target, now).count())
+                        : "clock=unknown";
 }
 
 std::chrono::milliseconds OwnerCore::responseTimeout(const std::string &id) const
@@ -208,9 +213,8 @@
                                                             TimePoint now) const
 {
     const auto *target = findTarget(id);
-    return target == nullptr || !target->clock
-                   ? std::nullopt
-                   : std::optional(*target->clock + toMilliseconds(now - target->clockAt));
+    return target == nullptr || !target->clock ? std::nullopt
+                                               : std::optional(clockOf(*target, now));
 }
 
 bool OwnerCore::hasLeaseExpired(const TargetState &target, TimePoint now) const
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -317,8 +317,10 @@
     // Whether the longest lease that was granted at this time has expired on every target's clock.
     bool hasLongestLeaseExpired(TimePoint granted, TimePoint now) const;
     std::chrono::milliseconds leaseFrom(const TargetState &target, TimePoint now) const;
+    // The target has answered, so that its clock is known.
+    static std::chrono::milliseconds clockOf(const TargetState &target, TimePoint now);
     // The lease and the clock as far as known, for log lines.
-    std::string leaseText(const TargetState &target, TimePoint now) const;
+    static std::string leaseText(const TargetState &target, TimePoint now);
 
     // Planning.
     void planTargets(TimePoint now);
