--- a/src/net/tests/loophttpclient_tests.cpp
+++ b/src/net/tests/loophttpclient_tests.cpp
@@ -23,6 +23,17 @@
 
 namespace {
 
+// A connection that a server of these tests has accepted. Their requests are short, so that each
+// comes in one part.
+struct Peer
+{
+    explicit Peer(asio::ip::tcp::socket accepted)
+        : socket(std::move(accepted))
+    {}
+    asio::ip::tcp::socket socket;
+    std::array<char, 1024> bytes{};
+};
+
 // Answers every request with an empty object and counts the connections that were opened to it.
 class CountingServer
 {
@@ -46,15 +57,6 @@
     std::size_t open() const { return m_open; }
 
 private:
-    struct Peer
-    {
-        explicit Peer(asio::ip::tcp::socket accepted)
-            : socket(std::move(accepted))
-        {}
-        asio::ip::tcp::socket socket;
-        std::array<char, 1024> bytes{};
-    };
-
     void accept()
     {
         m_acceptor.async_accept([this](const asio::error_code &error, auto socket) {
@@ -68,7 +70,6 @@
         });
     }
 
-    // Requests of this test are short, so that each comes in one part.
     void serve(const std::shared_ptr<Peer> &peer)
     {
         peer->socket.async_read_some(asio::buffer(peer->bytes),
@@ -294,15 +295,6 @@
     bool closesConnections = false;
 
 private:
-    struct Peer
-    {
-        explicit Peer(asio::ip::tcp::socket accepted)
-            : socket(std::move(accepted))
-        {}
-        asio::ip::tcp::socket socket;
-        std::array<char, 1024> bytes{};
-    };
-
     void accept()
     {
         m_acceptor.async_accept([this](const asio::error_code &error, auto socket) {
@@ -314,7 +306,6 @@
         });
     }
 
-    // Requests of these tests are short, so that each comes in one part.
     void serve(const std::shared_ptr<Peer> &peer)
     {
         peer->socket.async_read_some(
