Orders to targets in a file of their own

Sending orders, reading their answers and asking for advice move to ownerorders.cpp as they were; the time to connect is shared in the class.

--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -1,4 +1,4 @@
-// Loading of the owner's state, planning, and calls to targets.
+// Loading of the owner's state, planning, and keep-alives of targets.
 #include "control/ownerservice.h"
 
 #include "control/clock.h"
@@ -32,19 +32,12 @@
 constexpr std::chrono::milliseconds maxPlanDelay{60};
 // For decisions that depend on time alone, such as expired leases.
 constexpr std::chrono::milliseconds tickInterval{100};
-// Targets normally answer within some milliseconds.
-constexpr std::chrono::milliseconds orderTimeout{800};
-constexpr std::chrono::milliseconds connectTimeout{500};
-// The advice service answers the calls of an entry one after the other.
-constexpr int adviceTimeoutFactor = 5;
 constexpr std::chrono::milliseconds keepAliveRetryPause{150};
 constexpr std::chrono::milliseconds slowKeepAliveRetryPause{1000};
 constexpr unsigned maxQuickKeepAliveRetries = 5;
 // Interval of writing the list of targets that may have orders, when ids only leave it.
 constexpr std::chrono::milliseconds targetsRecordInterval{1000};
 constexpr std::chrono::milliseconds workLogInterval{1000};
-// A target's clock that differs by more from what is known of it belongs to another incarnation.
-constexpr std::chrono::milliseconds maxClockDifference{2000};
 
 scheduling::OwnerSettings makeSettings(const platform::EntrySettings &settings,
                                        const Tenure &tenure)
@@ -439,102 +432,6 @@
     pause.count() == 0 ? keepAlive(id) : keepAliveAfter(id, pause);
 }
 
-void OwnerService::checkClock(const std::string &id, const net::HttpCallResult &result,
-                              TimePoint sentAt)
-{
-    // The answer was given at some time since the call was sent.
-    const auto earliest = m_core.clockOf(id, sentAt);
-    const auto latest = m_core.clockOf(id, bootNow());
-    const auto clock = platform::decodeOrderClock(result);
-    if (earliest && latest && clock
-        && (*clock < *earliest - maxClockDifference || *clock > *latest + maxClockDifference)) {
-        logEvent(orderAnsweredByOther, "target={} clock={} expected={}", id, clock->count(),
-                 latest->count());
-    }
-}
-
-template<typename Kind>
-void OwnerService::sendOrder(net::HttpCall call, const Kind &order, ReplyHandler<Kind> handler)
-{
-    call.timeout = orderTimeout;
-    call.connectTimeout = connectTimeout;
-    call.isPermitted = m_ownership.makeOwnershipCheck(m_alive);
-    if (call.peerCheck) {
-        call.peerCheck->timeout = m_core.responseTimeout(order.targetId);
-    }
-    m_http.send(std::move(call), [this, order, handler, sentAt = bootNow(),
-                                  alive = std::weak_ptr(m_alive)](const auto &result) {
-        if (alive.expired()) {
-            return;
-        }
-        const WorkMeter::Span span(m_work, WorkKind::Orders);
-        const auto answer = platform::decodeOrderReply(result);
-        checkClock(order.targetId, result, sentAt);
-        if (answer == scheduling::OrderResult::TargetRestarted) {
-            logEvent(orderNotDelivered, "target={} incarnation={}", order.targetId,
-                     order.incarnation);
-        }
-        (m_core.*handler)(order, answer, bootNow());
-        if (answer == scheduling::OrderResult::Fenced) {
-            return m_ownership.resign("a target has seen an owner with a higher term");
-        }
-        if (answer != scheduling::OrderResult::Accepted) {
-            schedulePlan();
-        }
-    });
-}
-
-void OwnerService::send(const scheduling::Order &order)
-{
-    struct Sender
-    {
-        OwnerService &service;
-
-        void operator()(const scheduling::StartOrder &start) const
-        {
-            const auto *target = service.m_core.target(start.targetId);
-            const auto *job = service.m_core.submission(start.task.job);
-            if (target != nullptr && job != nullptr) {
-                service.sendOrder(
-                        platform::startCall(*target, service.m_tenure.term, start, job->spec.text),
-                        start, &scheduling::OwnerCore::startAnswered);
-            }
-        }
-        void operator()(const scheduling::StopOrder &stop) const
-        {
-            if (const auto *target = service.m_core.target(stop.targetId)) {
-                service.sendOrder(platform::stopCall(*target, service.m_tenure.term, stop), stop,
-                                  &scheduling::OwnerCore::stopAnswered);
-            }
-        }
-        void operator()(const scheduling::PaceOrder &pace) const
-        {
-            if (const auto *target = service.m_core.target(pace.targetId)) {
-                service.sendOrder(platform::paceCall(*target, service.m_tenure.term, pace), pace,
-                                  &scheduling::OwnerCore::paceAnswered);
-            }
-        }
-        void operator()(const scheduling::AdviseOrder &advise) const { service.advise(advise); }
-    };
-    std::visit(Sender{*this}, order);
-}
-
-void OwnerService::advise(const scheduling::AdviseOrder &order)
-{
-    auto call = platform::adviceCall(m_settings.adviceAddress, order);
-    call.timeout = order.timeout * adviceTimeoutFactor + orderTimeout;
-    call.connectTimeout = connectTimeout;
-    m_http.send(std::move(call), [this, order, alive = std::weak_ptr(m_alive)](const auto &result) {
-        if (alive.expired()) {
-            return;
-        }
-        const auto answer = platform::decodeAdviceReply(result);
-        m_core.adviceAnswered(order, answer ? std::optional(answer->approved) : std::nullopt,
-                              answer ? answer->validity : std::chrono::milliseconds{}, bootNow());
-        schedulePlan();
-    });
-}
-
 void OwnerService::schedulePlan()
 {
     if (std::exchange(m_isPlanScheduled, true)) {
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -53,6 +53,9 @@
     struct KeepAliveLoop;
     struct PendingFlush;
 
+    // Of every call to a target and to the advice service.
+    static constexpr std::chrono::milliseconds connectTimeout{500};
+
     // Loading from the store.
     void loadStates();
     void loadOrderedTargets();
