Log which incarnations and which lease an expired run was judged by

The lines of an incident over two owners could not tell whether the second owner knew the lease that had run out, or took it for the longest one, nor whether the target's entry already named another incarnation. E1814 started, lapsed and target-reborn now say both. No decision changes.

--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -376,13 +376,8 @@
     m_orders.emplace_back(startOrder(target, ref, run));
     if (m_listener) {
         const auto *task = findTask(ref);
-        Decision decision{
-                Decision::Kind::Started,
-                ref,
-                run.attempt,
-                target.info.id,
-                fmt::format("incarnation={} {}", target.incarnation, leaseText(target, now)),
-                {}};
+        Decision decision{Decision::Kind::Started, ref, run.attempt, target.info.id,
+                          leaseText(target, now),  {}};
         decision.waited = task == nullptr ? std::nullopt : std::optional(now - task->waitingSince);
         m_listener(decision);
     }
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -198,9 +198,12 @@
 
 std::string OwnerCore::leaseText(const TargetState &target, TimePoint now)
 {
-    return target.clock ? fmt::format("lease_until={} clock={}", target.leaseUntil.count(),
-                                      clockOf(target, now).count())
-                        : "clock=unknown";
+    const auto incarnations = fmt::format("incarnation={} entry_incarnation={}", target.incarnation,
+                                          target.info.incarnation);
+    return target.clock && target.isAdopted
+                   ? fmt::format("{} lease=known lease_until={} clock={}", incarnations,
+                                 target.leaseUntil.count(), clockOf(target, now).count())
+                   : fmt::format("{} lease=assumed", incarnations);
 }
 
 std::chrono::milliseconds OwnerCore::responseTimeout(const std::string &id) const
@@ -302,9 +305,8 @@
                                     && report.incarnation != target->incarnation;
     if (isOtherIncarnation) {
         reportDecision(Decision::Kind::TargetRestarted, {}, 0, id,
-                       fmt::format("incarnation={} new_clock={} before={} {}", report.incarnation,
-                                   report.clock.count(), target->incarnation,
-                                   leaseText(*target, now)));
+                       fmt::format("new_incarnation={} new_clock={} {}", report.incarnation,
+                                   report.clock.count(), leaseText(*target, now)));
     }
     const bool isConfirmed = target->incarnation != 0 && report.incarnation == target->incarnation;
     if (isOtherIncarnation || (!target->isAdopted && !isConfirmed)) {
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -319,7 +319,8 @@
     std::chrono::milliseconds leaseFrom(const TargetState &target, TimePoint now) const;
     // The target has answered, so that its clock is known.
     static std::chrono::milliseconds clockOf(const TargetState &target, TimePoint now);
-    // The lease and the clock as far as known, for log lines.
+    // For log lines: the incarnations that the target and its entry name, and the lease with the
+    // clock that it ends on, or that the longest lease is assumed.
     static std::string leaseText(const TargetState &target, TimePoint now);
 
     // Planning.
