Failing tests for TWICE: leases and calls that the owner does not know of

On loopback: a start and a keep-alive for the former incarnation that arrive after the owner has met the present one are carried out.

--- a/src/control/tests/targetrestart_tests.cpp
+++ b/src/control/tests/targetrestart_tests.cpp
@@ -99,6 +99,13 @@
                 wait(send(platform::stopCall(*core.target("t1"), term, order))));
     }
 
+    // The call has passed the check of its connection and is delivered to whoever is there now.
+    void deliverLate(net::HttpCall call)
+    {
+        call.peerCheck.reset();
+        EXPECT_TRUE(wait(send(std::move(call))).reply);
+    }
+
     // The target restarts with another clock, and its open connections end. The owner learns of
     // that with its next call.
     void restartTarget()
@@ -138,6 +145,26 @@
     EXPECT_EQ(fixture.target.now.leaseUntil, 0ms);
 }
 
+// Guards against a task that runs twice where something between the owner and the target holds
+// calls back while the target restarts: they arrive after the owner has met the new incarnation.
+TEST(TargetRestart, callsThatArriveAfterTheFirstOneToTheNextIncarnationAreRefused)
+{
+    TargetRestartFixture fixture;
+    fixture.submit(7, {scheduling::tests::makeStep(1)});
+    const auto starts = fixture.sendStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    const auto lease = fixture.core.keepAliveOrder("t1", fixture.now);
+    ASSERT_GT(lease->leaseUntil, 0ms);
+    fixture.restartTarget();
+    ASSERT_TRUE(fixture.keepAlive());
+    ASSERT_TRUE(fixture.keepAlive());
+    fixture.deliverLate(platform::startCall(*fixture.core.target("t1"), TargetRestartFixture::term,
+                                            starts[0], "text"));
+    fixture.deliverLate(fixture.keepAliveCall(*lease));
+    EXPECT_TRUE(fixture.target.now.started.empty());
+    EXPECT_LE(fixture.target.now.leaseUntil, fixture.target.now.clock + 4500ms);
+}
+
 // Guards against a task that runs twice: the lease of a keep-alive ends on the earlier clock.
 TEST(TargetRestart, keepAliveForAnEarlierIncarnationGrantsNoLease)
 {
--- a/src/platform/tests/restartingtarget.h
+++ b/src/platform/tests/restartingtarget.h
@@ -24,6 +24,7 @@
     std::chrono::milliseconds clock{};
     std::chrono::milliseconds leaseUntil{};
     std::uint64_t endsForgotten = 0;
+    std::uint64_t token = 0;
     std::vector<std::string> started;
     std::vector<std::string> stopped;
 };
@@ -73,6 +74,11 @@
     void answer(const net::HttpRequest &request, const net::HttpResponder &respond)
     {
         const auto body = nlohmann::json::parse(request.body);
+        const auto token = body.value("fencing_token", std::uint64_t{0});
+        if (token < now.token) {
+            return refuse(respond);
+        }
+        now.token = token;
         const auto deadline = std::chrono::milliseconds(body.value("deadline_ms", 0));
         now.leaseUntil = std::max(now.leaseUntil, std::min(deadline, now.clock + maxLease));
         now.endsForgotten = std::max(now.endsForgotten, body.value("ack_cursor", std::uint64_t{0}));
@@ -96,6 +102,14 @@
         respond(std::move(answer));
     }
 
+    void refuse(const net::HttpResponder &respond) const
+    {
+        net::HttpReply answer;
+        answer.status = 409;
+        answer.body = nlohmann::json{{"clock_ms", now.clock.count()}, {"reason", "fence"}}.dump();
+        respond(std::move(answer));
+    }
+
     static constexpr std::chrono::milliseconds maxLease{10'000};
     std::unique_ptr<asio::io_context> m_context;
     std::uint16_t m_port = 0;
--- a/src/scheduling/tests/ownerfixture.h
+++ b/src/scheduling/tests/ownerfixture.h
@@ -93,6 +93,33 @@
         core.keepAliveAnswered(id, report, now, now);
     }
 
+    // The next keep-alive of the target, and its answer as this incarnation.
+    void poll(const std::string &id, std::int64_t incarnation, std::vector<RunStatus> running = {},
+              std::vector<EndedRun> ends = {})
+    {
+        core.keepAliveOrder(id, now);
+        KeepAliveReport report;
+        report.clock = clock();
+        report.incarnation = incarnation;
+        report.running = std::move(running);
+        report.ends = std::move(ends);
+        core.keepAliveAnswered(id, report, now, now);
+    }
+
+    // Goes on with keep-alives of these targets until starts are planned, for this long at most.
+    std::vector<StartOrder> goOn(Duration duration, const std::vector<std::string> &targets)
+    {
+        std::vector<StartOrder> starts;
+        for (const auto end = now + duration; now < end && starts.empty();) {
+            advance(100ms);
+            for (const auto &id : targets) {
+                poll(id, 1);
+            }
+            starts = sendStarts();
+        }
+        return starts;
+    }
+
     void submit(JobNumber id, std::vector<StepSpec> steps, const std::string &workspace = "space",
                 JobProgress progress = {}, bool isNew = true)
     {
