--- a/src/control/internal/ownerorders.cpp
+++ b/src/control/internal/ownerorders.cpp
@@ -30,6 +30,7 @@
         && (*clock < *earliest - maxClockDifference || *clock > *latest + maxClockDifference)) {
         logEvent(orderAnsweredByOther, "target={} clock={} expected={}", id, clock->count(),
                  latest->count());
+        m_core.answeredOnOtherClock(id, bootNow());
     }
 }
 
@@ -49,13 +50,17 @@
         }
         const WorkMeter::Span span(m_work, WorkKind::Orders);
         const auto answer = platform::decodeOrderReply(result);
-        checkClock(order.targetId, result, sentAt);
+        // An outdated token: the call was for an earlier incarnation of the target.
+        const bool isCurrent = order.token == m_core.fencingToken(order.targetId);
+        if (isCurrent) {
+            checkClock(order.targetId, result, sentAt);
+        }
         if (answer == scheduling::OrderResult::TargetRestarted) {
             logEvent(orderNotDelivered, "target={} incarnation={}", order.targetId,
                      order.incarnation);
         }
         (m_core.*handler)(order, answer, bootNow());
-        if (answer == scheduling::OrderResult::Fenced) {
+        if (answer == scheduling::OrderResult::Fenced && isCurrent) {
             return m_ownership.resign("a target has seen an owner with a higher term");
         }
         if (answer != scheduling::OrderResult::Accepted) {
@@ -75,22 +80,21 @@
             const auto *target = service.m_core.target(start.targetId);
             const auto *job = service.m_core.submission(start.task.job);
             if (target != nullptr && job != nullptr) {
-                service.sendOrder(
-                        platform::startCall(*target, service.m_tenure.term, start, job->spec.text),
-                        start, &scheduling::OwnerCore::startAnswered);
+                service.sendOrder(platform::startCall(*target, start, job->spec.text), start,
+                                  &scheduling::OwnerCore::startAnswered);
             }
         }
         void operator()(const scheduling::StopOrder &stop) const
         {
             if (const auto *target = service.m_core.target(stop.targetId)) {
-                service.sendOrder(platform::stopCall(*target, service.m_tenure.term, stop), stop,
+                service.sendOrder(platform::stopCall(*target, stop), stop,
                                   &scheduling::OwnerCore::stopAnswered);
             }
         }
         void operator()(const scheduling::PaceOrder &pace) const
         {
             if (const auto *target = service.m_core.target(pace.targetId)) {
-                service.sendOrder(platform::paceCall(*target, service.m_tenure.term, pace), pace,
+                service.sendOrder(platform::paceCall(*target, pace), pace,
                                   &scheduling::OwnerCore::paceAnswered);
             }
         }
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -44,8 +44,11 @@
 {
     scheduling::OwnerSettings owner;
     owner.term = tenure.term;
+    owner.firstToken = tenure.firstToken;
+    owner.tokenCount = tokensPerTenure;
     owner.runLease = std::min(owner.runLease, settings.maxRunLease);
     owner.maxRunLease = std::min(owner.maxRunLease, settings.maxRunLease);
+    owner.longestLease = settings.maxRunLease;
     owner.stopTimeout = settings.stopTimeout;
     owner.remoteSlowdownFactor = settings.remoteSlowdownFactor;
     return owner;
@@ -160,13 +163,14 @@
                     }
                     if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
                         m_orderedTargetsRevision = reply.items.front().revision;
-                        const auto ids = decodeIds(reply.items.front().value);
-                        if (!ids) {
+                        const auto targets = decodeOrderedTargets(reply.items.front().value);
+                        if (!targets) {
                             logEvent(recordUnreadable, "key={}", orderedTargetsKey);
                         } else {
-                            for (const auto &id : ids.value()) {
+                            for (const auto &id : targets.value().ids) {
                                 m_core.targetRestored(id, bootNow());
                             }
+                            m_core.restoreSettledIncarnations(targets.value().settled);
                         }
                     } else if (reply.outcome != StoreOutcome::NotFound) {
                         return retryLater([this] { loadOrderedTargets(); });
@@ -296,8 +300,8 @@
     }
     // A later owner waits for every recorded target, so that targets that are gone are removed
     // soon.
-    const auto ids = m_core.targetsToRecord();
-    if (!isNew && ids == m_recordedTargets) {
+    const OrderedTargets targets{m_core.targetsToRecord(), m_core.settledIncarnations(bootNow())};
+    if (!isNew && targets == m_recordedTargets) {
         m_targetsRecordedAt = bootNow();
         return;
     }
@@ -305,18 +309,18 @@
     platform::StoreTransaction transaction;
     transaction.expected = {{std::string(ownerKey), m_tenure.revision},
                             {std::string(orderedTargetsKey), m_orderedTargetsRevision}};
-    transaction.writes = {{std::string(orderedTargetsKey), encodeIds(ids), 0}};
+    transaction.writes = {{std::string(orderedTargetsKey), encodeOrderedTargets(targets), 0}};
     m_store.transaction(
-            transaction, [this, ids, alive = std::weak_ptr(m_alive)](const auto &reply) {
+            transaction, [this, targets, alive = std::weak_ptr(m_alive)](const auto &reply) {
                 if (alive.expired()) {
                     return;
                 }
                 m_isRecordingTargets = false;
                 if (reply.outcome == StoreOutcome::Done) {
                     m_orderedTargetsRevision = reply.revision;
-                    m_recordedTargets = ids;
+                    m_recordedTargets = targets;
                     m_targetsRecordedAt = bootNow();
-                    for (const auto &id : ids) {
+                    for (const auto &id : targets.ids) {
                         m_core.targetRecorded(id);
                     }
                     return schedulePlan();
@@ -371,18 +375,18 @@
     if (!isHeld()) {
         return keepAliveAfter(id, keepAliveRetryPause);
     }
-    auto call = platform::keepAliveCall(*target, m_tenure.term, *order);
+    auto call = platform::keepAliveCall(*target, *order);
     call.timeout = order->wait + order->timeout;
     call.peerCheck->timeout = order->timeout;
     call.connectTimeout = connectTimeout;
     call.isPermitted = m_ownership.makeOwnershipCheck(m_alive);
     found->second->isCalling = true;
-    m_http.send(std::move(call),
-                [this, id, now, alive = std::weak_ptr(m_alive)](const auto &result) {
-                    if (!alive.expired()) {
-                        handleKeepAliveReply(id, result, now);
-                    }
-                });
+    m_http.send(std::move(call), [this, id, now, token = order->token,
+                                  alive = std::weak_ptr(m_alive)](const auto &result) {
+        if (!alive.expired()) {
+            handleKeepAliveReply(id, result, token, now);
+        }
+    });
 }
 
 void OwnerService::keepAliveAfter(const std::string &id, Duration delay)
@@ -397,7 +401,7 @@
 }
 
 void OwnerService::handleKeepAliveReply(const std::string &id, const net::HttpCallResult &result,
-                                        TimePoint sentAt)
+                                        std::uint64_t token, TimePoint sentAt)
 {
     const auto found = m_keepAliveLoops.find(id);
     if (found == m_keepAliveLoops.end()) {
@@ -407,6 +411,10 @@
     auto &loop = *found->second;
     loop.isCalling = false;
     const auto answer = platform::decodeKeepAliveReply(result);
+    if (answer.isFenced && token < m_core.fencingToken(id)) {
+        // The call was for an earlier incarnation of the target.
+        return keepAlive(id);
+    }
     if (answer.isFenced) {
         return m_ownership.resign("a target has seen an owner with a higher term");
     }
--- a/src/control/internal/ownership.cpp
+++ b/src/control/internal/ownership.cpp
@@ -3,11 +3,11 @@
 
 #include "control/clock.h"
 #include "control/internal/callafter.h"
+#include "control/records.h"
 #include "control/storekeys.h"
 
 #include <fmt/format.h>
 
-#include <charconv>
 #include <utility>
 
 namespace cyclamenlatch::control {
@@ -29,13 +29,6 @@
 constexpr std::chrono::milliseconds claimPauseAfterLoss{1000};
 constexpr unsigned maxRevokeAttempts = 20;
 
-std::uint64_t parseTerm(const std::string &text)
-{
-    std::uint64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
-}
-
 std::string entryNameOf(const std::string &claim)
 {
     return claim.substr(0, claim.rfind('#'));
@@ -162,40 +155,44 @@
                            Duration duration, TimePoint sentAt)
 {
     const bool isFirst = term.outcome == platform::StoreOutcome::NotFound || term.items.empty();
-    const std::uint64_t next = isFirst ? 1 : parseTerm(term.items.front().value) + 1;
+    const auto last = isFirst ? TermRecord{} : decodeTerm(term.items.front().value);
+    const TermRecord next{last.lastToken + tokensPerTenure, last.term + 1};
+    const Tenure tenure{next.term, last.lastToken + 1};
     m_claim = fmt::format("{}#{}-{}", m_name, ++m_claimCount, sentAt.time_since_epoch().count());
     platform::StoreTransaction transaction;
     transaction.expected = {{std::string(ownerKey), 0},
                             {std::string(termKey), isFirst ? 0 : term.items.front().revision}};
     transaction.writes = {{std::string(ownerKey), m_claim, lease},
-                          {std::string(termKey), std::to_string(next), 0}};
-    m_store.transaction(transaction, [this, lease, next, duration, sentAt,
+                          {std::string(termKey), encodeTerm(next), 0}};
+    m_store.transaction(transaction, [this, lease, tenure, duration, sentAt,
                                       alive = std::weak_ptr(m_alive)](const auto &reply) {
         if (!alive.expired()) {
-            handleClaimReply(lease, next, duration, sentAt, reply);
+            handleClaimReply(lease, tenure, duration, sentAt, reply);
         }
     });
 }
 
-void Ownership::handleClaimReply(platform::LeaseId lease, std::uint64_t term, Duration duration,
+void Ownership::handleClaimReply(platform::LeaseId lease, Tenure tenure, Duration duration,
                                  TimePoint sentAt, const platform::StoreReply &reply)
 {
     if (reply.outcome == platform::StoreOutcome::Done) {
-        return becomeOwner(lease, Tenure{term, reply.revision}, duration, sentAt);
+        tenure.revision = reply.revision;
+        return becomeOwner(lease, tenure, duration, sentAt);
     }
     if (reply.outcome != platform::StoreOutcome::OutcomeUnknown) {
         return abandonClaim(lease);
     }
     // The claim may have taken effect: its value in the owner's key shows it.
-    m_store.get(std::string(ownerKey), [this, lease, term, duration, sentAt,
-                                        alive = std::weak_ptr(m_alive)](const auto &found) {
+    m_store.get(std::string(ownerKey), [this, lease, tenure, duration, sentAt,
+                                        alive = std::weak_ptr(m_alive)](const auto &found) mutable {
         if (alive.expired()) {
             return;
         }
         const bool isOurs = found.outcome == platform::StoreOutcome::Done && !found.items.empty()
                             && found.items.front().value == m_claim;
         if (isOurs) {
-            return becomeOwner(lease, Tenure{term, found.items.front().revision}, duration, sentAt);
+            tenure.revision = found.items.front().revision;
+            return becomeOwner(lease, tenure, duration, sentAt);
         }
         abandonClaim(lease);
     });
--- a/src/control/internal/platformentry.cpp
+++ b/src/control/internal/platformentry.cpp
@@ -257,7 +257,8 @@
 
     void onOwnershipGained(const Tenure &tenure)
     {
-        logEvent(ownershipGained, "term={} revision={}", tenure.term, tenure.revision);
+        logEvent(ownershipGained, "term={} first_token={} revision={}", tenure.term,
+                 tenure.firstToken, tenure.revision);
         if (m_jobRequestHandler.hasRules()) {
             startOwner();
         }
--- a/src/control/internal/records.cpp
+++ b/src/control/internal/records.cpp
@@ -10,6 +10,9 @@
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <fmt/format.h>
+
+#include <charconv>
 #include <sstream>
 
 namespace cyclamenlatch::scheduling {
@@ -125,6 +128,24 @@
 
 namespace cyclamenlatch::control {
 
+// NOLINTBEGIN(readability-identifier-naming): cereal looks for these names.
+template<typename Archive>
+void save(Archive &archive, const OrderedTargets &targets)
+{
+    archive(targets.ids, targets.settled);
+}
+
+// Entries of earlier versions write the ids alone, and read no more than them.
+template<typename Archive>
+void load(Archive &archive, OrderedTargets &targets)
+{
+    archive(targets.ids);
+    if (archive.remainingBytes() > 0) {
+        archive(targets.settled);
+    }
+}
+// NOLINTEND(readability-identifier-naming)
+
 namespace {
 
 constexpr std::uint8_t recordVersion = 2;
@@ -204,6 +225,33 @@
     return WaveRecord{WallTime(std::chrono::milliseconds(pair.first)), std::move(pair.second)};
 }
 
+std::string encodeTerm(const TermRecord &record)
+{
+    return fmt::format("{} {}", record.lastToken, record.term);
+}
+
+TermRecord decodeTerm(const std::string &record)
+{
+    TermRecord read;
+    const char *end = record.data() + record.size();
+    const auto [token, error] = std::from_chars(record.data(), end, read.lastToken);
+    read.term = read.lastToken;
+    if (error == std::errc{} && token != end && *token == ' ') {
+        std::from_chars(token + 1, end, read.term);
+    }
+    return read;
+}
+
+std::string encodeOrderedTargets(const OrderedTargets &targets)
+{
+    return encode(targets);
+}
+
+Result<OrderedTargets> decodeOrderedTargets(const std::string &record)
+{
+    return decode<OrderedTargets>(record);
+}
+
 std::string encodeIds(const std::vector<std::string> &ids)
 {
     return encode(ids);
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -7,6 +7,7 @@
 #include "control/keywatcher.h"
 #include "control/ownership.h"
 #include "control/platformstoreclient.h"
+#include "control/records.h"
 #include "control/workmeter.h"
 #include "net/loophttpclient.h"
 #include "platform/entrysettings.h"
@@ -73,7 +74,7 @@
     void keepAlive(const std::string &id);
     void keepAliveAfter(const std::string &id, Duration delay);
     void handleKeepAliveReply(const std::string &id, const net::HttpCallResult &result,
-                              TimePoint sentAt);
+                              std::uint64_t token, TimePoint sentAt);
     void send(const scheduling::Order &order);
     // Logs an answer that another incarnation of the target gave than the known one.
     void checkClock(const std::string &id, const net::HttpCallResult &result, TimePoint sentAt);
@@ -128,7 +129,7 @@
     // Revision of the stored list of targets that may have orders; 0: not stored yet.
     platform::StoreRevision m_orderedTargetsRevision = 0;
     bool m_isRecordingTargets = false;
-    std::vector<std::string> m_recordedTargets;
+    OrderedTargets m_recordedTargets;
     TimePoint m_targetsRecordedAt{};
     bool m_isFlushing = false;
     TimePoint m_lastFlush{};
--- a/src/control/ownership.h
+++ b/src/control/ownership.h
@@ -1,6 +1,6 @@
 // Elects the owner of the fleet's work. The owner's key is attached to a lease in the platform's
-// store; the term, which rises with each ownership, is the fencing token of the owner's orders. The
-// owner counts its lease from the time it sent the renewal, on a clock that goes on while the
+// store. The term rises with each ownership, and so do the fencing tokens of the owner's orders.
+// The owner counts its lease from the time it sent the renewal, on a clock that goes on while the
 // machine is suspended, and stops acting before the store can let another entry become the owner.
 //
 // A lease that could not be renewed in time may or may not have expired: the ownership is
@@ -25,10 +25,17 @@
 
 namespace cyclamenlatch::control {
 
+// Fencing tokens that each ownership has. One more is used for a target with each incarnation that
+// the owner meets.
+inline constexpr std::uint32_t tokensPerTenure = 64;
+
 struct Tenure
 {
-    // Number of this ownership, counted from 1 over all entries; the fencing token of its orders.
+    // Number of this ownership, counted from 1 over all entries; the fencing token of its orders
+    // for hosts.
     std::uint64_t term = 0;
+    // The first of tokensPerTenure fencing tokens of its orders to targets.
+    std::uint64_t firstToken = 0;
     // Revision of the owner's key; every write of the owner is conditional on it.
     platform::StoreRevision revision = 0;
 };
@@ -78,7 +85,7 @@
     void claimWithLease(platform::LeaseId lease, Duration timeToLive, TimePoint sentAt);
     void writeClaim(platform::LeaseId lease, const platform::StoreReply &term, Duration timeToLive,
                     TimePoint sentAt);
-    void handleClaimReply(platform::LeaseId lease, std::uint64_t term, Duration timeToLive,
+    void handleClaimReply(platform::LeaseId lease, Tenure tenure, Duration timeToLive,
                           TimePoint sentAt, const platform::StoreReply &reply);
     void becomeOwner(platform::LeaseId lease, const Tenure &tenure, Duration timeToLive,
                      TimePoint sentAt);
--- a/src/control/records.h
+++ b/src/control/records.h
@@ -30,6 +30,32 @@
 
 std::string encodeWave(const WaveRecord &wave);
 Result<WaveRecord> decodeWave(const std::string &record);
+// The last ownership, as two decimal numbers. An entry of an earlier version reads and writes one
+// number, which was term and fencing token at once, so the token comes first: whichever version
+// owns next, its tokens and its term are higher.
+struct TermRecord
+{
+    // The highest token that the owner may use.
+    std::uint64_t lastToken = 0;
+    std::uint64_t term = 0;
+};
+
+std::string encodeTerm(const TermRecord &record);
+// A record that can't be read gives zeros.
+TermRecord decodeTerm(const std::string &record);
+
+// What a later owner has to know of the targets that may have runs.
+struct OrderedTargets
+{
+    std::vector<std::string> ids;
+    // See OwnerCore::settledIncarnations.
+    std::map<std::string, std::int64_t> settled;
+
+    bool operator==(const OrderedTargets &) const = default;
+};
+
+std::string encodeOrderedTargets(const OrderedTargets &targets);
+Result<OrderedTargets> decodeOrderedTargets(const std::string &record);
 std::string encodeIds(const std::vector<std::string> &ids);
 Result<std::vector<std::string>> decodeIds(const std::string &record);
 
--- a/src/control/storekeys.h
+++ b/src/control/storekeys.h
@@ -12,9 +12,9 @@
 // Name of the owner and a nonce, attached to the owner's lease. Every write of an owner is
 // conditional on this key.
 inline constexpr std::string_view ownerKey = "owner";
-// Term of the last owner, as a decimal number.
+// Highest fencing token and term of the last owner; see TermRecord.
 inline constexpr std::string_view termKey = "term";
-// Ids of targets that may have runs.
+// Targets that may have runs; see OrderedTargets.
 inline constexpr std::string_view orderedTargetsKey = "ordered-targets";
 // Submissions of jobs that have not ended, one key per job.
 inline constexpr std::string_view jobPrefix = "job/";
--- a/src/control/tests/records_tests.cpp
+++ b/src/control/tests/records_tests.cpp
@@ -111,4 +111,28 @@
     EXPECT_NE(text.find("answers_total{status=\"200\"} 1"), std::string::npos);
 }
 
+// Entries of earlier versions stored one number, term and fencing token at once, and read no more
+// than the first one.
+TEST(TermRecord, isReadWhicheverVersionHasWrittenIt)
+{
+    const auto read = decodeTerm(encodeTerm({129, 3}));
+    EXPECT_EQ(read.lastToken, 129U);
+    EXPECT_EQ(read.term, 3U);
+    EXPECT_EQ(encodeTerm({129, 3}).substr(0, 4), "129 ");
+    EXPECT_EQ(decodeTerm("17").lastToken, 17U);
+    EXPECT_EQ(decodeTerm("17").term, 17U);
+    EXPECT_EQ(decodeTerm("x").lastToken, 0U);
+    EXPECT_EQ(decodeTerm("").term, 0U);
+}
+
+TEST(OrderedTargets, areReadWhicheverVersionHasWrittenThem)
+{
+    const OrderedTargets targets{{"i-1", "i-2"}, {{"i-2", 1785716157604}}};
+    EXPECT_EQ(decodeOrderedTargets(encodeOrderedTargets(targets)).value(), targets);
+    EXPECT_EQ(decodeIds(encodeOrderedTargets(targets)).value(), targets.ids);
+    EXPECT_EQ(decodeOrderedTargets(encodeIds(targets.ids)).value(),
+              (OrderedTargets{targets.ids, {}}));
+    EXPECT_FALSE(decodeOrderedTargets("x"));
+}
+
 } // namespace cyclamenlatch::control
--- a/src/control/tests/targetrestart_tests.cpp
+++ b/src/control/tests/targetrestart_tests.cpp
@@ -69,7 +69,7 @@
 
     net::HttpCall keepAliveCall(const KeepAliveOrder &order) const
     {
-        return platform::keepAliveCall(*core.target("t1"), term, order);
+        return platform::keepAliveCall(*core.target("t1"), order);
     }
 
     // Sends the next keep-alive and handles its answer; returns whether there was one.
@@ -88,7 +88,7 @@
     OrderResult sendStart(const StartOrder &order)
     {
         const auto result = platform::decodeOrderReply(
-                wait(send(platform::startCall(*core.target("t1"), term, order, "text"))));
+                wait(send(platform::startCall(*core.target("t1"), order, "text"))));
         core.startAnswered(order, result, now);
         return result;
     }
@@ -96,7 +96,7 @@
     OrderResult sendStop(const StopOrder &order)
     {
         return platform::decodeOrderReply(
-                wait(send(platform::stopCall(*core.target("t1"), term, order))));
+                wait(send(platform::stopCall(*core.target("t1"), order))));
     }
 
     // The call has passed the check of its connection and is delivered to whoever is there now.
@@ -125,7 +125,6 @@
             std::make_unique<net::LoopHttpClient>(m_context, net::HttpClientSettings{});
 
 public:
-    static constexpr std::uint64_t term = 1;
     platform::tests::RestartingTarget target;
 };
 
@@ -158,8 +157,7 @@
     fixture.restartTarget();
     ASSERT_TRUE(fixture.keepAlive());
     ASSERT_TRUE(fixture.keepAlive());
-    fixture.deliverLate(platform::startCall(*fixture.core.target("t1"), TargetRestartFixture::term,
-                                            starts[0], "text"));
+    fixture.deliverLate(platform::startCall(*fixture.core.target("t1"), starts[0], "text"));
     fixture.deliverLate(fixture.keepAliveCall(*lease));
     EXPECT_TRUE(fixture.target.now.started.empty());
     EXPECT_LE(fixture.target.now.leaseUntil, fixture.target.now.clock + 4500ms);
--- a/src/platform/internal/targetcodec.cpp
+++ b/src/platform/internal/targetcodec.cpp
@@ -254,43 +254,44 @@
     return target;
 }
 
-net::HttpCall startCall(const scheduling::TargetInfo &target, std::uint64_t token,
-                        const scheduling::StartOrder &order, const std::string &text)
+net::HttpCall startCall(const scheduling::TargetInfo &target, const scheduling::StartOrder &order,
+                        const std::string &text)
 {
     auto body = fmt::format(
             R"({{"task":"{}","attempt":{},"spec":{},"deadline_ms":{},"fencing_token":{})",
             formatTaskName(order.task), order.attempt, toJsonString(text), order.leaseUntil.count(),
-            token);
+            order.token);
     if (!order.checkpoint.empty()) {
         body += R"(,"checkpoint":)" + toJsonString(order.checkpoint);
     }
     if (!order.ticket.empty()) {
         body += R"(,"ticket":)" + toJsonString(order.ticket);
     }
-    return forIncarnation(orderCall(target, "/v1/run-start", body + "}"), order.incarnation, token);
+    return forIncarnation(orderCall(target, "/v1/run-start", body + "}"), order.incarnation,
+                          order.token);
 }
 
-net::HttpCall stopCall(const scheduling::TargetInfo &target, std::uint64_t token,
-                       const scheduling::StopOrder &order)
+net::HttpCall stopCall(const scheduling::TargetInfo &target, const scheduling::StopOrder &order)
 {
     auto body = fmt::format(R"({{"task":"{}","attempt":{},"fencing_token":{}}})",
-                            formatTaskName(order.task), order.attempt, token);
+                            formatTaskName(order.task), order.attempt, order.token);
     return forIncarnation(orderCall(target, "/v1/run-stop", std::move(body)), order.incarnation,
-                          token);
+                          order.token);
 }
 
-net::HttpCall paceCall(const scheduling::TargetInfo &target, std::uint64_t token,
-                       const scheduling::PaceOrder &order)
+net::HttpCall paceCall(const scheduling::TargetInfo &target, const scheduling::PaceOrder &order)
 {
     auto body = fmt::format(R"({{"task":"{}","attempt":{},"percent":{},"fencing_token":{}}})",
-                            formatTaskName(order.task), order.attempt, order.percent, token);
-    return forIncarnation(orderCall(target, "/v1/pace", std::move(body)), order.incarnation, token);
+                            formatTaskName(order.task), order.attempt, order.percent, order.token);
+    return forIncarnation(orderCall(target, "/v1/pace", std::move(body)), order.incarnation,
+                          order.token);
 }
 
-net::HttpCall keepAliveCall(const scheduling::TargetInfo &target, std::uint64_t token,
+net::HttpCall keepAliveCall(const scheduling::TargetInfo &target,
                             const scheduling::KeepAliveOrder &order)
 {
-    auto body = fmt::format(R"({{"fencing_token":{},"ack_cursor":{})", token, order.endsRecorded);
+    auto body =
+            fmt::format(R"({{"fencing_token":{},"ack_cursor":{})", order.token, order.endsRecorded);
     if (order.leaseUntil.count() > 0) {
         body += fmt::format(R"(,"deadline_ms":{})", order.leaseUntil.count());
     }
@@ -301,7 +302,7 @@
     // which names itself in its answer.
     const bool changesTarget = order.leaseUntil.count() > 0 || order.endsRecorded > 0;
     return forIncarnation(orderCall(target, "/v1/hold", body + "}"),
-                          changesTarget ? order.incarnation : 0, token);
+                          changesTarget ? order.incarnation : 0, order.token);
 }
 
 net::HttpCall adviceCall(const std::string &address, const scheduling::AdviseOrder &order)
--- a/src/platform/targetcodec.h
+++ b/src/platform/targetcodec.h
@@ -30,14 +30,12 @@
 std::optional<scheduling::TargetInfo> decodeTarget(const std::string &key,
                                                    const std::string &value);
 
-// token: fencing token of the owner that sends the order. text: the job's text.
-net::HttpCall startCall(const scheduling::TargetInfo &target, std::uint64_t token,
-                        const scheduling::StartOrder &order, const std::string &text);
-net::HttpCall stopCall(const scheduling::TargetInfo &target, std::uint64_t token,
-                       const scheduling::StopOrder &order);
-net::HttpCall paceCall(const scheduling::TargetInfo &target, std::uint64_t token,
-                       const scheduling::PaceOrder &order);
-net::HttpCall keepAliveCall(const scheduling::TargetInfo &target, std::uint64_t token,
+// text: the job's text.
+net::HttpCall startCall(const scheduling::TargetInfo &target, const scheduling::StartOrder &order,
+                        const std::string &text);
+net::HttpCall stopCall(const scheduling::TargetInfo &target, const scheduling::StopOrder &order);
+net::HttpCall paceCall(const scheduling::TargetInfo &target, const scheduling::PaceOrder &order);
+net::HttpCall keepAliveCall(const scheduling::TargetInfo &target,
                             const scheduling::KeepAliveOrder &order);
 
 // address: "address:port" of the advice service.
--- a/src/platform/tests/codecs_tests.cpp
+++ b/src/platform/tests/codecs_tests.cpp
@@ -242,19 +242,24 @@
     target.address = "10.0.0.1:80";
     scheduling::StartOrder start;
     start.incarnation = 1000;
+    start.token = 9;
     scheduling::StopOrder stop;
     stop.incarnation = 1000;
+    stop.token = 9;
     scheduling::PaceOrder pace;
     pace.incarnation = 1000;
+    pace.token = 9;
     scheduling::KeepAliveOrder lease;
     lease.incarnation = 1000;
+    lease.token = 9;
     lease.leaseUntil = std::chrono::milliseconds(1);
     scheduling::KeepAliveOrder ends;
     ends.incarnation = 1000;
+    ends.token = 9;
     ends.endsRecorded = 1;
     for (const auto &call :
-         {startCall(target, 9, start, "text"), stopCall(target, 9, stop), paceCall(target, 9, pace),
-          keepAliveCall(target, 9, lease), keepAliveCall(target, 9, ends)}) {
+         {startCall(target, start, "text"), stopCall(target, stop), paceCall(target, pace),
+          keepAliveCall(target, lease), keepAliveCall(target, ends)}) {
         ASSERT_TRUE(call.peerCheck);
         EXPECT_EQ(call.peerCheck->expected, 1000);
         EXPECT_EQ(call.peerCheck->path, "/v1/hold");
@@ -262,14 +267,14 @@
     }
     scheduling::KeepAliveOrder look;
     look.incarnation = 1000;
-    const auto call = keepAliveCall(target, 9, look);
+    const auto call = keepAliveCall(target, look);
     ASSERT_TRUE(call.peerCheck);
     EXPECT_EQ(call.peerCheck->expected, 0);
 }
 
 TEST(TargetCalls, readTheIncarnationOnlyFromAListThatNamesIt)
 {
-    const auto call = keepAliveCall({}, 9, {});
+    const auto call = keepAliveCall({}, {});
     const auto identify = [&](int status, const std::string &body) {
         return call.peerCheck->identify(net::HttpReply{status, {}, body, false});
     };
--- a/src/scheduling/internal/ownerleases.cpp
+++ b/src/scheduling/internal/ownerleases.cpp
@@ -1,4 +1,9 @@
 // Leases and keep-alives of targets: what a target may still run after its calls have stopped.
+//
+// A lease ends at a time on its target's clock, and each incarnation of a target has a clock of its
+// own. The owner knows the leases of an incarnation from the first answer to a call with a token
+// that fences off all calls for earlier incarnations and of earlier owners. What was granted before
+// that answer may last for the longest lease.
 #include "scheduling/ownercore.h"
 
 #include "scheduling/internal/ownerstate.h"
@@ -52,9 +57,10 @@
 {
     const auto incarnations = fmt::format("incarnation={} entry_incarnation={}", target.incarnation,
                                           target.info.incarnation);
-    return target.clock && target.isAdopted
-                   ? fmt::format("{} lease=known lease_until={} clock={}", incarnations,
-                                 target.leaseUntil.count(), clockOf(target, now).count())
+    return target.clock && target.isLeaseKnown
+                   ? fmt::format("{} lease=known lease_until={} foreign_until={} clock={}",
+                                 incarnations, target.leaseUntil.count(),
+                                 target.foreignLeaseUntil.count(), clockOf(target, now).count())
                    : fmt::format("{} lease=assumed", incarnations);
 }
 
@@ -68,21 +74,111 @@
 
 bool OwnerCore::hasLeaseExpired(const TargetState &target, TimePoint now) const
 {
-    const auto margin = m_settings.stopTimeout + leaseExpiryMargin;
-    if (!target.clock || !target.isAdopted) {
-        // An earlier owner may have granted the longest lease just before this one took over.
-        return hasLongestLeaseExpired(std::max(m_began, target.lastOrderAt), now);
+    if (!target.isLeaseKnown) {
+        const auto granted = std::max({m_began, target.lastOrderAt, target.unfencedAt});
+        const auto incarnation =
+                target.incarnation != 0 ? target.incarnation : target.info.incarnation;
+        return hasLeaseExpired(granted, longestForeignLease(target.info.id, incarnation), now);
     }
-    const auto clockNow = *target.clock
-                          + std::chrono::duration_cast<std::chrono::milliseconds>(
-                                  (now - target.clockAt) * minClockRate);
-    return clockNow > target.leaseUntil + margin;
+    return lowestClock(target, now)
+           > std::max(target.leaseUntil, target.foreignLeaseUntil) + leaseMargin();
 }
 
-bool OwnerCore::hasLongestLeaseExpired(TimePoint granted, TimePoint now) const
+bool OwnerCore::hasLeaseExpired(TimePoint granted, std::chrono::milliseconds lease,
+                                TimePoint now) const
 {
-    const auto margin = m_settings.stopTimeout + leaseExpiryMargin;
-    return toSeconds(now - granted) * minClockRate > toSeconds(m_settings.maxRunLease + margin);
+    return toSeconds(now - granted) * minClockRate > toSeconds(lease + leaseMargin());
+}
+
+std::chrono::milliseconds OwnerCore::leaseMargin() const
+{
+    return m_settings.stopTimeout + leaseExpiryMargin;
+}
+
+std::chrono::milliseconds OwnerCore::lowestClock(const TargetState &target, TimePoint now)
+{
+    return *target.clock
+           + std::chrono::duration_cast<std::chrono::milliseconds>((now - target.clockAt)
+                                                                   * minClockRate);
+}
+
+std::chrono::milliseconds OwnerCore::longestForeignLease(const std::string &id,
+                                                         std::int64_t incarnation) const
+{
+    const auto settled = m_settled.find(id);
+    const bool isSettled =
+            settled != m_settled.end() && (incarnation == 0 || settled->second == incarnation);
+    return isSettled ? m_settings.maxRunLease : m_settings.longestLease;
+}
+
+std::map<std::string, std::int64_t> OwnerCore::settledIncarnations(TimePoint now)
+{
+    for (const auto &[id, target] : m_targets) {
+        const bool isSettled =
+                target->incarnation != 0 && target->isLeaseKnown
+                && lowestClock(*target, now) > target->foreignLeaseUntil + leaseMargin();
+        if (isSettled) {
+            m_settled[id] = target->incarnation;
+        }
+    }
+    return m_settled;
+}
+
+void OwnerCore::restoreSettledIncarnations(std::map<std::string, std::int64_t> settled)
+{
+    m_settled = std::move(settled);
+}
+
+std::uint64_t OwnerCore::fencingToken(const std::string &id) const
+{
+    const auto found = m_tokenRises.find(id);
+    const auto rises = found == m_tokenRises.end() ? 0U : found->second;
+    // After so many restarts under one owner only the check of the connection remains.
+    return m_settings.firstToken + std::min(rises, m_settings.tokenCount - 1);
+}
+
+void OwnerCore::fenceEarlierCalls(TargetState &target)
+{
+    if (target.usedToken == fencingToken(target.info.id)) {
+        ++m_tokenRises[target.info.id];
+    }
+}
+
+void OwnerCore::forgetIncarnation(TargetState &target, TimePoint now)
+{
+    ++target.life;
+    target.isAdopted = false;
+    target.isLeaseKnown = false;
+    target.unfencedAt = now;
+    target.leaseUntil = {};
+    target.endsSeen = 0;
+    target.endsRecorded = 0;
+    fenceEarlierCalls(target);
+    releaseRuns(target, Decision::Kind::TargetRestarted, now);
+}
+
+bool OwnerCore::isOtherIncarnation(const TargetState &target, const KeepAliveReport &report)
+{
+    if (target.incarnation != 0 && report.incarnation != 0) {
+        return report.incarnation != target.incarnation;
+    }
+    // The clock of an incarnation never goes back.
+    return target.clock && report.clock < *target.clock;
+}
+
+void OwnerCore::answeredOnOtherClock(const std::string &id, TimePoint now)
+{
+    auto *target = findTarget(id);
+    if (target == nullptr) {
+        return;
+    }
+    ++target->life;
+    target->isAdopted = false;
+    target->isLeaseKnown = false;
+    target->unfencedAt = now;
+    m_settled.erase(id);
+    fenceEarlierCalls(*target);
+    scheduleForPlanning(*target);
 }
 
 std::optional<KeepAliveOrder> OwnerCore::keepAliveOrder(const std::string &id, TimePoint now)
@@ -93,6 +189,8 @@
     }
     KeepAliveOrder order;
     order.incarnation = target->incarnation;
+    order.token = fencingToken(id);
+    target->keepAliveToken = order.token;
     order.timeout = target->responseTime.timeout();
     target->requestedWait = order.wait;
     if (!target->isAdopted || !target->clock) {
@@ -105,6 +203,7 @@
         // not extended, so that the last one can expire.
         return order;
     }
+    target->usedToken = order.token;
     order.endsRecorded = target->endsRecorded;
     order.leaseUntil = leaseFrom(*target, now);
     target->leaseUntil = std::max(target->leaseUntil, order.leaseUntil);
@@ -147,23 +246,13 @@
     if (target == nullptr) {
         return;
     }
-    const bool isOtherIncarnation = target->incarnation != 0 && report.incarnation != 0
-                                    && report.incarnation != target->incarnation;
-    if (isOtherIncarnation) {
+    if (isOtherIncarnation(*target, report)) {
         reportDecision(Decision::Kind::TargetRestarted, {}, 0, id,
                        fmt::format("new_incarnation={} new_clock={} {}", report.incarnation,
                                    report.clock.count(), leaseText(*target, now)));
-    }
-    const bool isConfirmed = target->incarnation != 0 && report.incarnation == target->incarnation;
-    if (isOtherIncarnation || (!target->isAdopted && !isConfirmed)) {
-        target->endsSeen = 0;
-        target->endsRecorded = 0;
-        target->leaseUntil = report.clock + m_settings.maxRunLease;
+        forgetIncarnation(*target, now);
     }
     target->incarnation = report.incarnation == 0 ? target->incarnation : report.incarnation;
-    if (isOtherIncarnation) {
-        releaseRuns(*target, Decision::Kind::TargetRestarted, now);
-    }
     target->clock = report.clock;
     target->clockAt = now;
     target->lastAnswer = now;
@@ -172,6 +261,15 @@
         // The target answered without waiting, or waited for the whole time without an end.
         target->responseTime.addSample(answerTime);
     }
+    if (target->keepAliveToken < fencingToken(id)) {
+        // Calls for an earlier incarnation may still be carried out, so that the list may not show
+        // all that will run there.
+        target->unfencedAt = now;
+        return scheduleForPlanning(*target);
+    }
+    if (!std::exchange(target->isLeaseKnown, true)) {
+        target->foreignLeaseUntil = report.clock + longestForeignLease(id, target->incarnation);
+    }
     target->isAdopted = true;
     ++target->lists;
     const auto seenBefore = target->endsSeen;
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -103,7 +103,7 @@
     const bool isOutOfContact = target.failedCalls > 0 || !target.isAdopted || !target.isListed;
     if (isOutOfContact && hasLeaseExpired(target, now)) {
         releaseRuns(target, Decision::Kind::LeaseExpired, now);
-        if (!target.isListed) {
+        if (!target.isListed && target.runs.empty()) {
             return true;
         }
     }
@@ -133,7 +133,7 @@
             continue;
         }
         run.stopSentAt = now;
-        m_orders.emplace_back(StopOrder{target.info.id, task, run.attempt, target.incarnation});
+        m_orders.emplace_back(stopOrder(target, task, run));
     }
 }
 
@@ -142,7 +142,7 @@
 // without a stop. The retry does not extend the lease: that of an unreachable target must expire.
 void OwnerCore::planStartRetries(TargetState &target, TimePoint now)
 {
-    if (target.failedCalls > 0) {
+    if (target.failedCalls > 0 || !target.isAdopted) {
         return;
     }
     for (auto &[task, run] : target.runs) {
@@ -189,8 +189,9 @@
         if (isOff && (run.orderedPace != run.pace || sinceOrder > paceRaiseDelay)) {
             run.orderedPace = run.pace;
             run.paceOrderedAt = now;
-            m_orders.emplace_back(
-                    PaceOrder{target.info.id, task, run.attempt, run.pace, target.incarnation});
+            PaceOrder order{target.info.id, task, run.attempt, run.pace};
+            detail::address(order, target, fencingToken(target.info.id));
+            m_orders.emplace_back(std::move(order));
         }
     }
 }
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -55,20 +55,41 @@
     }
 }
 
+bool OwnerCore::mayStartLater(const RunState &run)
+{
+    return run.phase == RunPhase::Starting || run.phase == RunPhase::OutcomeUnknown
+           || run.pendingCalls > 0 || run.callLostAt;
+}
+
+bool OwnerCore::mayRunOnLaterIncarnation(const TargetState &target, const RunState &run,
+                                         TimePoint now) const
+{
+    const bool isLater =
+            run.life != target.life
+            || (target.incarnation != 0 && target.info.incarnation > target.incarnation);
+    return isLater && mayStartLater(run)
+           && (run.pendingCalls > 0
+               || !hasLeaseExpired(run.callLostAt.value_or(run.startSentAt),
+                                   m_settings.longestLease, now));
+}
+
 void OwnerCore::releaseRuns(TargetState &target, Decision::Kind kind, TimePoint now)
 {
     std::vector<TaskRef> lost;
     for (auto &[task, run] : target.runs) {
-        const bool mayStartLater = run.phase == RunPhase::Starting
-                                   || run.phase == RunPhase::OutcomeUnknown || run.pendingCalls > 0
-                                   || run.isCallLost;
-        if (kind == Decision::Kind::TargetRestarted && mayStartLater) {
-            // The start may still reach the target's new incarnation.
-            run.phase = RunPhase::Starting;
-            stopRun(target, task, run, now);
+        if (kind == Decision::Kind::TargetRestarted && mayStartLater(run)) {
+            // The start may reach the new incarnation before the first call that fences it off. The
+            // list that answers that call tells.
+            run.phase = run.phase == RunPhase::Running    ? RunPhase::Starting
+                        : run.phase == RunPhase::Stopping ? RunPhase::OutcomeUnknown
+                                                          : run.phase;
+            run.stopSentAt.reset();
             run.stopAnsweredAt.reset();
             continue;
         }
+        if (kind == Decision::Kind::LeaseExpired && mayRunOnLaterIncarnation(target, run, now)) {
+            continue;
+        }
         lost.push_back(task);
     }
     for (const auto &task : lost) {
@@ -90,10 +111,17 @@
     }
     run.stopSentAt = now;
     run.stopAnsweredAt.reset();
-    m_orders.emplace_back(StopOrder{target.info.id, task, run.attempt, target.incarnation});
+    m_orders.emplace_back(stopOrder(target, task, run));
     scheduleForPlanning(target);
 }
 
+StopOrder OwnerCore::stopOrder(TargetState &target, const TaskRef &ref, const RunState &run) const
+{
+    StopOrder order{target.info.id, ref, run.attempt};
+    detail::address(order, target, fencingToken(target.info.id));
+    return order;
+}
+
 void OwnerCore::stopRunsOf(const JobState &job, TimePoint now)
 {
     for (const auto &id : job.targets) {
@@ -209,6 +237,7 @@
     }
     auto &run = found->second;
     run.lastReportNumber = target.lists;
+    run.life = target.life;
     if (run.attempt != row.attempt) {
         return;
     }
@@ -250,6 +279,7 @@
     dropRun(target, row.task);
     RunState run;
     run.lastReportNumber = target.lists;
+    run.life = target.life;
     run.attempt = row.attempt;
     run.phase = RunPhase::Running;
     run.confirmedAt = now;
@@ -306,7 +336,9 @@
                                && run.confirmedAt < sentAt;
         const bool wasNeverStarted = run.phase == RunPhase::OutcomeUnknown && run.stopAnsweredAt
                                      && *run.stopAnsweredAt < sentAt;
-        if (wasListed || wasNeverStarted) {
+        // Ordered for an earlier incarnation, whose calls the target refuses now.
+        const bool isFencedOff = run.life != target.life;
+        if (wasListed || wasNeverStarted || isFencedOff) {
             missing.push_back(task);
         }
     }
@@ -332,6 +364,15 @@
     auto *task = findTask(order.task, &job, &step);
     const bool isRepeated = run.startCalls > 1;
     run.pendingCalls -= run.pendingCalls > 0 ? 1 : 0;
+    if (answer == OrderResult::OutcomeUnknown) {
+        run.callLostAt = now;
+    }
+    const bool isOutdated = order.token != fencingToken(order.targetId);
+    if (isOutdated && answer != OrderResult::NotSent && answer != OrderResult::TargetRestarted) {
+        // The call was for an earlier incarnation. The list that answers the first call with the
+        // present token tells whether the task runs.
+        return;
+    }
     if (isRepeated && answer == OrderResult::NotSent) {
         // The call does not count; the earlier ones may still be carried out.
         --run.startCalls;
@@ -362,11 +403,21 @@
         }
         return;
     case OrderResult::OutcomeUnknown:
-        run.isCallLost = true;
         if (run.phase == RunPhase::Starting && run.pendingCalls == 0) {
             stopRun(*target, order.task, run, now);
         }
         return;
+    case OrderResult::TargetRestarted:
+        if (!isOutdated) {
+            // The target gets no work until its next list shows what the new incarnation runs.
+            forgetIncarnation(*target, now);
+            scheduleForPlanning(*target);
+        }
+        if (run.pendingCalls > 0 || run.callLostAt) {
+            // An earlier call may have reached the new incarnation; the list tells.
+            return;
+        }
+        break;
     default:
         break;
     }
@@ -375,11 +426,7 @@
     dropRun(*target, order.task);
     if (answer == OrderResult::InvalidTicket && step != nullptr) {
         step->tickets.erase(order.targetId);
-    } else if (answer == OrderResult::TargetRestarted) {
-        // The target gets no work until its next list shows what the new incarnation runs.
-        target->isAdopted = target->isAdopted && order.incarnation != target->incarnation;
-        scheduleForPlanning(*target);
-    } else {
+    } else if (answer != OrderResult::TargetRestarted) {
         // Keeps the next start from being sent to the same target at once.
         constexpr std::chrono::milliseconds quarantineAfterRefusal{500};
         target->quarantinedUntil = std::max(target->quarantinedUntil, now + quarantineAfterRefusal);
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -345,6 +345,7 @@
     ++open.step->ordered;
     RunState run;
     run.attempt = attempt;
+    run.life = target.life;
     run.orderedAt = now;
     run.progressAt = now;
     run.paceOrderedAt = now;
@@ -365,6 +366,7 @@
 void OwnerCore::sendStart(TargetState &target, const TaskRef &ref, RunState &run, TimePoint now)
 {
     run.phase = RunPhase::Starting;
+    run.life = target.life;
     run.orderedAt = now;
     run.progressAt = now;
     run.paceOrderedAt = now;
@@ -383,15 +385,14 @@
     }
 }
 
-StartOrder OwnerCore::startOrder(const TargetState &target, const TaskRef &ref,
-                                 const RunState &run) const
+StartOrder OwnerCore::startOrder(TargetState &target, const TaskRef &ref, const RunState &run) const
 {
     StartOrder order;
     order.targetId = target.info.id;
     order.task = ref;
     order.attempt = run.attempt;
     order.leaseUntil = target.leaseUntil;
-    order.incarnation = target.incarnation;
+    detail::address(order, target, fencingToken(target.info.id));
     if (const auto *task = findTask(ref); task != nullptr) {
         order.checkpoint = task->checkpoint;
     }
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -140,12 +140,15 @@
     // A list asked for before this time need not show the run.
     TimePoint confirmedAt{};
     TimePoint orderedAt{};
-    // Start calls that were sent, those that may still be answered, whether one was lost, and when
-    // the last one was sent. A call that is never answered may be carried out seconds later.
+    // Start calls that were sent, those that may still be answered, when one was last lost, and
+    // when the last one was sent. A call that is never answered may be carried out seconds later,
+    // also by a later incarnation of the target.
     unsigned startCalls = 0;
     unsigned pendingCalls = 0;
-    bool isCallLost = false;
+    std::optional<TimePoint> callLostAt;
     TimePoint startSentAt{};
+    // The target's life in which the run was ordered, or last listed.
+    std::uint32_t life = 0;
     // When a stop was last sent, and when one was answered.
     std::optional<TimePoint> stopSentAt;
     std::optional<TimePoint> stopAnsweredAt;
@@ -177,11 +180,24 @@
     // The target's clock as last reported, and the local time of that reading.
     std::optional<std::chrono::milliseconds> clock;
     TimePoint clockAt{};
-    // End of the latest lease sent, on the target's clock.
+    // End of the latest lease that this owner has granted to the incarnation, on the target's
+    // clock.
     std::chrono::milliseconds leaseUntil{};
+    // The target has answered a call with the present token. From then on it refuses calls for
+    // earlier incarnations and of earlier owners; a lease that one of them has granted lasts until
+    // foreignLeaseUntil at most, on the target's clock.
+    bool isLeaseKnown = false;
+    std::chrono::milliseconds foreignLeaseUntil{};
+    // When the target last answered a call with a token that does not protect it from earlier ones.
+    TimePoint unfencedAt{};
     TimePoint lastOrderAt{};
-    // Incarnation according to the target's lists; 0: it has not answered yet.
+    // Tokens of the last keep-alive, and the highest one of a call that can change the target.
+    std::uint64_t keepAliveToken = 0;
+    std::uint64_t usedToken = 0;
+    // Incarnation according to the target's lists; 0: it has not answered yet, or names none.
     std::int64_t incarnation = 0;
+    // Counts the incarnations that this owner has met, also of a target that does not name them.
+    std::uint32_t life = 0;
     // Highest number of an end that was listed, and of one that is recorded.
     std::uint64_t endsSeen = 0;
     std::uint64_t endsRecorded = 0;
@@ -209,4 +225,13 @@
     TimePoint reservedUntil{};
 };
 
+// Names the incarnation that the order is for and its fencing token.
+template<typename Order>
+void address(Order &order, TargetState &target, std::uint64_t token)
+{
+    order.incarnation = target.incarnation;
+    order.token = token;
+    target.usedToken = token;
+}
+
 } // namespace cyclamenlatch::scheduling::detail
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -28,6 +28,7 @@
     if (!target) {
         target = std::make_unique<TargetState>();
         target->info.id = id;
+        target->keepAliveToken = fencingToken(id);
         const auto position = std::lower_bound(
                 m_targetsById.begin(), m_targetsById.end(), id,
                 [](const auto *other, const auto &name) { return other->info.id < name; });
@@ -42,6 +43,8 @@
     if (found == m_targets.end()) {
         return;
     }
+    fenceEarlierCalls(*found->second);
+    m_settled.erase(id);
     std::erase(m_targetsById, found->second.get());
     std::erase(m_targetsToPlan, found->second.get());
     m_targets.erase(found);
@@ -216,7 +219,7 @@
     const auto *target = findTarget(id);
     if (target == nullptr) {
         // This owner has never used the target, or has seen all of its runs end.
-        load.isKnown = id.empty() || hasLongestLeaseExpired(m_began, now);
+        load.isKnown = id.empty() || hasLeaseExpired(m_began, m_settings.longestLease, now);
         return load;
     }
     load.isKnown = contactOf(*target) == Contact::Reachable || hasLeaseExpired(*target, now);
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -25,6 +25,8 @@
     // Incarnation of the target that the order is for; see TargetInfo. Another one must not get it:
     // it has another clock, and its counts start anew. 0: not known.
     std::int64_t incarnation = 0;
+    // Fencing token. The target refuses lower ones from then on; see OwnerCore::fencingToken.
+    std::uint64_t token = 0;
 };
 
 struct StopOrder
@@ -34,6 +36,7 @@
     std::uint32_t attempt = 0;
     // See StartOrder.
     std::int64_t incarnation = 0;
+    std::uint64_t token = 0;
 };
 
 struct PaceOrder
@@ -45,6 +48,7 @@
     int percent = 100;
     // See StartOrder.
     std::int64_t incarnation = 0;
+    std::uint64_t token = 0;
 };
 
 // Asks the advice service which of these targets may run a step.
@@ -79,6 +83,7 @@
     std::chrono::milliseconds timeout{};
     // See StartOrder.
     std::int64_t incarnation = 0;
+    std::uint64_t token = 0;
 };
 
 enum class OrderResult {
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -169,6 +169,18 @@
     // How long an answer of the target may take before the call counts as lost; zero for an unknown
     // target.
     std::chrono::milliseconds responseTimeout(const std::string &id) const;
+    // Fencing token of the next call to the target. It rises with each incarnation that this owner
+    // meets: whatever was sent before, to an earlier incarnation, is refused by the present one
+    // from its first call on, however late it arrives and on whatever connection. Calls with a
+    // lower token that the target refuses are out of date; the ownership is not.
+    std::uint64_t fencingToken(const std::string &id) const;
+    // An order was answered on another clock than the target's, so that a lease of unknown length
+    // may have been granted. The target gets no work until its next list.
+    void answeredOnOtherClock(const std::string &id, TimePoint now);
+    // By id, the incarnations of targets on which no lease can last longer than maxRunLease from
+    // the last call of an owner: stored for the next owner, which may not reach the target.
+    std::map<std::string, std::int64_t> settledIncarnations(TimePoint now);
+    void restoreSettledIncarnations(std::map<std::string, std::int64_t> settled);
     // The clock of the target's known incarnation; nothing before its first answer.
     std::optional<std::chrono::milliseconds> clockOf(const std::string &id, TimePoint now) const;
 
@@ -313,9 +325,29 @@
                          TimePoint now);
     void recordTargetFailure(TargetState &target, JobNumber job, TimePoint now);
     void stopRun(TargetState &target, const TaskRef &task, RunState &run, TimePoint now);
+    // Has later calls to the target carry a higher token than those that were sent to it.
+    void fenceEarlierCalls(TargetState &target);
+    // The target is another incarnation than the one that the owner has known.
+    void forgetIncarnation(TargetState &target, TimePoint now);
+    static bool isOtherIncarnation(const TargetState &target, const KeepAliveReport &report);
+    // Whether an order for the run may still be carried out for the first time.
+    static bool mayStartLater(const RunState &run);
+    // The same on an incarnation that the target's entry names and that this owner has not reached,
+    // where the run may then hold the longest lease.
+    bool mayRunOnLaterIncarnation(const TargetState &target, const RunState &run,
+                                  TimePoint now) const;
     bool hasLeaseExpired(const TargetState &target, TimePoint now) const;
-    // Whether the longest lease that was granted at this time has expired on every target's clock.
-    bool hasLongestLeaseExpired(TimePoint granted, TimePoint now) const;
+    // Whether a lease of this length that was granted at this time has expired on every target's
+    // clock.
+    bool hasLeaseExpired(TimePoint granted, std::chrono::milliseconds lease, TimePoint now) const;
+    // The longest lease that others than this owner may have granted to the incarnation; 0: to the
+    // one that was last known.
+    std::chrono::milliseconds longestForeignLease(const std::string &id,
+                                                  std::int64_t incarnation) const;
+    // Added to leases for messages that are on their way, and for the time that a stop takes.
+    std::chrono::milliseconds leaseMargin() const;
+    // The target's clock if it has been slow since it was read.
+    static std::chrono::milliseconds lowestClock(const TargetState &target, TimePoint now);
     std::chrono::milliseconds leaseFrom(const TargetState &target, TimePoint now) const;
     // The target has answered, so that its clock is known.
     static std::chrono::milliseconds clockOf(const TargetState &target, TimePoint now);
@@ -363,7 +395,8 @@
                std::uint32_t attempt, TimePoint now);
     void sendStart(TargetState &target, const TaskRef &ref, RunState &run, TimePoint now);
     // The order that starts the run, with the target's current lease.
-    StartOrder startOrder(const TargetState &target, const TaskRef &ref, const RunState &run) const;
+    StartOrder startOrder(TargetState &target, const TaskRef &ref, const RunState &run) const;
+    StopOrder stopOrder(TargetState &target, const TaskRef &ref, const RunState &run) const;
     void sendAllocatedStarts(TimePoint now);
     bool isUsable(const TargetState &target, TimePoint now) const;
     bool isEvacuated(const TargetState &target) const;
@@ -397,6 +430,10 @@
     // were last taken.
     std::map<std::string, TargetInfo> m_unassignedTargets;
     std::vector<std::string> m_assignedTargets;
+    // By id, how often the fencing token has risen; kept when the target is erased.
+    std::unordered_map<std::string, std::uint32_t> m_tokenRises;
+    // See settledIncarnations.
+    std::map<std::string, std::int64_t> m_settled;
     // Targets that changed since they were last examined; each has isScheduledForPlanning set.
     std::vector<TargetState *> m_targetsToPlan;
     PlanningStatistics m_statistics;
--- a/src/scheduling/tests/targetincarnations_tests.cpp
+++ b/src/scheduling/tests/targetincarnations_tests.cpp
@@ -13,13 +13,11 @@
 public:
     IncarnationFixture() { join("t1"); }
 
+    // Two keep-alives: the second one has the token that fences off calls for the one before.
     void reportAs(std::int64_t incarnation, std::vector<RunStatus> running = {})
     {
-        KeepAliveReport report;
-        report.clock = clock();
-        report.incarnation = incarnation;
-        report.running = std::move(running);
-        core.keepAliveAnswered("t1", report, now, now);
+        poll("t1", incarnation, running);
+        poll("t1", incarnation, running);
     }
 };
 
--- a/src/scheduling/tests/unknownleases_tests.cpp
+++ b/src/scheduling/tests/unknownleases_tests.cpp
@@ -40,9 +40,11 @@
     }
 
     // A new owner knows from the store that t1 may run the task, and does not reach t1.
-    void takeOver()
+    void takeOver(bool isListed = true)
     {
-        listAs("t1", 1);
+        if (isListed) {
+            listAs("t1", 1);
+        }
         join("t2");
         JobProgress progress;
         progress.phase = JobPhase::Running;
@@ -103,4 +105,137 @@
     }
 }
 
+// An incarnation that has been in contact for longer than any lease holds none that is unknown.
+// That is stored, so that a lost target delays its tasks by no more than its leases.
+TEST(UnknownLeases, haveRunOutOnAnIncarnationThatHasLongBeenInContact)
+{
+    UnknownLeasesFixture first;
+    first.join("t1");
+    EXPECT_TRUE(first.core.settledIncarnations(first.now).empty());
+    first.goOn(longestLease, {"t1"});
+    const auto settled = first.core.settledIncarnations(first.now);
+    EXPECT_EQ(settled, (std::map<std::string, std::int64_t>{{"t1", 1}}));
+
+    for (const bool isListed : {true, false}) {
+        UnknownLeasesFixture second(2);
+        second.core.restoreSettledIncarnations(settled);
+        second.core.targetRestored("t1", second.now);
+        second.takeOver(isListed);
+        EXPECT_EQ(second.goOn(shortLease, {"t2"}).size(), 1U);
+    }
+
+    UnknownLeasesFixture afterRestart(2);
+    afterRestart.core.restoreSettledIncarnations({{"t1", 1000}});
+    afterRestart.takeOver();
+    EXPECT_TRUE(afterRestart.goOn(shortLease, {"t2"}).empty());
+}
+
+// An answer on another clock shows that somebody else was given a lease of unknown length.
+TEST(UnknownLeases, areAssumedAfterAnAnswerOnAnotherClock)
+{
+    UnknownLeasesFixture fixture;
+    fixture.join("t1");
+    fixture.goOn(longestLease, {"t1"});
+    const auto start = fixture.startOnFirst();
+    const auto token = fixture.core.fencingToken("t1");
+    fixture.core.answeredOnOtherClock("t1", fixture.now);
+    EXPECT_GT(fixture.core.fencingToken("t1"), token);
+    fixture.poll("t1", 1, {OwnerFixture::running(start)});
+    EXPECT_EQ(fixture.core.contact("t1"), OwnerCore::Contact::Reachable);
+    fixture.core.keepAliveFailed("t1", fixture.now);
+    EXPECT_TRUE(fixture.goOn(longestLease - 500ms, {"t2"}).empty());
+    EXPECT_EQ(fixture.goOn(700ms, {"t2"}).size(), 1U);
+}
+
+// Guards against work that is done twice: a target that restarts takes calls that were meant for
+// its former incarnation. It refuses them from its first call with a higher token on.
+TEST(FencingTokens, riseWithEachIncarnation)
+{
+    UnknownLeasesFixture fixture;
+    fixture.join("t1");
+    fixture.submit(7, {makeStep(1)});
+    const auto before = fixture.sendStarts();
+    ASSERT_EQ(before.size(), 1U);
+    EXPECT_EQ(before[0].token, fixture.core.fencingToken("t1"));
+    fixture.poll("t1", 2000);
+    const auto look = fixture.core.keepAliveOrder("t1", fixture.now);
+    EXPECT_GT(look->token, before[0].token);
+    EXPECT_EQ(look->leaseUntil, 0ms);
+    EXPECT_EQ(look->endsRecorded, 0U);
+    fixture.poll("t1", 2000);
+    const auto after = fixture.sendStarts();
+    ASSERT_EQ(after.size(), 1U);
+    EXPECT_EQ(after[0].token, look->token);
+}
+
+// A list that does not fence off earlier calls is not the last word: a start that it does not show
+// may still be carried out, so its task is started nowhere else.
+TEST(FencingTokens, ofTheFirstListOfAnIncarnationAreRaisedBeforeItCounts)
+{
+    for (const bool isCarriedOut : {true, false}) {
+        UnknownLeasesFixture fixture;
+        fixture.join("t1");
+        fixture.submit(7, {makeStep(1)});
+        const auto starts = fixture.sendStarts();
+        ASSERT_EQ(starts.size(), 1U);
+        fixture.join("t2");
+        fixture.poll("t1", 2000);
+        EXPECT_TRUE(fixture.sendStarts().empty());
+        std::vector<RunStatus> running;
+        if (isCarriedOut) {
+            running.push_back(OwnerFixture::running(starts[0]));
+        }
+        fixture.poll("t1", 2000, running);
+        EXPECT_EQ(fixture.sendStarts().size(), isCarriedOut ? 0U : 1U);
+    }
+}
+
+// The token of a target must not fall: the target would refuse its own owner.
+TEST(FencingTokens, doNotFallWhenATargetIsForgottenAndListedAgain)
+{
+    UnknownLeasesFixture fixture;
+    fixture.join("t1");
+    fixture.submit(7, {makeStep(1)});
+    ASSERT_EQ(fixture.sendStarts().size(), 1U);
+    fixture.poll("t1", 2000);
+    const auto token = fixture.core.fencingToken("t1");
+    fixture.core.targetHostDown("t1", fixture.now);
+    EXPECT_GE(fixture.core.fencingToken("t1"), token);
+    fixture.list("t1");
+    EXPECT_GE(fixture.core.keepAliveOrder("t1", fixture.now)->token, token);
+}
+
+// An owner leaves the tokens above its own to the next one.
+TEST(FencingTokens, stayBelowThoseOfTheNextOwner)
+{
+    UnknownLeasesFixture fixture;
+    const OwnerSettings settings;
+    fixture.join("t1");
+    for (std::int64_t incarnation = 2; incarnation < 200; ++incarnation) {
+        fixture.advance(1s);
+        fixture.poll("t1", incarnation);
+        fixture.poll("t1", incarnation);
+        fixture.poll("t1", incarnation);
+        ASSERT_LT(fixture.core.fencingToken("t1"), settings.firstToken + settings.tokenCount);
+    }
+}
+
+// A target that does not say when it started is known by its clock, which never goes back in one
+// life.
+TEST(FencingTokens, riseWhenTheClockOfATargetWithoutIncarnationGoesBack)
+{
+    UnknownLeasesFixture fixture;
+    fixture.list("t1");
+    fixture.poll("t1", 0);
+    fixture.submit(7, {makeStep(1)});
+    ASSERT_EQ(fixture.startAll().size(), 1U);
+    const auto token = fixture.core.fencingToken("t1");
+    fixture.core.keepAliveOrder("t1", fixture.now);
+    KeepAliveReport report;
+    report.clock = 5s;
+    fixture.core.keepAliveAnswered("t1", report, fixture.now, fixture.now);
+    EXPECT_GT(fixture.core.fencingToken("t1"), token);
+    EXPECT_EQ(fixture.core.contact("t1"), OwnerCore::Contact::NotContacted);
+}
+
 } // namespace cyclamenlatch::scheduling::tests
--- a/tests/fuzz/platformmessage.cpp
+++ b/tests/fuzz/platformmessage.cpp
@@ -49,8 +49,7 @@
     require(!hasControlBytes(target->service) && !hasControlBytes(target->host));
     require(target->capacity.processors >= 0 && target->capacity.memoryMib >= 0);
     require(target->incarnation >= 0);
-    require(platform::keepAliveCall(*target, 1, {}).url
-            == "http://" + target->address + "/v1/hold");
+    require(platform::keepAliveCall(*target, {}).url == "http://" + target->address + "/v1/hold");
 }
 
 void checkList(const std::string &text)
