Hold the rule of unknown leases where the review and drawn interleavings broke it

- A start accepted by the next incarnation, on a clock near the former one's, was taken for a run of the former one, and its task was started elsewhere.
Only a list that was asked for after the last answer shows where a run is.
A clock that is behind by more than the margin of leases is another one (2 s were tolerated).
- A list that does not show a start released it while a call for it was on its way, which a third incarnation carried out.
- A start without an answer waited for the longest lease only if the entry, which may be late, named the next incarnation.
Long-running tasks still do, since they must be back within seconds.
A lost keep-alive may prolong such a lease.
- A start that was not delivered ended the run that the next incarnation lists; a released run was read; a kept run counted as at work; a list counted although its call was sent before the target was forgotten: reports name the token of their call.
- Once the tokens are used up nothing can be fenced off: the target is not called any more until another entry owns the work.
- The settled incarnation was stored after it was gone.

--- a/src/control/internal/ownerorders.cpp
+++ b/src/control/internal/ownerorders.cpp
@@ -14,24 +14,20 @@
 constexpr std::chrono::milliseconds orderTimeout{800};
 // The advice service answers the calls of an entry one after the other.
 constexpr int adviceTimeoutFactor = 5;
-// A target's clock that differs by more from what is known of it belongs to another incarnation.
-constexpr std::chrono::milliseconds maxClockDifference{2000};
 
 } // namespace
 
 void OwnerService::checkClock(const std::string &id, const net::HttpCallResult &result,
                               TimePoint sentAt)
 {
-    // The answer was given at some time since the call was sent.
-    const auto earliest = m_core.clockOf(id, sentAt);
-    const auto latest = m_core.clockOf(id, bootNow());
+    const auto now = bootNow();
     const auto clock = platform::decodeOrderClock(result);
-    if (earliest && latest && clock
-        && (*clock < *earliest - maxClockDifference || *clock > *latest + maxClockDifference)) {
-        logEvent(orderAnsweredByOther, "target={} clock={} expected={}", id, clock->count(),
-                 latest->count());
-        m_core.answeredOnOtherClock(id, bootNow());
+    if (!clock || !m_core.isOtherClock(id, *clock, sentAt, now)) {
+        return;
     }
+    logEvent(orderAnsweredByOther, "target={} clock={} expected={}", id, clock->count(),
+             m_core.clockOf(id, now).value_or(std::chrono::milliseconds{}).count());
+    m_core.answeredOnOtherClock(id, now);
 }
 
 template<typename Kind>
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -410,7 +410,7 @@
     const WorkMeter::Span span(m_work, WorkKind::KeepAlives);
     auto &loop = *found->second;
     loop.isCalling = false;
-    const auto answer = platform::decodeKeepAliveReply(result);
+    auto answer = platform::decodeKeepAliveReply(result);
     if (answer.isFenced && token < m_core.fencingToken(id)) {
         // The call was for an earlier incarnation of the target.
         return keepAlive(id);
@@ -434,6 +434,7 @@
     if (std::exchange(loop.failures, 0) > 0) {
         logEvent(targetRecovered, "target={}", id);
     }
+    answer.report->token = token;
     m_core.keepAliveAnswered(id, *answer.report, sentAt, bootNow());
     schedulePlan();
     const auto pause = m_core.keepAliveDelay(id, m_loopDelay);
--- a/src/scheduling/internal/ownerleases.cpp
+++ b/src/scheduling/internal/ownerleases.cpp
@@ -23,6 +23,10 @@
 constexpr double minClockRate = 0.98;
 // Added to the lease for messages that are on their way when it expires.
 constexpr std::chrono::milliseconds leaseExpiryMargin{150};
+// A reading that differs by more from what is known of the target's clock is of another clock. A
+// smaller lag is covered by the margin of leases.
+constexpr std::chrono::milliseconds maxClockLag{100};
+constexpr std::chrono::milliseconds maxClockLead{2000};
 // How long the target may delay the answer to a keep-alive until a run ends. This also bounds the
 // time until an unreachable target is noticed.
 constexpr std::chrono::milliseconds keepAliveWait{1500};
@@ -76,9 +80,7 @@
 {
     if (!target.isLeaseKnown) {
         const auto granted = std::max({m_began, target.lastOrderAt, target.unfencedAt});
-        const auto incarnation =
-                target.incarnation != 0 ? target.incarnation : target.info.incarnation;
-        return hasLeaseExpired(granted, longestForeignLease(target.info.id, incarnation), now);
+        return hasLeaseExpired(granted, longestForeignLease(target), now);
     }
     return lowestClock(target, now)
            > std::max(target.leaseUntil, target.foreignLeaseUntil) + leaseMargin();
@@ -102,13 +104,14 @@
                                                                    * minClockRate);
 }
 
-std::chrono::milliseconds OwnerCore::longestForeignLease(const std::string &id,
-                                                         std::int64_t incarnation) const
+std::chrono::milliseconds OwnerCore::longestForeignLease(const TargetState &target) const
 {
-    const auto settled = m_settled.find(id);
+    const bool isNew = !target.hasEarlierCalls && target.life == 0;
+    const auto incarnation = target.incarnation != 0 ? target.incarnation : target.info.incarnation;
+    const auto settled = m_settled.find(target.info.id);
     const bool isSettled =
             settled != m_settled.end() && (incarnation == 0 || settled->second == incarnation);
-    return isSettled ? m_settings.maxRunLease : m_settings.longestLease;
+    return isNew || isSettled ? m_settings.maxRunLease : m_settings.longestLease;
 }
 
 std::map<std::string, std::int64_t> OwnerCore::settledIncarnations(TimePoint now)
@@ -130,30 +133,53 @@
 }
 
 std::uint64_t OwnerCore::fencingToken(const std::string &id) const
+{
+    return m_settings.firstToken + std::min(tokenRises(id), m_settings.tokenCount - 1);
+}
+
+std::uint32_t OwnerCore::tokenRises(const std::string &id) const
 {
     const auto found = m_tokenRises.find(id);
-    const auto rises = found == m_tokenRises.end() ? 0U : found->second;
-    // After so many restarts under one owner only the check of the connection remains.
-    return m_settings.firstToken + std::min(rises, m_settings.tokenCount - 1);
+    return found == m_tokenRises.end() ? 0 : found->second;
+}
+
+bool OwnerCore::hasTokenLeft(const std::string &id) const
+{
+    return tokenRises(id) < m_settings.tokenCount;
 }
 
 void OwnerCore::fenceEarlierCalls(TargetState &target)
 {
-    if (target.usedToken == fencingToken(target.info.id)) {
-        ++m_tokenRises[target.info.id];
+    const auto &id = target.info.id;
+    if (target.usedToken != fencingToken(id) || !hasTokenLeft(id)) {
+        return;
+    }
+    ++m_tokenRises[id];
+    if (!hasTokenLeft(id)) {
+        reportDecision(Decision::Kind::TargetQuarantined, {}, 0, id,
+                       "has restarted so often that no fencing token is left; not used until "
+                       "another entry owns the work");
     }
 }
 
-void OwnerCore::forgetIncarnation(TargetState &target, TimePoint now)
+// Whatever was called before may still arrive: the lease and the runs are not known.
+void OwnerCore::startNewLife(TargetState &target, TimePoint now)
 {
     ++target.life;
     target.isAdopted = false;
     target.isLeaseKnown = false;
     target.unfencedAt = now;
+    m_settled.erase(target.info.id);
+    fenceEarlierCalls(target);
+    scheduleForPlanning(target);
+}
+
+void OwnerCore::forgetIncarnation(TargetState &target, TimePoint now)
+{
+    startNewLife(target, now);
     target.leaseUntil = {};
     target.endsSeen = 0;
     target.endsRecorded = 0;
-    fenceEarlierCalls(target);
     releaseRuns(target, Decision::Kind::TargetRestarted, now);
 }
 
@@ -166,31 +192,35 @@
     return target.clock && report.clock < *target.clock;
 }
 
+bool OwnerCore::isOtherClock(const std::string &id, std::chrono::milliseconds clock,
+                             TimePoint sentAt, TimePoint now) const
+{
+    const auto *target = findTarget(id);
+    if (target == nullptr || !target->clock) {
+        return false;
+    }
+    // The order was answered at some time since it was sent. On a clock that is behind, a lease
+    // lasts for longer.
+    const auto earliest = std::min(lowestClock(*target, sentAt), clockOf(*target, sentAt));
+    return clock < earliest - maxClockLag || clock > clockOf(*target, now) + maxClockLead;
+}
+
 void OwnerCore::answeredOnOtherClock(const std::string &id, TimePoint now)
 {
-    auto *target = findTarget(id);
-    if (target == nullptr) {
-        return;
+    if (auto *target = findTarget(id)) {
+        startNewLife(*target, now);
     }
-    ++target->life;
-    target->isAdopted = false;
-    target->isLeaseKnown = false;
-    target->unfencedAt = now;
-    m_settled.erase(id);
-    fenceEarlierCalls(*target);
-    scheduleForPlanning(*target);
 }
 
 std::optional<KeepAliveOrder> OwnerCore::keepAliveOrder(const std::string &id, TimePoint now)
 {
     auto *target = findTarget(id);
-    if (target == nullptr || target->info.address.empty()) {
+    if (target == nullptr || target->info.address.empty() || !hasTokenLeft(id)) {
         return std::nullopt;
     }
     KeepAliveOrder order;
     order.incarnation = target->incarnation;
     order.token = fencingToken(id);
-    target->keepAliveToken = order.token;
     order.timeout = target->responseTime.timeout();
     target->requestedWait = order.wait;
     if (!target->isAdopted || !target->clock) {
@@ -230,10 +260,13 @@
     return order;
 }
 
-void OwnerCore::keepAliveFailed(const std::string &id, TimePoint)
+void OwnerCore::keepAliveFailed(const std::string &id, TimePoint now)
 {
     if (auto *target = findTarget(id)) {
-        ++target->failedCalls;
+        if (target->failedCalls++ == 0) {
+            // The next calls grant no lease.
+            target->leaseCallLostAt = now;
+        }
         target->responseTime.addTimeout();
         scheduleForPlanning(*target);
     }
@@ -261,14 +294,14 @@
         // The target answered without waiting, or waited for the whole time without an end.
         target->responseTime.addSample(answerTime);
     }
-    if (target->keepAliveToken < fencingToken(id)) {
+    if (report.token < fencingToken(id) || !hasTokenLeft(id)) {
         // Calls for an earlier incarnation may still be carried out, so that the list may not show
         // all that will run there.
         target->unfencedAt = now;
         return scheduleForPlanning(*target);
     }
     if (!std::exchange(target->isLeaseKnown, true)) {
-        target->foreignLeaseUntil = report.clock + longestForeignLease(id, target->incarnation);
+        target->foreignLeaseUntil = report.clock + longestForeignLease(*target);
     }
     target->isAdopted = true;
     ++target->lists;
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -146,7 +146,8 @@
         return;
     }
     for (auto &[task, run] : target.runs) {
-        if (run.phase != RunPhase::Starting || run.startCalls >= maxStartCalls
+        if (run.phase != RunPhase::Starting || run.life != target.life
+            || run.startCalls >= maxStartCalls
             || now - run.startSentAt < target.responseTime.timeout()) {
             continue;
         }
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -64,20 +64,26 @@
 bool OwnerCore::mayRunOnLaterIncarnation(const TargetState &target, const RunState &run,
                                          TimePoint now) const
 {
-    const bool isLater =
+    const bool hasRestarted =
             run.life != target.life
             || (target.incarnation != 0 && target.info.incarnation > target.incarnation);
-    return isLater && mayStartLater(run)
-           && (run.pendingCalls > 0
-               || !hasLeaseExpired(run.callLostAt.value_or(run.startSentAt),
-                                   m_settings.longestLease, now));
+    // An entry may be late. Long-running tasks must be back soon, so they wait only if it tells.
+    if (!mayStartLater(run) || (run.isLongRunning && !hasRestarted)) {
+        return false;
+    }
+    const auto lastCall = std::max(
+            {run.startSentAt, run.callLostAt.value_or(TimePoint{}), target.leaseCallLostAt});
+    return run.pendingCalls > 0 || !hasLeaseExpired(lastCall, m_settings.longestLease, now);
 }
 
 void OwnerCore::releaseRuns(TargetState &target, Decision::Kind kind, TimePoint now)
 {
     std::vector<TaskRef> lost;
     for (auto &[task, run] : target.runs) {
-        if (kind == Decision::Kind::TargetRestarted && mayStartLater(run)) {
+        // An answer to a start does not tell which incarnation has carried it out; a later list
+        // does.
+        const bool wasListed = run.listedAt > run.answeredAt;
+        if (kind == Decision::Kind::TargetRestarted && (mayStartLater(run) || !wasListed)) {
             // The start may reach the new incarnation before the first call that fences it off. The
             // list that answers that call tells.
             run.phase = run.phase == RunPhase::Running    ? RunPhase::Starting
@@ -85,6 +91,9 @@
                                                           : run.phase;
             run.stopSentAt.reset();
             run.stopAnsweredAt.reset();
+            if (auto *state = findTask(task); state != nullptr && state->target == &target) {
+                state->isAtWork = false;
+            }
             continue;
         }
         if (kind == Decision::Kind::LeaseExpired && mayRunOnLaterIncarnation(target, run, now)) {
@@ -241,6 +250,7 @@
     if (run.attempt != row.attempt) {
         return;
     }
+    run.listedAt = sentAt;
     if (run.phase == RunPhase::Starting) {
         run.phase = RunPhase::Running;
         run.confirmedAt = now;
@@ -283,6 +293,7 @@
     run.attempt = row.attempt;
     run.phase = RunPhase::Running;
     run.confirmedAt = now;
+    run.listedAt = now;
     run.orderedAt = now;
     run.progressAt = now;
     run.percent = row.percent;
@@ -336,8 +347,9 @@
                                && run.confirmedAt < sentAt;
         const bool wasNeverStarted = run.phase == RunPhase::OutcomeUnknown && run.stopAnsweredAt
                                      && *run.stopAnsweredAt < sentAt;
-        // Ordered for an earlier incarnation, whose calls the target refuses now.
-        const bool isFencedOff = run.life != target.life;
+        // Ordered for an earlier incarnation, whose calls the target refuses now. One that may
+        // still arrive could reach yet another incarnation, which has seen no token.
+        const bool isFencedOff = run.life != target.life && run.pendingCalls == 0;
         if (wasListed || wasNeverStarted || isFencedOff) {
             missing.push_back(task);
         }
@@ -364,13 +376,16 @@
     auto *task = findTask(order.task, &job, &step);
     const bool isRepeated = run.startCalls > 1;
     run.pendingCalls -= run.pendingCalls > 0 ? 1 : 0;
-    if (answer == OrderResult::OutcomeUnknown) {
+    run.answeredAt = now;
+    const bool isOutdated = order.token != fencingToken(order.targetId);
+    const bool wasDelivered =
+            answer != OrderResult::NotSent && answer != OrderResult::TargetRestarted;
+    if (answer == OrderResult::OutcomeUnknown || (isOutdated && wasDelivered)) {
+        // It is not known which incarnation has carried it out, if any.
         run.callLostAt = now;
     }
-    const bool isOutdated = order.token != fencingToken(order.targetId);
-    if (isOutdated && answer != OrderResult::NotSent && answer != OrderResult::TargetRestarted) {
-        // The call was for an earlier incarnation. The list that answers the first call with the
-        // present token tells whether the task runs.
+    if (isOutdated && (wasDelivered || run.life == target->life)) {
+        // The list that answers the first call with the present token tells whether the task runs.
         return;
     }
     if (isRepeated && answer == OrderResult::NotSent) {
@@ -408,19 +423,22 @@
         }
         return;
     case OrderResult::TargetRestarted:
-        if (!isOutdated) {
-            // The target gets no work until its next list shows what the new incarnation runs.
-            forgetIncarnation(*target, now);
-            scheduleForPlanning(*target);
+        if (isOutdated) {
+            break;
         }
-        if (run.pendingCalls > 0 || run.callLostAt) {
-            // An earlier call may have reached the new incarnation; the list tells.
+        // The target gets no work until its next list shows what the new incarnation runs.
+        forgetIncarnation(*target, now);
+        if (!target->runs.contains(order.task)) {
             return;
         }
         break;
     default:
         break;
     }
+    if (answer == OrderResult::TargetRestarted && (run.pendingCalls > 0 || run.callLostAt)) {
+        // An earlier call may have reached the new incarnation; the list tells.
+        return;
+    }
     reportDecision(Decision::Kind::StartRefused, order.task, order.attempt, order.targetId,
                    std::string(orderResultNames.name(answer)));
     dropRun(*target, order.task);
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -147,6 +147,10 @@
     unsigned pendingCalls = 0;
     std::optional<TimePoint> callLostAt;
     TimePoint startSentAt{};
+    // When a start call was last answered or given up, and when the last list was asked for that
+    // showed the run.
+    TimePoint answeredAt{};
+    TimePoint listedAt{};
     // The target's life in which the run was ordered, or last listed.
     std::uint32_t life = 0;
     // When a stop was last sent, and when one was answered.
@@ -173,6 +177,9 @@
     bool isAdopted = false;
     // The target's id is stored, so that a later owner asks it for its runs.
     bool isRecorded = false;
+    // Orders may have been sent to it before this state was created: by an earlier owner, or by
+    // this one. A target is stored before its first order, so that nobody has called any other.
+    bool hasEarlierCalls = false;
     // The host is needed elsewhere: the target gets no new work.
     bool isHostDraining = false;
     // The target is in the list that the next plan examines.
@@ -188,11 +195,12 @@
     // foreignLeaseUntil at most, on the target's clock.
     bool isLeaseKnown = false;
     std::chrono::milliseconds foreignLeaseUntil{};
+    // When the last call that granted a lease was given up.
+    TimePoint leaseCallLostAt{};
     // When the target last answered a call with a token that does not protect it from earlier ones.
     TimePoint unfencedAt{};
     TimePoint lastOrderAt{};
-    // Tokens of the last keep-alive, and the highest one of a call that can change the target.
-    std::uint64_t keepAliveToken = 0;
+    // Highest token of a call that can change the target.
     std::uint64_t usedToken = 0;
     // Incarnation according to the target's lists; 0: it has not answered yet, or names none.
     std::int64_t incarnation = 0;
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -28,7 +28,7 @@
     if (!target) {
         target = std::make_unique<TargetState>();
         target->info.id = id;
-        target->keepAliveToken = fencingToken(id);
+        target->hasEarlierCalls = m_tokenRises.contains(id);
         const auto position = std::lower_bound(
                 m_targetsById.begin(), m_targetsById.end(), id,
                 [](const auto *other, const auto &name) { return other->info.id < name; });
@@ -125,7 +125,9 @@
 
 void OwnerCore::targetRestored(const std::string &id, TimePoint)
 {
-    targetState(id).isRecorded = true;
+    auto &target = targetState(id);
+    target.isRecorded = true;
+    target.hasEarlierCalls = true;
 }
 
 void OwnerCore::targetRecorded(const std::string &id)
@@ -219,7 +221,7 @@
     const auto *target = findTarget(id);
     if (target == nullptr) {
         // This owner has never used the target, or has seen all of its runs end.
-        load.isKnown = id.empty() || hasLeaseExpired(m_began, m_settings.longestLease, now);
+        load.isKnown = id.empty() || hasLeaseExpired(m_began, m_settings.maxRunLease, now);
         return load;
     }
     load.isKnown = contactOf(*target) == Contact::Reachable || hasLeaseExpired(*target, now);
--- a/src/scheduling/keepalivereport.h
+++ b/src/scheduling/keepalivereport.h
@@ -54,6 +54,8 @@
     std::chrono::milliseconds clock{};
     // See TargetInfo::incarnation; 0: not known.
     std::int64_t incarnation = 0;
+    // Fencing token of the keep-alive that it answers.
+    std::uint64_t token = 0;
     std::vector<RunStatus> running;
     std::vector<EndedRun> ends;
 };
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -174,8 +174,11 @@
     // from its first call on, however late it arrives and on whatever connection. Calls with a
     // lower token that the target refuses are out of date; the ownership is not.
     std::uint64_t fencingToken(const std::string &id) const;
-    // An order was answered on another clock than the target's, so that a lease of unknown length
-    // may have been granted. The target gets no work until its next list.
+    // Whether an order that was sent and answered at these times was answered on another clock than
+    // the target's, and the same as an event: a lease of unknown length may have been granted, and
+    // the target gets no work until its next list.
+    bool isOtherClock(const std::string &id, std::chrono::milliseconds clock, TimePoint sentAt,
+                      TimePoint now) const;
     void answeredOnOtherClock(const std::string &id, TimePoint now);
     // By id, the incarnations of targets on which no lease can last longer than maxRunLease from
     // the last call of an owner: stored for the next owner, which may not reach the target.
@@ -327,23 +330,26 @@
     void stopRun(TargetState &target, const TaskRef &task, RunState &run, TimePoint now);
     // Has later calls to the target carry a higher token than those that were sent to it.
     void fenceEarlierCalls(TargetState &target);
+    std::uint32_t tokenRises(const std::string &id) const;
+    // Whether the target can still be fenced off. Without a token left it is not called any more.
+    bool hasTokenLeft(const std::string &id) const;
+    void startNewLife(TargetState &target, TimePoint now);
     // The target is another incarnation than the one that the owner has known.
     void forgetIncarnation(TargetState &target, TimePoint now);
     static bool isOtherIncarnation(const TargetState &target, const KeepAliveReport &report);
     // Whether an order for the run may still be carried out for the first time.
     static bool mayStartLater(const RunState &run);
-    // The same on an incarnation that the target's entry names and that this owner has not reached,
-    // where the run may then hold the longest lease.
+    // Whether the run may be at work on an incarnation that this owner has not reached, where a
+    // call for an earlier one grants the longest lease.
     bool mayRunOnLaterIncarnation(const TargetState &target, const RunState &run,
                                   TimePoint now) const;
     bool hasLeaseExpired(const TargetState &target, TimePoint now) const;
     // Whether a lease of this length that was granted at this time has expired on every target's
     // clock.
     bool hasLeaseExpired(TimePoint granted, std::chrono::milliseconds lease, TimePoint now) const;
-    // The longest lease that others than this owner may have granted to the incarnation; 0: to the
-    // one that was last known.
-    std::chrono::milliseconds longestForeignLease(const std::string &id,
-                                                  std::int64_t incarnation) const;
+    // The longest lease that others than this owner may have granted to the target, or this one to
+    // its earlier lives.
+    std::chrono::milliseconds longestForeignLease(const TargetState &target) const;
     // Added to leases for messages that are on their way, and for the time that a stop takes.
     std::chrono::milliseconds leaseMargin() const;
     // The target's clock if it has been slow since it was read.
--- a/src/scheduling/tests/fleetsimulation.h
+++ b/src/scheduling/tests/fleetsimulation.h
@@ -283,6 +283,7 @@
             KeepAliveReport report;
             report.clock = clock();
             report.incarnation = 1;
+            report.token = core.fencingToken(id);
             for (const auto &run : target.runs) {
                 RunStatus row;
                 row.task = run.task;
