Forget that an incarnation was settled once its target has restarted

Class: what is stored of one incarnation bounds the leases of the next one. A target's incarnation was stored as settled until the next one was settled itself, 10.5 s later. A later owner that finds no entry of the target (it expires after three heartbeats of silence, at times also while the store is down) can't compare incarnations and took the record for the present one: 4.5 s in place of 10 s, so that it could start a task while a run of it held a longer lease.

Change: the record goes with the first sign of a restart, from the target's list or from its entry, and is not made again while the entry names a later incarnation than the list.

Evidence: UnknownLeases.areNotSettledByAnEarlierIncarnation failed before (the record was there, and the second owner started the task within 5 s), by list and by entry, and passes now.

What remains: the record is written once a second, and a restart that the first owner never noticed is not in it.

--- a/src/scheduling/internal/ownerleases.cpp
+++ b/src/scheduling/internal/ownerleases.cpp
@@ -119,6 +119,7 @@
     for (const auto &[id, target] : m_targets) {
         const bool isSettled =
                 target->incarnation != 0 && target->isLeaseKnown
+                && target->info.incarnation <= target->incarnation
                 && lowestClock(*target, now) > target->foreignLeaseUntil + leaseMargin();
         if (isSettled) {
             m_settled[id] = target->incarnation;
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -111,6 +111,7 @@
         // The entry may be from another writer, so the target itself has to confirm it: until it
         // answers it gets no work, and its runs are not started elsewhere.
         target.isAdopted = false;
+        m_settled.erase(info.id);
     }
 }
 
--- a/src/scheduling/tests/unknownleases_tests.cpp
+++ b/src/scheduling/tests/unknownleases_tests.cpp
@@ -180,6 +180,31 @@
     EXPECT_FALSE(fixture.core.isOtherClock("t1", clock, sentAt, fixture.now));
 }
 
+// Guards against two runs of a task: a later owner finds no entry of a target that has restarted,
+// and what is stored of the incarnation before must not bound the leases of the present one.
+TEST(UnknownLeases, areNotSettledByAnEarlierIncarnation)
+{
+    for (const bool isToldByEntry : {true, false}) {
+        UnknownLeasesFixture first;
+        first.listAs("t1", 1);
+        first.poll("t1", 1);
+        first.goOn(longestLease, {"t1"});
+        ASSERT_FALSE(first.core.settledIncarnations(first.now).empty());
+        if (isToldByEntry) {
+            first.listAs("t1", 2000);
+        } else {
+            first.poll("t1", 2000);
+        }
+        const auto settled = first.core.settledIncarnations(first.now);
+        EXPECT_TRUE(settled.empty());
+
+        UnknownLeasesFixture second(2);
+        second.core.restoreSettledIncarnations(settled);
+        second.takeOver(false);
+        EXPECT_TRUE(second.goOn(shortLease, {"t2"}).empty());
+    }
+}
+
 // An answer on another clock shows that somebody else was given a lease of unknown length.
 TEST(UnknownLeases, areAssumedAfterAnAnswerOnAnotherClock)
 {
