Start nothing on a target by the entry of its former incarnation

Class: the labels and the capacity of an entry are those of one incarnation; the next one may be of another kind. The owner took the list of the new incarnation without waiting for its entry, so that a start could break ROUTE (label) or LIMIT (capacity).

Change: a target whose entry names an earlier incarnation than its list gets no work until its entry follows. An entry that names a later one than the target confirms is taken as before (OddEntries.makeATargetWaitForItsAnswer). While the store is down, targets that restart therefore stay unused until they can write their entries.

Evidence: FormerIncarnations.haveEntriesThatDoNotDescribeTheNextOne failed before (a start by the former label) and passes now.

--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -249,10 +249,17 @@
     }
 }
 
+// The entry of an earlier incarnation does not describe the one that has answered, which may have
+// other labels and another capacity.
+bool OwnerCore::isDescribed(const TargetState &target)
+{
+    return target.info.incarnation == 0 || target.info.incarnation >= target.incarnation;
+}
+
 bool OwnerCore::isUsable(const TargetState &target, TimePoint now) const
 {
-    return target.isListed && target.isAdopted && target.isRecorded && !target.isHostDraining
-           && !target.info.isDraining && !isEvacuated(target)
+    return target.isListed && target.isAdopted && target.isRecorded && isDescribed(target)
+           && !target.isHostDraining && !target.info.isDraining && !isEvacuated(target)
            && target.failedCalls < failedCallsBeforeExclusion && target.orphanedRuns == 0
            && target.quarantinedUntil <= now;
 }
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -404,6 +404,7 @@
     StartOrder startOrder(TargetState &target, const TaskRef &ref, const RunState &run) const;
     StopOrder stopOrder(TargetState &target, const TaskRef &ref, const RunState &run) const;
     void sendAllocatedStarts(TimePoint now);
+    static bool isDescribed(const TargetState &target);
     bool isUsable(const TargetState &target, TimePoint now) const;
     bool isEvacuated(const TargetState &target) const;
     bool mayUse(const std::string &workspace, const Resources &requiredResources) const;
--- /dev/null
+++ b/src/scheduling/tests/formerincarnations_tests.cpp
@@ -0,0 +1,60 @@
+// Tests of what is known of a target's former incarnation: it must not be used for the present one,
+// which may be of another kind.
+#include "scheduling/tests/ownerfixture.h"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenlatch::scheduling::tests {
+
+namespace {
+
+class FormerIncarnationFixture : public OwnerFixture
+{
+public:
+    // The target's entry describes this incarnation.
+    void listAs(const std::string &id, std::int64_t incarnation,
+                Resources capacity = Resources{16000, 64000, 0},
+                std::vector<std::string> labels = {"a", "r1"})
+    {
+        TargetInfo info;
+        info.id = id;
+        info.service = service;
+        info.address = "10.0.0.1:80";
+        info.labels = std::move(labels);
+        info.capacity = capacity;
+        info.incarnation = incarnation;
+        core.targetListed(info, now);
+        core.targetRecorded(id);
+    }
+
+    // The first list, and the one that answers a call with the raised token.
+    void answerAs(const std::string &id, std::int64_t incarnation,
+                  const std::vector<RunStatus> &running = {})
+    {
+        poll(id, incarnation, running);
+        poll(id, incarnation, running);
+    }
+};
+
+} // namespace
+
+// Guards against starts by the labels and the capacity of the life before: the target's list may
+// come before its entry.
+TEST(FormerIncarnations, haveEntriesThatDoNotDescribeTheNextOne)
+{
+    FormerIncarnationFixture fixture;
+    fixture.listAs("t1", 1);
+    fixture.answerAs("t1", 1);
+    fixture.answerAs("t1", 2000);
+    auto step = makeStep(1);
+    step.requiredLabel = "a";
+    fixture.submit(7, {step});
+    EXPECT_TRUE(fixture.sendStarts().empty());
+    fixture.listAs("t1", 2000, Resources{16000, 64000, 0}, {"b", "r1"});
+    fixture.answerAs("t1", 2000);
+    EXPECT_TRUE(fixture.sendStarts().empty());
+    fixture.submit(8, {makeStep(1)});
+    EXPECT_EQ(fixture.sendStarts().size(), 1U);
+}
+
+} // namespace cyclamenlatch::scheduling::tests
