Bind the advice on a target to its incarnation

Class: a ticket of the advice service is valid during one life of a target, and a refusal is for it too. Both were kept by id. An answer that was on its way during the restart counted for the next incarnation.

Change: advice is kept with the number of the target's life at the time of the question. Lives are numbered over all targets, so that one that was forgotten and is listed again has another number.

Evidence: FormerIncarnations.haveTicketsThatTheNextOneDoesNotTake (a start with the former ticket) and haveAdviceThatIsAskedForAgain (no question after the restart) failed before and pass now.

--- a/src/scheduling/internal/owneradvice.cpp
+++ b/src/scheduling/internal/owneradvice.cpp
@@ -33,9 +33,19 @@
     if (open.advice == nullptr) {
         return true;
     }
-    const auto ticket = open.step->tickets.find(target.info.id);
-    return ticket != open.step->tickets.end() && !ticket->second.text.empty()
-           && ticket->second.validUntil > now + ticketMargin;
+    const auto *ticket = findTicket(*open.step, target, now);
+    return ticket != nullptr && !ticket->text.empty();
+}
+
+// The valid answer of the advice service for the target's present life; null if there is none.
+const detail::Ticket *OwnerCore::findTicket(const StepState &step, const TargetState &target,
+                                            TimePoint now)
+{
+    const auto found = step.tickets.find(target.info.id);
+    return found != step.tickets.end() && found->second.life == target.life
+                           && found->second.validUntil > now + ticketMargin
+                   ? &found->second
+                   : nullptr;
 }
 
 // Asks about targets for which there is no valid answer, those with the most free processors first
@@ -50,10 +60,7 @@
     std::uint32_t usable = 0;
     std::vector<TargetState *> unknown;
     for (auto *target : pool) {
-        const auto ticket = step.tickets.find(target->info.id);
-        const bool isKnown =
-                ticket != step.tickets.end() && ticket->second.validUntil > now + ticketMargin;
-        if (!isKnown) {
+        if (findTicket(step, *target, now) == nullptr) {
             unknown.push_back(target);
         } else if (isAdvised(open, *target, now)) {
             ++usable;
@@ -73,6 +80,7 @@
     order.step = TaskRef{open.job->submission.id, open.occurrence->number, open.stepIndex, 0};
     for (std::size_t index = 0; index < wanted; ++index) {
         order.targets.push_back(unknown[index]->info.id);
+        order.lives.push_back(unknown[index]->life);
     }
     order.timeout = open.advice->decision + open.advice->perTarget * wanted;
     step.isAdviceAsked = true;
@@ -95,11 +103,14 @@
         return;
     }
     // Targets that are not among the approved ones are refused.
-    for (const auto &target : order.targets) {
-        step->tickets[target] = {{}, now + refusalValidity};
+    for (std::size_t index = 0; index < order.targets.size(); ++index) {
+        step->tickets[order.targets[index]] = {{}, now + refusalValidity, order.lives[index]};
     }
     for (const auto &advice : *approved) {
-        step->tickets[advice.target] = {advice.ticket, now + validity};
+        if (const auto ticket = step->tickets.find(advice.target); ticket != step->tickets.end()) {
+            ticket->second.text = advice.ticket;
+            ticket->second.validUntil = now + validity;
+        }
     }
 }
 
--- a/src/scheduling/internal/ownerleases.cpp
+++ b/src/scheduling/internal/ownerleases.cpp
@@ -106,12 +106,11 @@
 
 std::chrono::milliseconds OwnerCore::longestForeignLease(const TargetState &target) const
 {
-    const bool isNew = !target.hasEarlierCalls && target.life == 0;
     const auto incarnation = target.incarnation != 0 ? target.incarnation : target.info.incarnation;
     const auto settled = m_settled.find(target.info.id);
     const bool isSettled =
             settled != m_settled.end() && (incarnation == 0 || settled->second == incarnation);
-    return isNew || isSettled ? m_settings.maxRunLease : m_settings.longestLease;
+    return !target.hasEarlierCalls || isSettled ? m_settings.maxRunLease : m_settings.longestLease;
 }
 
 std::map<std::string, std::int64_t> OwnerCore::settledIncarnations(TimePoint now)
@@ -166,7 +165,8 @@
 // Whatever was called before may still arrive: the lease and the runs are not known.
 void OwnerCore::startNewLife(TargetState &target, TimePoint now)
 {
-    ++target.life;
+    target.life = ++m_lives;
+    target.hasEarlierCalls = true;
     target.isAdopted = false;
     target.isLeaseKnown = false;
     target.unfencedAt = now;
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -44,6 +44,8 @@
 {
     std::string text;
     TimePoint validUntil{};
+    // The target's life that the advice is for; see TargetState::life.
+    std::uint32_t life = 0;
 };
 
 struct StepState
@@ -204,7 +206,8 @@
     std::uint64_t usedToken = 0;
     // Incarnation according to the target's lists; 0: it has not answered yet, or names none.
     std::int64_t incarnation = 0;
-    // Counts the incarnations that this owner has met, also of a target that does not name them.
+    // Number of the incarnation that this owner has met, also of a target that does not name them.
+    // Each is used once, so that a target that was forgotten and is listed again has another one.
     std::uint32_t life = 0;
     // Highest number of an end that was listed, and of one that is recorded.
     std::uint64_t endsSeen = 0;
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -29,6 +29,7 @@
         target = std::make_unique<TargetState>();
         target->info.id = id;
         target->hasEarlierCalls = m_tokenRises.contains(id);
+        target->life = ++m_lives;
         const auto position = std::lower_bound(
                 m_targetsById.begin(), m_targetsById.end(), id,
                 [](const auto *other, const auto &name) { return other->info.id < name; });
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -57,6 +57,8 @@
     // The step asked about; its index member is not used.
     TaskRef step;
     std::vector<std::string> targets;
+    // The life of each of them that the advice is for, since it does not hold for the next one.
+    std::vector<std::uint32_t> lives;
     // Upper bound of the answer time according to the advice rule.
     std::chrono::milliseconds timeout{};
 };
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -38,6 +38,7 @@
 struct StepState;
 struct TargetState;
 struct TaskState;
+struct Ticket;
 } // namespace detail
 
 // One job's progress, to be stored only if the stored revision is still the expected one.
@@ -388,6 +389,8 @@
     static bool meetsConstraints(const StepState &step, const TargetState &target);
     // Whether the queue needs no advice or a valid ticket allows the step on the target.
     static bool isAdvised(const OpenStep &open, const TargetState &target, TimePoint now);
+    static const detail::Ticket *findTicket(const StepState &step, const TargetState &target,
+                                            TimePoint now);
     void askAdvice(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     void reserve(const OpenStep &open, const TaskState &task, const TaskRef &ref,
                  const std::vector<TargetState *> &pool, TimePoint now);
@@ -439,6 +442,8 @@
     std::vector<std::string> m_assignedTargets;
     // By id, how often the fencing token has risen; kept when the target is erased.
     std::unordered_map<std::string, std::uint32_t> m_tokenRises;
+    // The last number given to a target's life.
+    std::uint32_t m_lives = 0;
     // See settledIncarnations.
     std::map<std::string, std::int64_t> m_settled;
     // Targets that changed since they were last examined; each has isScheduledForPlanning set.
--- a/src/scheduling/tests/formerincarnations_tests.cpp
+++ b/src/scheduling/tests/formerincarnations_tests.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr auto adviceValidity = 30000ms;
+
 class FormerIncarnationFixture : public OwnerFixture
 {
 public:
@@ -34,6 +36,13 @@
         poll(id, incarnation, running);
         poll(id, incarnation, running);
     }
+
+    void useAdvice()
+    {
+        auto rules = makeRules();
+        rules.queues[0].advice = AdviceRule{50ms, 5ms, adviceValidity};
+        core.setRules(rules, now);
+    }
 };
 
 } // namespace
@@ -57,4 +66,54 @@
     EXPECT_EQ(fixture.sendStarts().size(), 1U);
 }
 
+// Guards against refused starts: tickets hold for one life of a target.
+TEST(FormerIncarnations, haveTicketsThatTheNextOneDoesNotTake)
+{
+    FormerIncarnationFixture fixture;
+    fixture.useAdvice();
+    fixture.listAs("t1", 1);
+    fixture.answerAs("t1", 1);
+    fixture.submit(7, {makeStep(1)});
+    const auto asked = fixture.planned<AdviseOrder>();
+    ASSERT_EQ(asked.size(), 1U);
+    fixture.core.adviceAnswered(asked[0], std::vector<Advice>{{"t1", "before"}}, adviceValidity,
+                                fixture.now);
+    fixture.listAs("t1", 2000);
+    fixture.answerAs("t1", 2000);
+    EXPECT_TRUE(fixture.sendStarts().empty());
+}
+
+// The advice service answered for the life before: it may refuse the one and allow the other.
+TEST(FormerIncarnations, haveAdviceThatIsAskedForAgain)
+{
+    for (const bool isAnsweredBefore : {true, false}) {
+        FormerIncarnationFixture fixture;
+        fixture.useAdvice();
+        fixture.listAs("t1", 1);
+        fixture.answerAs("t1", 1);
+        fixture.submit(7, {makeStep(1)});
+        const auto asked = fixture.planned<AdviseOrder>();
+        ASSERT_EQ(asked.size(), 1U);
+        const auto answer = [&] {
+            fixture.core.adviceAnswered(asked[0], std::vector<Advice>{}, adviceValidity,
+                                        fixture.now);
+        };
+        if (isAnsweredBefore) {
+            answer();
+        }
+        fixture.listAs("t1", 2000);
+        fixture.answerAs("t1", 2000);
+        if (!isAnsweredBefore) {
+            answer();
+        }
+        const auto again = fixture.planned<AdviseOrder>();
+        ASSERT_EQ(again.size(), 1U);
+        fixture.core.adviceAnswered(again[0], std::vector<Advice>{{"t1", "after"}}, adviceValidity,
+                                    fixture.now);
+        const auto starts = fixture.sendStarts();
+        ASSERT_EQ(starts.size(), 1U);
+        EXPECT_EQ(starts[0].ticket, "after");
+    }
+}
+
 } // namespace cyclamenlatch::scheduling::tests
