Give up a start for a former incarnation that the next one's list contradicts

Class: an order for one incarnation is taken for pending on the next one. A start without an answer is kept over a restart until the first list that fences it off. If that list showed an earlier attempt of the task, carried out late, the start counted as seen in the new incarnation and was sent again, with its token: two runs of one task on one target.

Change: the start is dropped, since the incarnation refuses it, and the run that the list shows is adopted.

Evidence: FormerIncarnations.haveStartsThatAreNotMadeAgainBesideAnEarlierAttempt failed before (the start was sent twice more) and passes now.

--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -245,6 +245,11 @@
         return adopt(target, row, now);
     }
     auto &run = found->second;
+    if (run.attempt > row.attempt && run.life != target.life) {
+        // The start of the later attempt was for an earlier incarnation; this one refuses it.
+        releaseRun(target, row.task, now);
+        return adopt(target, row, now);
+    }
     run.lastReportNumber = target.lists;
     run.life = target.life;
     if (run.attempt != row.attempt) {
--- a/src/scheduling/tests/formerincarnations_tests.cpp
+++ b/src/scheduling/tests/formerincarnations_tests.cpp
@@ -116,4 +116,27 @@
     }
 }
 
+// Guards against two runs on one target: a start that was not answered went to the former
+// incarnation, and the next one runs an earlier attempt, whose call was carried out late. The
+// start is fenced off; sending it again would run the task beside that attempt.
+TEST(FormerIncarnations, haveStartsThatAreNotMadeAgainBesideAnEarlierAttempt)
+{
+    FormerIncarnationFixture fixture;
+    fixture.listAs("t1", 1);
+    fixture.answerAs("t1", 1);
+    fixture.submit(7, {makeStep(1)});
+    const auto first = fixture.startAll();
+    ASSERT_EQ(first.size(), 1U);
+    fixture.poll("t1", 1, {}, {OwnerFixture::end(1, first[0], RunOutcome::Stopped)});
+    const auto second = fixture.sendStarts();
+    ASSERT_EQ(second.size(), 1U);
+    ASSERT_GT(second[0].attempt, first[0].attempt);
+    fixture.listAs("t1", 2000);
+    for (int list = 0; list < 8; ++list) {
+        fixture.poll("t1", 2000, {OwnerFixture::running(first[0])});
+        EXPECT_TRUE(fixture.sendStarts().empty());
+        fixture.advance(500ms);
+    }
+}
+
 } // namespace cyclamenlatch::scheduling::tests
