Renew a reservation only while the target is large enough for its task

Class: a reservation that was made for the capacity of one incarnation held for the next one. A target that came back smaller stayed reserved, since the reservation was renewed before the capacity was looked at; no other target was reserved, and the long-running task stayed away while other targets could have been kept free for it.

Change: the capacity is looked at first.

Evidence: FormerIncarnations.haveReservationsThatEndIfTheNextOneIsTooSmall failed before (still reserved on the target that is too small) and passes now.

--- a/src/scheduling/internal/ownerreservations.cpp
+++ b/src/scheduling/internal/ownerreservations.cpp
@@ -51,9 +51,6 @@
         if (!allows(open, *target, ref, now) || !isAdvised(open, *target, now)) {
             continue;
         }
-        if (target->reservedFor == ref && target->reservedUntil > now) {
-            return target;
-        }
         Resources longRunning;
         for (const auto &[other, run] : target->runs) {
             if (run.isLongRunning) {
@@ -63,6 +60,9 @@
         if (!resources.fitsIn(target->info.capacity - longRunning)) {
             continue;
         }
+        if (target->reservedFor == ref && target->reservedUntil > now) {
+            return target;
+        }
         if (best == nullptr || target->used.processors < best->used.processors) {
             best = target;
         }
--- a/src/scheduling/tests/formerincarnations_tests.cpp
+++ b/src/scheduling/tests/formerincarnations_tests.cpp
@@ -139,4 +139,39 @@
     }
 }
 
+// Guards against a long-running task that stays away: a target stayed reserved for it that had come
+// back smaller than the task.
+TEST(FormerIncarnations, haveReservationsThatEndIfTheNextOneIsTooSmall)
+{
+    FormerIncarnationFixture fixture;
+    for (const char *id : {"t1", "t2"}) {
+        fixture.listAs(id, 1);
+        fixture.answerAs(id, 1);
+    }
+    fixture.submit(7, {makeStep(2, 15000)});
+    const auto starts = fixture.startAll();
+    ASSERT_EQ(starts.size(), 2U);
+    const auto &onSecond = starts[starts[0].targetId == "t2" ? 0 : 1];
+    auto lasting = makeStep(1, 10000);
+    lasting.isLongRunning = true;
+    fixture.submit(8, {lasting});
+    std::string reserved;
+    const auto goOn = [&](int steps) {
+        for (int step = 0; step < steps; ++step) {
+            fixture.advance(100ms);
+            fixture.poll("t2", 1, {OwnerFixture::running(onSecond)});
+            fixture.sendStarts();
+        }
+        for (const auto &decision : fixture.decisions) {
+            reserved = decision.kind == Decision::Kind::Reserved ? decision.target : reserved;
+        }
+    };
+    goOn(5);
+    ASSERT_EQ(reserved, "t1");
+    fixture.listAs("t1", 2000, Resources{4000, 64000, 0});
+    fixture.answerAs("t1", 2000);
+    goOn(15);
+    EXPECT_EQ(reserved, "t2");
+}
+
 } // namespace cyclamenlatch::scheduling::tests
