Keep the hosts of an earlier holder in the record of ordered hosts

Class: what an earlier owner did is assumed to be bounded by what this owner does. The record of the hosts that a holder may have ordered replaced that of the holder before. After a second change of owners within the cooldown the third holder could order a host that the first one had just ordered (ONE).

Change: within the cooldown the record keeps the hosts of the earlier holder.

Evidence: HostPlanner.recordsTheHostsThatAnEarlierHolderMayHaveOrdered failed before (the record held the new host alone) and passes now.

--- a/src/scheduling/internal/hostplanner.cpp
+++ b/src/scheduling/internal/hostplanner.cpp
@@ -314,6 +314,10 @@
             isNew = isNew || !m_recorded.contains(name);
         }
     }
+    if (now < m_notBefore) {
+        // The record replaces that of the earlier holder.
+        hosts.insert(m_orderedBefore.begin(), m_orderedBefore.end());
+    }
     return isNew ? std::optional(std::move(hosts)) : std::nullopt;
 }
 
--- a/src/scheduling/tests/hostplanner_tests.cpp
+++ b/src/scheduling/tests/hostplanner_tests.cpp
@@ -153,6 +153,29 @@
     EXPECT_EQ(hosts.plan(successor).size(), 1U);
 }
 
+// Guards against holders that alternate: the record of an owner replaces that of the owner before,
+// and a third one may follow within the cooldown.
+TEST(HostPlanner, recordsTheHostsThatAnEarlierHolderMayHaveOrdered)
+{
+    HostPlannerFixture hosts;
+    for (const char *name : {"a", "b", "c"}) {
+        hosts.add(name);
+    }
+    HostPlanner successor({}, hosts.fixture.core, hosts.fixture.now, false,
+                          [](const auto &, const auto &) {});
+    successor.setOrderedBefore({"a"});
+    const auto recordWhen = [&](const std::string &ordered, std::uint64_t wave) {
+        successor.requestWave({wave, {ordered}, 10s, 1}, {}, {}, hosts.fixture.now);
+        successor.hostsListed(hosts.hosts, hosts.fixture.now);
+        EXPECT_TRUE(successor.plan(hosts.fixture.now).empty());
+        return successor.hostsToRecord(hosts.fixture.now).value_or(std::set<std::string>{});
+    };
+    hosts.fixture.advance(1s);
+    EXPECT_EQ(recordWhen("b", 1), (std::set<std::string>{"a", "b"}));
+    hosts.fixture.advance(2500ms);
+    EXPECT_EQ(recordWhen("c", 2), (std::set<std::string>{"b", "c"}));
+}
+
 TEST(HostPlanner, sendsNoMoreOrdersThanThePlatformTakes)
 {
     HostPlannerFixture hosts;
