Take the target that started last for the one of a host

Class: the entry of a former target is taken for that of the present one. Where the list of hosts does not name the target of a host that is up, the planner takes the listed one that names the host. If the entry of the target before had not expired yet, it took the first by id: a former target that does not answer, whose leases had expired, counted as known and idle, so that the host could be ordered down under the work of the present one.

Change: of several listed targets the one with the latest start counts.

Evidence: FormerIncarnations.areNotTakenForTheTargetOfTheirHost failed before and passes now.

--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -253,11 +253,14 @@
 
 std::string OwnerCore::targetOn(const std::string &host) const
 {
-    const auto found =
-            std::find_if(m_targetsById.begin(), m_targetsById.end(), [&](const auto *target) {
-                return target->isListed && target->info.host == host;
-            });
-    return found == m_targetsById.end() ? std::string{} : (*found)->info.id;
+    const TargetState *found = nullptr;
+    for (const auto *target : m_targetsById) {
+        const bool isThere = target->isListed && target->info.host == host;
+        if (isThere && (found == nullptr || target->info.incarnation > found->info.incarnation)) {
+            found = target;
+        }
+    }
+    return found == nullptr ? std::string{} : found->info.id;
 }
 
 bool OwnerCore::hasContactedAllTargets() const
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -245,7 +245,8 @@
     // Whether nothing runs on the target and all ends there are stored. An unknown target may run
     // anything, so it is not idle; the empty id stands for no target, which is idle.
     bool isIdle(const std::string &id) const;
-    // The listed target that names the host as its own; empty: none does.
+    // The listed target that names the host as its own, the one that started last if several do;
+    // empty: none does.
     std::string targetOn(const std::string &host) const;
     // Whether the target has answered this owner, and answers now.
     enum class Contact { NotContacted, Reachable, Unreachable };
--- a/src/scheduling/tests/formerincarnations_tests.cpp
+++ b/src/scheduling/tests/formerincarnations_tests.cpp
@@ -174,4 +174,24 @@
     EXPECT_EQ(reserved, "t2");
 }
 
+// Guards against hosts that are taken down under work: the entry of the target that ran there
+// before stays for some time, and its leases expire.
+TEST(FormerIncarnations, areNotTakenForTheTargetOfTheirHost)
+{
+    for (const bool isFormerFirst : {true, false}) {
+        FormerIncarnationFixture fixture;
+        TargetInfo info;
+        info.service = "pool";
+        info.address = "10.0.0.1:80";
+        info.host = "m1";
+        for (const bool isFormer : {true, false}) {
+            info.id = isFormer == isFormerFirst ? "t1" : "t2";
+            info.incarnation = isFormer ? 1000 : 9000;
+            fixture.core.targetListed(info, fixture.now);
+        }
+        EXPECT_EQ(fixture.core.targetOn("m1"), isFormerFirst ? "t2" : "t1");
+        EXPECT_EQ(fixture.core.targetOn("m2"), "");
+    }
+}
+
 } // namespace cyclamenlatch::scheduling::tests
