--- a/review/standin/http.cpp
+++ b/review/standin/http.cpp
@@ -116,6 +116,7 @@
     std::array<char, 65536> buffer{};
     std::string reply;
     bool isDead = false;
+    std::uint64_t number = 0;
 };
 
 std::shared_ptr<Server> Server::listen(asio::io_context &context, const std::string &ip,
@@ -169,6 +170,17 @@
 {
     asio::error_code ignored;
     m_acceptor.close(ignored);
+    resetConnections();
+}
+
+void Server::reset()
+{
+    resetConnections();
+}
+
+void Server::resetConnections()
+{
+    asio::error_code ignored;
     for (const auto &[key, weak] : m_connections) {
         if (const auto connection = weak.lock()) {
             connection->isDead = true;
@@ -194,6 +206,8 @@
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         auto connection = std::make_shared<Connection>(std::move(socket));
         connection->isDead = self->m_isCut;
+        static std::uint64_t lastNumber = 0;
+        connection->number = ++lastNumber;
         self->m_connections[connection.get()] = connection;
         self->read(connection);
         self->accept();
@@ -224,7 +238,8 @@
                 if (!isComplete) {
                     return self->read(connection);
                 }
-                const auto message = connection->parser.take();
+                auto message = connection->parser.take();
+                message.connection = connection->number;
                 self->m_handler(message, [self, connection](Answer answer) {
                     if (answer.status == 0 || connection->isDead) {
                         return;
--- a/review/standin/http.h
+++ b/review/standin/http.h
@@ -23,6 +23,8 @@
     // By name in lower case.
     std::map<std::string, std::string> headers;
     std::string body;
+    // Number of the connection that a request came on.
+    std::uint64_t connection = 0;
 
     std::string header(const std::string &name) const
     {
@@ -81,6 +83,9 @@
     void close();
     // Listens again on the same address.
     void reopen();
+    // Resets the connections and goes on listening.
+    void reset();
+    bool isOpen() const { return m_acceptor.is_open(); }
     bool isCut() const { return m_isCut; }
 
 private:
@@ -92,6 +97,7 @@
     {}
     void open();
     void accept();
+    void resetConnections();
     void read(const std::shared_ptr<Connection> &connection);
 
     asio::io_context &m_context;
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -1,6 +1,7 @@
 // The parts of the world.
 #include "world.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -273,6 +274,7 @@
     item.lease = lease;
     m_history.push_back({m_revision, key, false, item, Clock::now()});
     if (key == "owner") {
+        ++m_world.counts.owners;
         m_world.note("store: owner is " + value);
     }
 }
@@ -386,6 +388,7 @@
                                }));
         m_servers.back()->close();
     }
+    m_paths.resize(world.entries.size());
 }
 
 void Minion::start(Milliseconds registerDelay)
@@ -401,8 +404,13 @@
     m_over.clear();
     m_ends.clear();
     m_waiting.clear();
+    m_hasLapsed = false;
+    m_lapses = 0;
+    m_clockOffset = m_world.mostClockOffset > 0 ? m_world.draw(0, m_world.mostClockOffset) : 0;
     for (const auto &server : m_servers) {
-        server->reopen();
+        if (!server->isOpen()) {
+            server->reopen();
+        }
     }
     m_registerAt = Clock::now() + registerDelay;
     m_nextBeat = m_registerAt;
@@ -410,7 +418,7 @@
                  + std::to_string(m_bornUnix) + ", labels " + Json(m_spec.labels).dump());
 }
 
-void Minion::crash()
+void Minion::crash(bool keepsConnections)
 {
     m_world.note("minion " + m_spec.id + " crashes");
     m_isUp = false;
@@ -418,7 +426,69 @@
     m_waiting.clear();
     m_silentSince = Clock::now();
     for (const auto &server : m_servers) {
-        server->close();
+        if (!keepsConnections) {
+            server->close();
+        }
+    }
+}
+
+void Minion::holdFrom(int entry, Clock::time_point until, Milliseconds mostHeld)
+{
+    auto &path = m_paths.at(static_cast<std::size_t>(entry));
+    path.holdsUntil = until;
+    path.mostHeld = mostHeld;
+}
+
+void Minion::loseAnswersTo(int entry, Clock::time_point until)
+{
+    m_paths.at(static_cast<std::size_t>(entry)).losesAnswersUntil = until;
+}
+
+void Minion::hold(Path &path, const Message &request, const Respond &respond)
+{
+    const auto now = Clock::now();
+    const auto mostHeld = std::max<std::int64_t>(path.mostHeld.count(), 1);
+    auto release = now + Milliseconds(m_world.draw(0, mostHeld));
+    for (const auto &held : path.held) {
+        if (held.request.connection == request.connection) {
+            release = held.release;
+        }
+    }
+    path.held.push_back({request, respond, now, release, m_bornUnix});
+}
+
+void Minion::release(int entry)
+{
+    constexpr Milliseconds mostHeld{3000};
+    auto &path = m_paths.at(static_cast<std::size_t>(entry));
+    const auto now = Clock::now();
+    std::vector<Held> due;
+    std::erase_if(path.held, [&](Held &held) {
+        if (!m_isUp && now - held.arrived > mostHeld) {
+            ++m_world.counts.heldLost;
+            return true;
+        }
+        if (!m_isUp || now < held.release) {
+            return false;
+        }
+        due.push_back(std::move(held));
+        return true;
+    });
+    for (const auto &held : due) {
+        if (held.bornUnix != m_bornUnix) {
+            auto &counts = m_world.counts;
+            const auto path = held.request.path();
+            ++(path == "/v1/run-start" ? counts.heldStarts
+               : path == "/v1/hold"    ? counts.heldHolds
+                                       : counts.heldStops);
+            m_world.note(
+                    "minion " + m_spec.id + ": " + path + " of " + m_world.entry(entry).name()
+                    + " for an earlier life delivered "
+                    + std::to_string(
+                            std::chrono::duration_cast<Milliseconds>(now - held.arrived).count())
+                    + " ms late: " + held.request.body.substr(0, 200));
+        }
+        carryOut(entry, held.request, held.respond);
     }
 }
 
@@ -430,7 +500,8 @@
 
 std::int64_t Minion::clock() const
 {
-    return std::chrono::duration_cast<Milliseconds>(Clock::now() - m_born).count() + 1;
+    return std::chrono::duration_cast<Milliseconds>(Clock::now() - m_born).count() + 1
+           + m_clockOffset;
 }
 
 void Minion::beat()
@@ -456,6 +527,9 @@
 void Minion::tick()
 {
     const auto now = Clock::now();
+    for (std::size_t entry = 0; entry < m_paths.size(); ++entry) {
+        release(static_cast<int>(entry));
+    }
     if (!m_isUp) {
         // Removed after three heartbeat intervals of silence.
         if (now - m_silentSince > 3 * heartbeat && m_world.store.value("servers/" + m_spec.id)
@@ -468,12 +542,10 @@
         m_nextBeat = now + heartbeat;
         beat();
     }
+    expire();
     std::vector<std::pair<std::string, std::string>> ended;
-    const bool hasLapsed = clock() > m_leaseUntil;
     for (const auto &[task, run] : m_runs) {
-        if (hasLapsed) {
-            ended.emplace_back(task, "lapsed");
-        } else if (!run.work.lasts && now - run.began >= run.work.duration) {
+        if (!run.work.lasts && now - run.began >= run.work.duration) {
             ended.emplace_back(task, run.work.fails ? "failed" : "done");
         }
     }
@@ -489,11 +561,38 @@
     });
 }
 
+void Minion::expire()
+{
+    const bool hasLapsed = clock() > m_leaseUntil;
+    if (!std::exchange(m_hasLapsed, hasLapsed) && hasLapsed) {
+        ++m_lapses;
+    }
+    if (hasLapsed) {
+        for (const auto &task : running()) {
+            end(task, "lapsed");
+        }
+    }
+}
+
+void Minion::acknowledge(std::uint64_t cursor)
+{
+    std::erase_if(m_ends, [&](const End &end) {
+        const bool isNoted = end.number <= cursor;
+        if (isNoted && end.how == "done" && end.lapses == m_lapses && m_world.onDoneNoted) {
+            m_world.onDoneNoted(end.task, end.at);
+        }
+        return isNoted;
+    });
+}
+
 void Minion::end(const std::string &task, const std::string &how)
 {
     const auto run = m_runs.extract(task);
     m_over[task] = std::max(m_over[task], run.mapped().attempt);
-    m_ends.push_back({++m_lastEnd, task, run.mapped().attempt, how});
+    m_ends.push_back({++m_lastEnd, task, run.mapped().attempt, how, m_world.now(), m_lapses});
+    if (m_world.onEnd) {
+        m_world.onEnd(*this, task, how);
+    }
     if (!m_world.isBrief) {
         m_world.note("minion " + m_spec.id + ": run " + task + "/"
                      + std::to_string(run.mapped().attempt) + " ended " + how);
@@ -541,7 +640,7 @@
 
 Answer Minion::refuse(const char *reason) const
 {
-    return {409, Json{{"clock_ms", clock()}, {"born", m_bornUnix}, {"reason", reason}}.dump()};
+    return {409, Json{{"clock_ms", clock()}, {"reason", reason}}.dump()};
 }
 
 void Minion::extend(const Json &body)
@@ -552,12 +651,25 @@
 
 void Minion::handle(int entry, const Message &request, const Respond &respond)
 {
+    auto &path = m_paths.at(static_cast<std::size_t>(entry));
+    const bool hasHeld = std::any_of(path.held.begin(), path.held.end(), [&](const Held &held) {
+        return held.request.connection == request.connection;
+    });
+    if (!m_isUp || hasHeld || Clock::now() < path.holdsUntil) {
+        return hold(path, request, respond);
+    }
+    carryOut(entry, request, respond);
+}
+
+void Minion::carryOut(int entry, const Message &request, const Respond &respondTo)
+{
+    const auto &path = m_paths.at(static_cast<std::size_t>(entry));
+    const Respond respond =
+            Clock::now() < path.losesAnswersUntil ? [](const Answer &) {} : respondTo;
     const auto later = [&](Answer answer) {
         respondAfter(m_world.context, minionTime, respond, std::move(answer));
     };
-    if (!m_isUp) {
-        return;
-    }
+    expire();
     if (request.path() == "/healthz") {
         return later({200, "{}"});
     }
@@ -568,6 +680,7 @@
     const auto body = Json::parse(request.body);
     const auto fence = body.value("fencing_token", std::uint64_t{0});
     if (fence < m_fence) {
+        ++m_world.counts.refusedFences;
         return later(refuse("fence"));
     }
     m_fence = fence;
@@ -580,11 +693,11 @@
         return stopRun(body, respond);
     }
     if (request.path() == "/v1/pace") {
-        return later({200, Json{{"clock_ms", clock()}, {"born", m_bornUnix}}.dump()});
+        return later({200, Json{{"clock_ms", clock()}}.dump()});
     }
     extend(body);
     const auto cursor = body.value("ack_cursor", std::uint64_t{0});
-    std::erase_if(m_ends, [&](const End &end) { return end.number <= cursor; });
+    acknowledge(cursor);
     const auto wait = body.value("wait_ms", std::int64_t{0});
     if (wait > 0 && m_ends.empty()) {
         m_waiting.push_back({Clock::now() + Milliseconds(wait), respond});
@@ -600,7 +713,7 @@
     };
     const auto task = body.at("task").get<std::string>();
     const auto attempt = body.at("attempt").get<std::uint32_t>();
-    const Answer accepted{200, Json{{"clock_ms", clock()}, {"born", m_bornUnix}}.dump()};
+    const Answer accepted{200, Json{{"clock_ms", clock()}}.dump()};
     if (shedsStarts) {
         m_world.note("minion " + m_spec.id + ": start " + task + "/" + std::to_string(attempt)
                      + " refused, unhealthy");
@@ -644,8 +757,7 @@
         end(task, "stopped");
     }
     m_over[task] = std::max(m_over[task], attempt);
-    respondAfter(m_world.context, minionTime, respond,
-                 {200, Json{{"clock_ms", clock()}, {"born", m_bornUnix}}.dump()});
+    respondAfter(m_world.context, minionTime, respond, {200, Json{{"clock_ms", clock()}}.dump()});
 }
 
 // Cloud.
@@ -852,7 +964,8 @@
             close(descriptor);
         }
         setenv("CYCLAMENLATCH_SETTINGS", m_settingsPath.c_str(), 1);
-        execl("target/src/app/cyclamenlatch", "target/src/app/cyclamenlatch", "serve", nullptr);
+        const auto &program = m_world.program;
+        execl(program.c_str(), program.c_str(), "serve", nullptr);
         _exit(127);
     }
     m_world.note("entry " + m_name + " starts");
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <fstream>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -121,8 +122,18 @@
     // Starts a new life, with nothing known of the one before, and registers after the delay.
     void start(Milliseconds registerDelay = {});
     // Ends silently; with its entry in the store left to expire.
-    void crash();
+    // keepsConnections: what lies between the entries and the minion keeps their connections open,
+    // and delivers what arrives meanwhile to the next life.
+    void crash(bool keepsConnections = false);
     void cutFrom(int entry, bool isCut);
+    // Requests of the entry that arrive until the time are held for up to mostHeld each (one length
+    // for each connection), and then carried out by the life that is up by then.
+    void holdFrom(int entry, Clock::time_point until, Milliseconds mostHeld);
+    void loseAnswersTo(int entry, Clock::time_point until);
+    void resetFrom(int entry) { m_servers.at(static_cast<std::size_t>(entry))->reset(); }
+    // Ends what runs if the lease has expired by now.
+    void expire();
+    bool hasRun(const std::string &task) const { return m_runs.contains(task); }
     void beat();
     void tick();
     const MinionSpec &spec() const { return m_spec; }
@@ -149,6 +160,25 @@
         std::string task;
         std::uint32_t attempt = 0;
         std::string how;
+        std::int64_t at = 0;
+        // Leases that had lapsed in this life by then.
+        std::uint64_t lapses = 0;
+    };
+    struct Held
+    {
+        Message request;
+        Respond respond;
+        Clock::time_point arrived;
+        Clock::time_point release;
+        std::int64_t bornUnix = 0;
+    };
+    // What lies between one entry and this minion.
+    struct Path
+    {
+        Clock::time_point holdsUntil;
+        Milliseconds mostHeld{};
+        Clock::time_point losesAnswersUntil;
+        std::vector<Held> held;
     };
     struct Waiting
     {
@@ -156,6 +186,10 @@
         Respond respond;
     };
     void handle(int entry, const Message &request, const Respond &respond);
+    void hold(Path &path, const Message &request, const Respond &respond);
+    void release(int entry);
+    void carryOut(int entry, const Message &request, const Respond &respond);
+    void acknowledge(std::uint64_t cursor);
     void startRun(const Json &body, const Respond &respond, int entry);
     void stopRun(const Json &body, const Respond &respond);
     void extend(const Json &body);
@@ -179,6 +213,10 @@
     std::map<std::string, std::uint32_t> m_over;
     std::vector<End> m_ends;
     std::vector<Waiting> m_waiting;
+    std::vector<Path> m_paths;
+    bool m_hasLapsed = false;
+    std::uint64_t m_lapses = 0;
+    std::int64_t m_clockOffset = 0;
     Clock::time_point m_registerAt;
     Clock::time_point m_nextBeat;
     Clock::time_point m_silentSince;
@@ -314,7 +352,29 @@
     std::function<void(int, const std::string &, const std::string &)> onMachineOrder;
     // Told of each task that is at work and that a stop, a move or an upkeep ends.
     std::function<void(const std::string &task, const std::string &order)> onEndedByOrder;
+    // Told of each end of a run: minion, task, how.
+    std::function<void(const Minion &, const std::string &, const std::string &)> onEnd;
+    // Told of each end `done` that has been taken note of: task, time of the end.
+    std::function<void(const std::string &, std::int64_t)> onDoneNoted;
     std::vector<Start> starts;
+    // The entries' program, and the largest offset of a life's clock.
+    std::string program = "target/src/app/cyclamenlatch";
+    std::int64_t mostClockOffset = 0;
+    std::mt19937_64 random{1};
+    std::int64_t draw(std::int64_t from, std::int64_t to)
+    {
+        return std::uniform_int_distribution<std::int64_t>(from, to)(random);
+    }
+    struct Counts
+    {
+        std::uint64_t heldStarts = 0;
+        std::uint64_t heldHolds = 0;
+        std::uint64_t heldStops = 0;
+        std::uint64_t heldLost = 0;
+        std::uint64_t refusedFences = 0;
+        std::uint64_t owners = 0;
+    };
+    Counts counts;
 
 private:
     void tick();
