--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -459,12 +459,11 @@
 
 void Minion::release(int entry)
 {
-    constexpr Milliseconds mostHeld{3000};
     auto &path = m_paths.at(static_cast<std::size_t>(entry));
     const auto now = Clock::now();
     std::vector<Held> due;
     std::erase_if(path.held, [&](Held &held) {
-        if (!m_isUp && now - held.arrived > mostHeld) {
+        if (!m_isUp && now - held.arrived > m_world.mostHeld) {
             ++m_world.counts.heldLost;
             return true;
         }
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -360,6 +360,8 @@
     // The entries' program, and the largest offset of a life's clock.
     std::string program = "target/src/app/cyclamenlatch";
     std::int64_t mostClockOffset = 0;
+    // Requests that wait for a minion for longer than this are lost.
+    Milliseconds mostHeld{3000};
     std::mt19937_64 random{1};
     std::int64_t draw(std::int64_t from, std::int64_t to)
     {
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-// Calls are held back for this long at most.
-constexpr std::int64_t mostHeldMs = 3000;
+// A path holds back what arrives within at most this long of the fault's begin.
+constexpr std::int64_t mostHoldingMs = 3000;
 // Owners change at most this often, so that some of them get to work.
 constexpr std::int64_t entryFaultIntervalMs = 6000;
 constexpr Milliseconds graceTime{6000};
@@ -96,10 +96,11 @@
 
 Faults::Task Faults::restart(int number)
 {
-    const auto until = Clock::now() + Milliseconds(m_world.draw(300, mostHeldMs));
+    const auto until = Clock::now() + Milliseconds(m_world.draw(300, mostHoldingMs));
     for (int entry = 0; entry < std::ssize(m_world.entries); ++entry) {
         if (isDrawn(75)) {
-            target(number).holdFrom(entry, until, Milliseconds(m_world.draw(0, mostHeldMs)));
+            target(number).holdFrom(entry, until,
+                                    Milliseconds(m_world.draw(0, m_world.mostHeld.count())));
         }
     }
     co_await pause(0, 600);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,5 @@
 // A soak of real entries against stand-ins of the users' platform:
-// soak --seed N --seconds S --entry PROGRAM [--directory D].
+// soak --seed N --seconds S --entry PROGRAM [--directory D] [--most-held MILLISECONDS].
 //
 // Exits with 1 if the targets saw a rule broken or an entry ended by itself, and with 2 if it could
 // not run.
@@ -28,6 +28,8 @@
 {
     std::uint64_t seed = 1;
     int seconds = 40;
+    // Calls are held back for this long at most.
+    int mostHeldMs = 3000;
     std::string entry;
     std::string directory;
 };
@@ -40,6 +42,8 @@
             options.seed = std::stoull(argv[at + 1]);
         } else if (name == "--seconds") {
             options.seconds = std::stoi(argv[at + 1]);
+        } else if (name == "--most-held") {
+            options.mostHeldMs = std::stoi(argv[at + 1]);
         } else if (name == "--entry") {
             options.entry = argv[at + 1];
         } else if (name == "--directory") {
@@ -151,7 +155,9 @@
 {
     Options options;
     if (!readOptions(argc, argv, options)) {
-        std::fprintf(stderr, "soak --seed N --seconds S --entry PROGRAM [--directory D]\n");
+        std::fprintf(
+                stderr,
+                "soak --seed N --seconds S --entry PROGRAM [--directory D] [--most-held MS]\n");
         return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
@@ -170,6 +176,7 @@
         world.program = options.entry;
         world.random.seed(options.seed);
         world.mostClockOffset = mostClockOffsetMs;
+        world.mostHeld = Milliseconds(options.mostHeldMs);
         code = world.run([&](World &played) { return play(played, options); });
     } catch (const std::exception &error) {
         std::fprintf(stderr, "the soak could not run: %s\n", error.what());
