--- a/src/control/tests/ownership_tests.cpp
+++ b/src/control/tests/ownership_tests.cpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cyclamenlatch::control {
@@ -19,7 +20,7 @@
 class OwnershipFixture
 {
 public:
-    OwnershipFixture()
+    explicit OwnershipFixture(std::string term = {})
         : m_client(std::make_unique<net::LoopHttpClient>(m_context, net::HttpClientSettings{}))
         , m_storeClient(m_context, *m_client, store.address(), m_metrics)
         , ownership(m_context, m_storeClient, "entry", 0ms,
@@ -31,6 +32,7 @@
                                 addNotification(wasSuspended ? "resumed" : "renewed");
                             }})
     {
+        store.term = std::move(term);
         ownership.start();
     }
 
@@ -106,4 +108,24 @@
     EXPECT_LT(std::chrono::steady_clock::now() - lostAt, 700ms);
 }
 
+// The record of an entry of an earlier version is one number, its term and its fencing token.
+TEST(Ownership, hasTokensAboveAllThatEarlierOwnersMayHaveUsed)
+{
+    struct Case
+    {
+        std::string before;
+        std::uint64_t term;
+        std::uint64_t firstToken;
+        std::string after;
+    };
+    for (const auto &test :
+         {Case{"", 1, 1, "64 1"}, Case{"17", 18, 18, "81 18"}, Case{"81 18", 19, 82, "145 19"}}) {
+        OwnershipFixture fixture(test.before);
+        ASSERT_TRUE(fixture.runUntilNotified(1));
+        EXPECT_EQ(fixture.ownership.tenure().term, test.term);
+        EXPECT_EQ(fixture.ownership.tenure().firstToken, test.firstToken);
+        EXPECT_TRUE(fixture.store.hasWritten(test.after));
+    }
+}
+
 } // namespace cyclamenlatch::control
--- a/src/platform/tests/leasingstore.h
+++ b/src/platform/tests/leasingstore.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "net/tests/serverthread.h"
+#include "store/base64.h"
 
 #include <atomic>
+#include <mutex>
 #include <string>
 #include <utility>
 
@@ -17,6 +19,14 @@
 
     std::atomic<bool> isSilent = false;
     std::atomic<bool> hasLease = true;
+    // What the term's key holds; empty: there is none. To be set before the first call.
+    std::string term;
+    // Whether a transaction has written this text.
+    bool hasWritten(const std::string &text)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_written.find(store::toBase64(text)) != std::string::npos;
+    }
 
 private:
     void answer(const net::HttpRequest &request, const net::HttpResponder &respond)
@@ -28,10 +38,15 @@
         net::HttpReply reply;
         if (request.path == "/v1/kv-range") {
             reply.body = R"({"items":[],"at":5})";
+        } else if (request.path == "/v1/kv-key" && request.query == "key=term" && !term.empty()) {
+            reply.body = R"({"key":"term","value":")" + store::toBase64(term)
+                         + R"(","revision":3,"created":3,"lease":0,"at":5})";
         } else if (request.path == "/v1/kv-lease") {
             reply.body = R"({"lease":9,"ttl_ms":1300})";
         } else if (request.path == "/v1/kv-txn") {
             reply.body = R"({"revision":6})";
+            const std::lock_guard lock(m_mutex);
+            m_written += request.body;
         } else if (request.path.starts_with("/v1/kv-keep/") && hasLease) {
             reply.body = R"({"ttl_ms":1300})";
         } else {
@@ -40,6 +55,9 @@
         respond(std::move(reply));
     }
 
+    std::mutex m_mutex;
+    // Bodies of all transactions; guarded by m_mutex.
+    std::string m_written;
     net::tests::ServerThread m_server{
             [this](const auto &request, const auto &respond) { answer(request, respond); }};
 };
