--- a/src/scheduling/tests/heldcalls_tests.cpp
+++ b/src/scheduling/tests/heldcalls_tests.cpp
@@ -19,14 +19,6 @@
         : OwnerFixture(term)
     {}
 
-    void listAs(const std::string &id, std::int64_t incarnation)
-    {
-        list(id);
-        auto info = *core.target(id);
-        info.incarnation = incarnation;
-        core.targetListed(info, now);
-    }
-
     // The start of one task is on its way to t1, which has long been in contact. t2 is free.
     StartOrder sendToFirst()
     {
--- a/src/scheduling/tests/ownerfixture.h
+++ b/src/scheduling/tests/ownerfixture.h
@@ -76,6 +76,15 @@
         core.targetRecorded(id);
     }
 
+    // The target's entry in the platform's store names this incarnation.
+    void listAs(const std::string &id, std::int64_t incarnation)
+    {
+        list(id);
+        auto info = *core.target(id);
+        info.incarnation = incarnation;
+        core.targetListed(info, now);
+    }
+
     // Lists the target and reports its first keep-alive answer.
     void join(const std::string &id, Resources capacity = Resources{16000, 64000, 0})
     {
--- a/src/scheduling/tests/unknownleases_tests.cpp
+++ b/src/scheduling/tests/unknownleases_tests.cpp
@@ -20,15 +20,6 @@
         : OwnerFixture(term)
     {}
 
-    // The target's entry in the platform's store names this incarnation.
-    void listAs(const std::string &id, std::int64_t incarnation)
-    {
-        list(id);
-        auto info = *core.target(id);
-        info.incarnation = incarnation;
-        core.targetListed(info, now);
-    }
-
     // One task is at work on t1, and t2 is free.
     StartOrder startOnFirst()
     {
