One check for an entry that names a later incarnation; a start that found another one in one place

Read once more as a whole: the check stood three times with small variations (targetListed, settledIncarnations, mayRunOnLaterIncarnation), and the case TargetRestarted of startAnswered was split over the switch and a condition after it. A comment said that checkClock only logs, and two test fixtures repeated an inherited constructor. No decision changes.

--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -76,7 +76,8 @@
     void handleKeepAliveReply(const std::string &id, const net::HttpCallResult &result,
                               std::uint64_t token, TimePoint sentAt);
     void send(const scheduling::Order &order);
-    // Logs an answer that another incarnation of the target gave than the known one.
+    // Logs an answer that another incarnation of the target gave than the known one, and takes the
+    // target out of use until its next list.
     void checkClock(const std::string &id, const net::HttpCallResult &result, TimePoint sentAt);
     template<typename Kind>
     using ReplyHandler = void (scheduling::OwnerCore::*)(const Kind &, scheduling::OrderResult,
--- a/src/control/records.h
+++ b/src/control/records.h
@@ -30,6 +30,7 @@
 
 std::string encodeWave(const WaveRecord &wave);
 Result<WaveRecord> decodeWave(const std::string &record);
+
 // The last ownership, as two decimal numbers. An entry of an earlier version reads and writes one
 // number, which was term and fencing token at once, so the token comes first: whichever version
 // owns next, its tokens and its term are higher.
--- a/src/scheduling/internal/ownerleases.cpp
+++ b/src/scheduling/internal/ownerleases.cpp
@@ -118,7 +118,7 @@
     for (const auto &[id, target] : m_targets) {
         const bool isSettled =
                 target->incarnation != 0 && target->isLeaseKnown
-                && target->info.incarnation <= target->incarnation
+                && !entryNamesLaterIncarnation(*target)
                 && lowestClock(*target, now) > target->foreignLeaseUntil + leaseMargin();
         if (isSettled) {
             m_settled[id] = target->incarnation;
@@ -184,6 +184,11 @@
     releaseRuns(target, Decision::Kind::TargetRestarted, now);
 }
 
+bool OwnerCore::entryNamesLaterIncarnation(const TargetState &target)
+{
+    return target.incarnation != 0 && target.info.incarnation > target.incarnation;
+}
+
 bool OwnerCore::isOtherIncarnation(const TargetState &target, const KeepAliveReport &report)
 {
     if (target.incarnation != 0 && report.incarnation != 0) {
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -64,9 +64,7 @@
 bool OwnerCore::mayRunOnLaterIncarnation(const TargetState &target, const RunState &run,
                                          TimePoint now) const
 {
-    const bool hasRestarted =
-            run.life != target.life
-            || (target.incarnation != 0 && target.info.incarnation > target.incarnation);
+    const bool hasRestarted = run.life != target.life || entryNamesLaterIncarnation(target);
     // An entry may be late. Long-running tasks must be back soon, so they wait only if it tells.
     if (!mayStartLater(run) || (run.isLongRunning && !hasRestarted)) {
         return false;
@@ -428,22 +426,19 @@
         }
         return;
     case OrderResult::TargetRestarted:
-        if (isOutdated) {
-            break;
+        if (!isOutdated) {
+            // The target gets no work until its next list shows what the new incarnation runs.
+            forgetIncarnation(*target, now);
         }
-        // The target gets no work until its next list shows what the new incarnation runs.
-        forgetIncarnation(*target, now);
-        if (!target->runs.contains(order.task)) {
+        if (!target->runs.contains(order.task) || run.pendingCalls > 0 || run.callLostAt) {
+            // The run was released, or an earlier call may have reached the new incarnation; the
+            // list tells.
             return;
         }
         break;
     default:
         break;
     }
-    if (answer == OrderResult::TargetRestarted && (run.pendingCalls > 0 || run.callLostAt)) {
-        // An earlier call may have reached the new incarnation; the list tells.
-        return;
-    }
     reportDecision(Decision::Kind::StartRefused, order.task, order.attempt, order.targetId,
                    std::string(orderResultNames.name(answer)));
     dropRun(*target, order.task);
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -100,15 +100,13 @@
     }
     m_unassignedTargets.erase(info.id);
     auto &target = targetState(info.id);
-    const bool hasRestarted = info.incarnation != 0 && target.incarnation != 0
-                              && info.incarnation > target.incarnation;
     if (!target.isListed) {
         target.lastAnswer = now;
     }
     target.isListed = true;
     target.info = info;
     scheduleForPlanning(target);
-    if (hasRestarted) {
+    if (entryNamesLaterIncarnation(target)) {
         // The entry may be from another writer, so the target itself has to confirm it: until it
         // answers it gets no work, and its runs are not started elsewhere.
         target.isAdopted = false;
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -338,6 +338,8 @@
     void startNewLife(TargetState &target, TimePoint now);
     // The target is another incarnation than the one that the owner has known.
     void forgetIncarnation(TargetState &target, TimePoint now);
+    // The target's entry tells of a restart that the target itself has not told of yet.
+    static bool entryNamesLaterIncarnation(const TargetState &target);
     static bool isOtherIncarnation(const TargetState &target, const KeepAliveReport &report);
     // Whether an order for the run may still be carried out for the first time.
     static bool mayStartLater(const RunState &run);
--- a/src/scheduling/tests/heldcalls_tests.cpp
+++ b/src/scheduling/tests/heldcalls_tests.cpp
@@ -15,9 +15,7 @@
 class HeldCallsFixture : public OwnerFixture
 {
 public:
-    explicit HeldCallsFixture(std::uint64_t term = 1)
-        : OwnerFixture(term)
-    {}
+    using OwnerFixture::OwnerFixture;
 
     // The start of one task is on its way to t1, which has long been in contact. t2 is free.
     StartOrder sendToFirst()
--- a/src/scheduling/tests/unknownleases_tests.cpp
+++ b/src/scheduling/tests/unknownleases_tests.cpp
@@ -16,9 +16,7 @@
 class UnknownLeasesFixture : public OwnerFixture
 {
 public:
-    explicit UnknownLeasesFixture(std::uint64_t term = 1)
-        : OwnerFixture(term)
-    {}
+    using OwnerFixture::OwnerFixture;
 
     // One task is at work on t1, and t2 is free.
     StartOrder startOnFirst()
