--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -377,6 +377,80 @@
     return most > 1 ? broken : held;
 }
 
+// TWICE: calls to a minion get no answer and are carried out late, by the next one on its address.
+int lateCalls(Deployment &fleet, bool hasTrouble)
+{
+    constexpr int startLateMs = 2000;
+    constexpr int holdLateMs = 2400;
+    constexpr int earlierTasks = 5;
+    auto &record = fleet.record();
+    Minion *crane = nullptr;
+    for (std::size_t index = 0; index < 10; ++index) {
+        MinionSettings settings;
+        settings.id = minionId(index);
+        settings.labels = {index == 9 ? "crane" : "plain", "r1-" + std::to_string(index / 4)};
+        crane = &fleet.addMinion(settings);
+    }
+    fleet.configure();
+    fleet.startEntries(3);
+    if (!fleet.waitUntilReady()) {
+        return couldNotRun;
+    }
+    sleepMs(12000);
+    const json needsCrane{{"requirements", "crane"}, {"estimated_ms", 200}};
+    auto wide = needsCrane;
+    wide["count"] = earlierTasks;
+    if (fleet.call(0, "POST", "/jobs/" + jobId(0x5c0e7a21d94b8000ULL), job("ms=200", {step(wide)}))
+                .status
+        != 200) {
+        return couldNotRun;
+    }
+    sleepMs(4000);
+    const auto id = jobId(0x5c0e7a21d94b8001ULL);
+    const auto submit = [&] {
+        return fleet.call(1, "POST", "/jobs/" + id, job("ms=200", {step(needsCrane)})).status == 200;
+    };
+    if (hasTrouble) {
+        crane->delayCalls(startLateMs, holdLateMs);
+        for (int tries = 0; tries < 600 && crane->delayedHolds() == 0; ++tries) {
+            sleepMs(5);
+        }
+        if (!submit()) {
+            return couldNotRun;
+        }
+        for (int tries = 0; tries < 200 && crane->delayedStarts() == 0; ++tries) {
+            sleepMs(5);
+        }
+        if (crane->delayedHolds() == 0 || crane->delayedStarts() == 0) {
+            record.line("no call was left without an answer");
+            return couldNotRun;
+        }
+        const auto sent = record.milliseconds();
+        crane->delayCalls(0, 0);
+        sleepUntil(record, sent + 200);
+        crane->crash();
+        sleepUntil(record, sent + 1900);
+        crane->startAgain();
+    } else if (!submit()) {
+        return couldNotRun;
+    }
+    sleepMs(9000);
+    std::int64_t noted = -1;
+    int after = 0;
+    for (const auto &run : crane->runs()) {
+        if (run.task != id + ".0.0.0") {
+            continue;
+        }
+        after += noted >= 0 ? 1 : 0;
+        if (run.how == "done" && run.notedMs >= 0) {
+            noted = std::max(noted, run.notedMs);
+        }
+    }
+    record.line("verdict: " + std::to_string(after)
+                + " starts of the task after it had ended done and the end was taken note of");
+    return after > 0 ? broken : held;
+}
+
 struct Case
 {
     const char *name;
@@ -386,7 +460,8 @@
 constexpr Case cases[] = {
         {"pending", pendingJobs}, {"cancelled", cancelledJobs}, {"lasting", lastingTask},
         {"large", largeJob},
-        {"upkeep", lateUpkeep}};
+        {"upkeep", lateUpkeep},
+        {"late", lateCalls}};
 
 } // namespace
 
--- a/review/standin-2/minion.cpp
+++ b/review/standin-2/minion.cpp
@@ -98,6 +98,31 @@
     return m_settings.id;
 }
 
+void Minion::delayCalls(int startMs, int holdMs)
+{
+    m_startDelayMs = startMs;
+    m_holdDelayMs = holdMs;
+}
+
+void Minion::carryOutLater(const std::string &path, json call, int late)
+{
+    const auto text = path + " fencing_token " + std::to_string(call.value("fencing_token", 0))
+                      + (path == "/v1/hold"
+                                 ? " ack_cursor " + std::to_string(call.value("ack_cursor", 0))
+                                 : " " + call.value("task", std::string{}) + " attempt "
+                                           + std::to_string(call.value("attempt", 0)));
+    m_record.line("minion " + id() + " leaves " + text + " without an answer");
+    call.erase("wait_ms");
+    std::thread([this, path, call, late, text] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(late));
+        if (m_isUp) {
+            const auto reply = path == "/v1/hold" ? hold(call) : start(call);
+            m_record.line("minion " + id() + " carries out " + text + ", " + std::to_string(late)
+                          + " ms late: " + std::to_string(reply.status));
+        }
+    }).detach();
+}
+
 void Minion::halt(const std::string &how)
 {
     const std::lock_guard lock(m_mutex);
@@ -140,6 +165,16 @@
     if (!call.is_object()) {
         return Reply{400, "{}"};
     }
+    if (request.path == "/v1/run-start" && m_startDelayMs > 0) {
+        ++m_delayedStarts;
+        carryOutLater(request.path, call, m_startDelayMs);
+        return std::nullopt;
+    }
+    if (request.path == "/v1/hold" && m_holdDelayMs > 0) {
+        m_delayedHolds += call.value("ack_cursor", 0) > 0 ? 1 : 0;
+        carryOutLater(request.path, call, m_holdDelayMs);
+        return std::nullopt;
+    }
     if (request.path == "/v1/run-start") {
         return start(call);
     }
@@ -210,7 +245,7 @@
     run.checkpoint = std::string(static_cast<std::size_t>(numberAfter(text, "saves=", 0)), 'c');
     run.log = m_logs.size();
     m_logs.push_back(
-            {m_settings.id, task, attempt, m_record.milliseconds(), -1, {}});
+            {m_settings.id, task, attempt, m_record.milliseconds(), -1, {}, -1});
     m_runs.emplace(task, run);
     m_record.line("minion " + m_settings.id + " starts " + task + " attempt "
                   + std::to_string(attempt));
@@ -242,6 +277,11 @@
     }
     grant(call);
     const auto cursor = call.value("ack_cursor", std::int64_t{0});
+    for (const auto &end : m_ends) {
+        if (end.number <= cursor && clock() <= m_leaseUntil) {
+            m_logs[end.log].notedMs = m_record.milliseconds();
+        }
+    }
     std::erase_if(m_ends, [&](const End &end) { return end.number <= cursor; });
     const auto until = Clock::now() + std::chrono::milliseconds(call.value("wait_ms", 0));
     m_ended.wait_until(lock, until,
@@ -264,7 +304,8 @@
 
 void Minion::endLocked(const std::string &task, const Run &run, const std::string &how)
 {
-    m_ends.push_back({++m_lastEnd, task, run.attempt, how, how == "done" ? "" : run.checkpoint});
+    m_ends.push_back({++m_lastEnd, task, run.attempt, how, how == "done" ? "" : run.checkpoint,
+                      run.log});
     auto &refused = m_refusedUpTo[task];
     refused = std::max(refused, run.attempt);
     m_logs[run.log].endedMs = m_record.milliseconds();
--- a/review/standin-2/minion.h
+++ b/review/standin-2/minion.h
@@ -36,6 +36,8 @@
     // Negative: it has not ended.
     std::int64_t endedMs = -1;
     std::string how;
+    // When a call let the minion forget the end, under a lease that had not lapsed; negative: none.
+    std::int64_t notedMs = -1;
 };
 
 class Minion
@@ -57,6 +59,12 @@
     bool isUp() const { return m_isUp; }
     // It is unhealthy and refuses to start tasks with 503, having done nothing.
     void setShedding(bool isShedding) { m_isShedding = isShedding; }
+    // From now on the calls that arrive get no answer, and whoever runs here then carries them out
+    // this much later; 0: not so.
+    void delayCalls(int startMs, int holdMs);
+    // How many starts, and how many calls that let ends be forgotten, were left without an answer.
+    int delayedStarts() const { return m_delayedStarts; }
+    int delayedHolds() const { return m_delayedHolds; }
     // Every run of all incarnations.
     std::vector<RunLog> runs();
 
@@ -79,9 +87,11 @@
         std::int64_t attempt = 0;
         std::string how;
         std::string checkpoint;
+        std::size_t log = 0;
     };
 
     void begin();
+    void carryOutLater(const std::string &path, json call, int late);
     void halt(const std::string &how);
     std::optional<Reply> handle(const Request &request);
     Reply start(const json &call);
@@ -104,6 +114,10 @@
     std::atomic<bool> m_isUp{false};
     std::atomic<bool> m_isShedding{false};
     std::atomic<bool> m_isStopped{false};
+    std::atomic<int> m_startDelayMs{0};
+    std::atomic<int> m_holdDelayMs{0};
+    std::atomic<int> m_delayedStarts{0};
+    std::atomic<int> m_delayedHolds{0};
     std::int64_t m_born = 0;
     Clock::time_point m_bornAt;
     std::int64_t m_fence = 0;
