--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -162,7 +162,9 @@
         machines.push_back(
                 {{"machine", settings.machine},
                  {"pool", settings.service},
-                 {"state", machine.isDown ? "upkeep" : isUp ? "up" : "down"},
+                 {"state", machine.isDown ? "upkeep"
+                           : isUp         ? "up"
+                                          : "down"},
                  {"zone", settings.zone},
                  {"labels", settings.labels},
                  {"capacity", {{"cpu", settings.cpu}, {"mem_mb", settings.memoryMb}, {"gpu", 0}}},
@@ -173,13 +175,12 @@
 
 void Deployment::requestWave(const std::vector<std::string> &machines, int cap, int durationS)
 {
-    m_store.put("op/wave/1", json{{"wave", 1},
-                                  {"machines", json(machines)},
-                                  {"duration_s", durationS},
-                                  {"cap", cap}}
-                                     .dump());
-    m_record.line("operator: a wave over " + std::to_string(machines.size())
-                  + " machines, at most " + std::to_string(cap) + " at once");
+    m_store.put(
+            "op/wave/1",
+            json{{"wave", 1}, {"machines", json(machines)}, {"duration_s", durationS}, {"cap", cap}}
+                    .dump());
+    m_record.line("operator: a wave over " + std::to_string(machines.size()) + " machines, at most "
+                  + std::to_string(cap) + " at once");
 }
 
 void Deployment::delayOrders(double share, int milliseconds)
@@ -254,11 +255,10 @@
             {"services",
              json::array({{{"name", "swaps"}, {"admission_check", false}, {"standby", false}}})},
             {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 262144}}},
-            {"tenants",
-             json::array({{{"name", "drivers"},
-                           {"api_keys", json::array({key})},
-                           {"weight", 48},
-                           {"cap", {{"cpu", 0}, {"mem_mb", 0}, {"gpu", 0}}}}})}};
+            {"tenants", json::array({{{"name", "drivers"},
+                                      {"api_keys", json::array({key})},
+                                      {"weight", 48},
+                                      {"cap", {{"cpu", 0}, {"mem_mb", 0}, {"gpu", 0}}}}})}};
     m_store.put("op/config", config.dump());
 }
 
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -28,7 +28,8 @@
     Record &record() { return m_record; }
     Minion &addMinion(MinionSettings settings);
     std::vector<RunLog> runs() const;
-    // Writes the configuration: one service, a queue /jobs/ for tenants and a public one, /lasting/.
+    // Writes the configuration: one service, a queue /jobs/ for tenants and a public one,
+    // /lasting/.
     void configure();
     void startEntries(std::size_t count);
     // Waits until all entries are ready and all minions are in use; false: they were not in time.
