Scheduling: fair shares, useful work first, learned run times, copies, slow targets

Cause: open steps of all workspaces stood in one order, so that one that sends many times its usual took the pool from the others; jobs that could no longer be of use went first of those that were late; run times were one mean ratio a queue, lost with each change of owners; copies of speculative tasks were read and never made; a slow target got as much as a sound one.

--- a/src/app/internal/servecommand.cpp
+++ b/src/app/internal/servecommand.cpp
@@ -11,21 +11,46 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <sstream>
 #include <string>
 
 DEFINE_string(config, "", "serve: file with the entry's settings");
+DEFINE_string(without, "",
+              "serve on the platform: parts of scheduling that are off, separated by commas: "
+              "fair-shares, useful-first, run-times, copies, target-speeds");
+DEFINE_uint64(run_time_kinds, 2000,
+              "serve on the platform: kinds of work whose run times are remembered");
 
 namespace cyclamenlatch::app {
 
 namespace {
 
+Result<scheduling::SchedulingFeatures> parseFeatures(const std::string &list)
+{
+    scheduling::SchedulingFeatures features;
+    std::istringstream names(list);
+    for (std::string name; std::getline(names, name, ',');) {
+        const auto feature = scheduling::schedulingFeatureNames.value(name);
+        if (!feature) {
+            return failure(ErrorKind::InvalidInput,
+                           "--without: \"" + name + "\" is not a part of scheduling",
+                           "choose from those that cyclamenlatch --help serve names");
+        }
+        features.insert(*feature);
+    }
+    return features;
+}
+
 int serveOnPlatform(const std::string &settingsPath)
 {
     auto settings = platform::readEntrySettings(settingsPath);
-    if (!settings) {
-        std::cerr << settings.error().toString() << "\n";
+    const auto disabled = parseFeatures(FLAGS_without);
+    if (!settings || !disabled) {
+        std::cerr << (settings ? disabled.error() : settings.error()).toString() << "\n";
         return exitUsage;
     }
+    settings.value().disabled = disabled.value();
+    settings.value().maxRunTimeKinds = FLAGS_run_time_kinds;
     control::PlatformEntry entry(std::move(settings).value(), settingsPath);
     if (const auto ended = entry.run(); !ended) {
         std::cerr << ended.error().toString() << "\n";
--- a/src/control/controlevents.h
+++ b/src/control/controlevents.h
@@ -90,6 +90,14 @@
 inline constexpr Event ownerWork{
         1833, Severity::Info, "owner-work",
         "Work of the owner's event loop in the last second: count/milliseconds by kind."};
+inline constexpr Event runTimesStored{
+        1834, Severity::Info, "run-times-stored",
+        "The owner has stored the run times that it has learned; says for how many kinds of work, "
+        "and by queue the mean errors of learned and of declared times, as factors."};
+inline constexpr Event runTimesRestored{
+        1835, Severity::Info, "run-times-restored",
+        "The owner goes on with the run times that an earlier one has learned; says how many kinds "
+        "of work they are for."};
 inline constexpr Event waveChanged{1831, Severity::Info, "wave-changed",
                                    "The stored progress of a maintenance wave has changed."};
 
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -51,6 +51,8 @@
     owner.longestLease = settings.maxRunLease;
     owner.stopTimeout = settings.stopTimeout;
     owner.remoteSlowdownFactor = settings.remoteSlowdownFactor;
+    owner.maxRunTimeKinds = settings.maxRunTimeKinds;
+    owner.disabled = settings.disabled;
     return owner;
 }
 
@@ -104,6 +106,7 @@
 void OwnerService::start(const scheduling::FleetRules &rules)
 {
     setRules(rules);
+    loadRunTimes();
     loadStates();
 }
 
@@ -477,6 +480,7 @@
     recordTargets();
     plan();
     purgeEndedJobs();
+    storeRunTimes();
     logWork();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this, due = bootNow() + tickInterval,
@@ -518,6 +522,8 @@
             {Kind::AttemptLimitUnknown, "attempt-limit-unknown"},
             {Kind::Reserved, "target-reserved"},
             {Kind::ReservationReleased, "reservation-released"},
+            {Kind::Copied, "copied"},
+            {Kind::CopyStopped, "copy-stopped"},
     };
     static constexpr NameTable names{entries};
     m_metrics.count(fmt::format(R"(decisions_total{{what="{}"}})", names.name(decision.kind)));
--- a/src/control/internal/records.cpp
+++ b/src/control/internal/records.cpp
@@ -117,6 +117,12 @@
     archive(progress.done, progress.failedAttempts, progress.checkpoints);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, RunTimeHistory::Record &record)
+{
+    archive(record.kind, record.ratios, record.times);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, JobProgress &progress)
 {
@@ -252,6 +258,16 @@
     return decode<OrderedTargets>(record);
 }
 
+std::string encodeRunTimes(const std::vector<scheduling::RunTimeHistory::Record> &records)
+{
+    return encode(records);
+}
+
+Result<std::vector<scheduling::RunTimeHistory::Record>> decodeRunTimes(const std::string &record)
+{
+    return decode<std::vector<scheduling::RunTimeHistory::Record>>(record);
+}
+
 std::string encodeIds(const std::vector<std::string> &ids)
 {
     return encode(ids);
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -86,6 +86,10 @@
     void sendOrder(net::HttpCall call, const Kind &order, ReplyHandler<Kind> handler);
     void advise(const scheduling::AdviseOrder &order);
     void recordTargets();
+    // Reads and writes the run times that owners have learned. They only help to decide well, so
+    // that nothing waits for either.
+    void loadRunTimes();
+    void storeRunTimes();
 
     // Planning and storing.
     void schedulePlan();
@@ -132,6 +136,9 @@
     bool m_isRecordingTargets = false;
     OrderedTargets m_recordedTargets;
     TimePoint m_targetsRecordedAt{};
+    // When run times were last stored or were to be stored, and how many runs had been added then.
+    TimePoint m_runTimesStoredAt{};
+    std::uint64_t m_runTimesStored = 0;
     bool m_isFlushing = false;
     TimePoint m_lastFlush{};
     // Ended jobs with the time after which their state is removed from the store.
--- a/src/control/records.h
+++ b/src/control/records.h
@@ -4,6 +4,7 @@
 
 #include "global/result.h"
 #include "scheduling/jobrecord.h"
+#include "scheduling/runtimehistory.h"
 
 #include <cstddef>
 #include <map>
@@ -57,6 +58,9 @@
 
 std::string encodeOrderedTargets(const OrderedTargets &targets);
 Result<OrderedTargets> decodeOrderedTargets(const std::string &record);
+// The run times that an owner has learned.
+std::string encodeRunTimes(const std::vector<scheduling::RunTimeHistory::Record> &records);
+Result<std::vector<scheduling::RunTimeHistory::Record>> decodeRunTimes(const std::string &record);
 std::string encodeIds(const std::vector<std::string> &ids);
 Result<std::vector<std::string>> decodeIds(const std::string &record);
 
--- a/src/control/storekeys.h
+++ b/src/control/storekeys.h
@@ -16,6 +16,8 @@
 inline constexpr std::string_view termKey = "term";
 // Targets that may have runs; see OrderedTargets.
 inline constexpr std::string_view orderedTargetsKey = "ordered-targets";
+// Run times that owners have learned; see RunTimeHistory.
+inline constexpr std::string_view runTimesKey = "run-times";
 // Submissions of jobs that have not ended, one key per job.
 inline constexpr std::string_view jobPrefix = "job/";
 // Phase and progress of each job, kept for the retention period after its end.
--- a/src/control/tests/records_tests.cpp
+++ b/src/control/tests/records_tests.cpp
@@ -27,6 +27,18 @@
     EXPECT_EQ(read.value().spec.steps[1].dataRack, "r1-3");
 }
 
+TEST(Records, runTimesSurviveARoundTripAndBrokenOnesAreErrors)
+{
+    const std::vector<scheduling::RunTimeHistory::Record> records{{"queue q", {-3, 7}, {120}},
+                                                                  {"image i", {}, {5, 6}}};
+    const auto text = encodeRunTimes(records);
+    const auto read = decodeRunTimes(text);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value(), records);
+    EXPECT_FALSE(decodeRunTimes(text.substr(0, text.size() / 2)));
+    EXPECT_FALSE(decodeRunTimes("not a record"));
+}
+
 TEST(Records, limitsOfASubmissionSurviveARoundTrip)
 {
     scheduling::JobSubmission job;
--- a/src/platform/entrysettings.h
+++ b/src/platform/entrysettings.h
@@ -3,6 +3,7 @@
 
 #include "global/result.h"
 #include "net/httpserversettings.h"
+#include "scheduling/schedulingfeature.h"
 
 #include <chrono>
 #include <cstddef>
@@ -48,6 +49,10 @@
     std::chrono::seconds endedJobRetention{120};
     // Factor by which tasks take longer away from the rack of their data.
     double remoteSlowdownFactor = 1.5;
+
+    // Not in the file, but set by flags of the command line.
+    std::size_t maxRunTimeKinds = 2000;
+    scheduling::SchedulingFeatures disabled;
 };
 
 // Fail with InvalidInput and a message that names the missing or malformed field, readEntrySettings
--- a/src/scheduling/internal/criticalpath.h
+++ b/src/scheduling/internal/criticalpath.h
@@ -1,4 +1,4 @@
-// The critical path of a job, by its caller's estimates.
+// The critical path of a job.
 #pragma once
 
 #include "scheduling/jobspec.h"
@@ -9,11 +9,13 @@
 namespace cyclamenlatch::scheduling::detail {
 
 // Milliseconds from the start of each step to the end of the job along the longest path.
-inline std::vector<double> criticalPathsFromSteps(const JobSpec &spec)
+// stepTime(index) gives the milliseconds that a task of a step takes.
+template<typename StepTime>
+std::vector<double> criticalPathsFromSteps(const JobSpec &spec, const StepTime &stepTime)
 {
     std::vector<double> criticalPaths(spec.steps.size(), 0);
     for (std::size_t index = spec.steps.size(); index-- > 0;) {
-        criticalPaths[index] += static_cast<double>(spec.steps[index].estimate.count());
+        criticalPaths[index] += stepTime(index);
         for (const auto before : spec.steps[index].after) {
             criticalPaths[before] = std::max(criticalPaths[before], criticalPaths[index]);
         }
@@ -21,13 +23,10 @@
     return criticalPaths;
 }
 
-inline double criticalPathMilliseconds(const JobSpec &spec)
+inline double longestPath(const std::vector<double> &criticalPaths)
 {
-    double longest = 0;
-    for (const double path : criticalPathsFromSteps(spec)) {
-        longest = std::max(longest, path);
-    }
-    return longest;
+    return criticalPaths.empty() ? 0
+                                 : *std::max_element(criticalPaths.begin(), criticalPaths.end());
 }
 
 } // namespace cyclamenlatch::scheduling::detail
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -11,10 +11,19 @@
 
 using detail::TaskPhase;
 
+namespace {
+
+// A result is late after its objective, and of no use after this many times the time that its
+// objective allows.
+constexpr int usefulFactor = 3;
+
+} // namespace
+
 OwnerCore::OwnerCore(OwnerSettings settings, TimePoint now, Listener listener)
-    : m_settings(settings)
+    : m_settings(std::move(settings))
     , m_began(now)
     , m_listener(std::move(listener))
+    , m_runTimes(m_settings.maxRunTimeKinds)
 {}
 
 OwnerCore::~OwnerCore() = default;
@@ -36,7 +45,6 @@
     }
     auto job = std::make_unique<JobState>();
     job->submission = std::move(submission);
-    job->criticalPaths = detail::criticalPathsFromSteps(job->submission.spec);
     job->phase = progress.phase;
     job->hasWaitingMark = progress.phase == JobPhase::Queued;
     job->loaded = std::move(progress);
@@ -67,6 +75,10 @@
         bucket.jobs = std::max(bucket.jobs - 1, 0.0);
     }
     const auto id = job->submission.id;
+    const auto &steps = job->submission.spec.steps;
+    if (std::any_of(steps.begin(), steps.end(), isCopyable)) {
+        m_copyableJobs.insert(id);
+    }
     if (job->submission.spec.isTimed()) {
         m_timedJobs.insert(id);
     }
@@ -152,11 +164,12 @@
     const auto age = std::clamp<WallTime::duration>(wallNow - due, {}, std::chrono::minutes(1));
     const auto *queue = queueLimits(job.submission.queue);
     const double slack = queue == nullptr ? 1 : queue->slackFactor;
-    occurrence.objective =
-            now - age
-            + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
-                    slack * detail::criticalPathMilliseconds(spec)))
+    const Duration allowed =
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
+                    slack * detail::longestPath(criticalPaths(job, now))))
             + (queue == nullptr ? Duration{} : Duration{queue->targetLatency});
+    occurrence.objective = now - age + allowed;
+    occurrence.usefulUntil = now - age + usefulFactor * allowed;
     occurrence.steps.resize(spec.steps.size());
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
         auto &step = occurrence.steps[index];
@@ -264,17 +277,25 @@
         return;
     }
     --(task.phase == TaskPhase::Waiting ? step.waiting : step.ordered);
-    if (task.phase == TaskPhase::Ordered && task.target != nullptr) {
-        // An earlier run turned out to be done, so the current one is no longer needed.
-        const TaskRef ref{job.submission.id, occurrence.number,
-                          static_cast<std::uint32_t>(&step - occurrence.steps.data()), index};
-        const auto run = task.target->runs.find(ref);
-        if (run != task.target->runs.end()) {
-            stopRun(*task.target, ref, run->second, now);
+    // Another run turned out to be done, an earlier one or a copy, so those that go on are no
+    // longer needed.
+    const TaskRef ref{job.submission.id, occurrence.number,
+                      static_cast<std::uint32_t>(&step - occurrence.steps.data()), index};
+    for (auto *target : {task.target, task.copyTarget}) {
+        const auto run =
+                target == nullptr ? decltype(target->runs.find(ref)){} : target->runs.find(ref);
+        if (target == nullptr || run == target->runs.end()) {
+            continue;
         }
+        if (task.copyTarget != nullptr) {
+            reportDecision(Decision::Kind::CopyStopped, ref, run->second.attempt, target->info.id,
+                           "the other run has ended");
+        }
+        stopRun(*target, ref, run->second, now);
     }
     task.phase = TaskPhase::Done;
     task.target = nullptr;
+    task.copyTarget = nullptr;
     task.checkpoint.clear();
     ++step.done;
     markDirty(job, false, now);
@@ -324,6 +345,18 @@
     m_openJobs.insert(job.submission.id);
 }
 
+void OwnerCore::detachRun(JobState &job, StepState &step, TaskState &task,
+                          const TargetState &target, TimePoint now)
+{
+    if (task.copyTarget == &target) {
+        task.copyTarget = nullptr;
+    } else if (task.target == &target && task.copyTarget != nullptr) {
+        task.target = std::exchange(task.copyTarget, nullptr);
+    } else if (task.target == &target) {
+        requeueTask(job, step, task, now);
+    }
+}
+
 void OwnerCore::recordTargetFailure(TargetState &target, JobNumber job, TimePoint now)
 {
     // Repeated failures of a single job may be caused by the job itself.
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -24,8 +24,10 @@
 constexpr unsigned maxStartCalls = 3;
 // A target with this many failed calls in a row gets no new work.
 constexpr std::uint32_t failedCallsBeforeExclusion = 1;
-// A task whose target reports no progress for this long hangs.
-constexpr std::chrono::milliseconds stallTime{2500};
+// A task whose target reports no progress for this long hangs, or for longer if so many percent of
+// its usual run time take longer.
+constexpr std::chrono::milliseconds minStallTime{2500};
+constexpr int stallPercent = 3;
 // Fraction of a workspace's cap that is kept free while some targets are not contacted, for runs
 // there whose jobs were cancelled or failed right before the change of owners. Such jobs are a few
 // in a hundred.
@@ -199,7 +201,7 @@
 
 void OwnerCore::planStalls(TargetState &target, TimePoint now)
 {
-    if (now - target.lastAnswer > stallTime) {
+    if (now - target.lastAnswer > minStallTime) {
         return;
     }
     for (auto &[task, run] : target.runs) {
@@ -212,7 +214,9 @@
         if (state == nullptr || step->spec->isGang) {
             continue;
         }
-        const auto bound = run.isLongRunning ? Duration{startupTime} : Duration{stallTime};
+        const auto usualGap = runTime(*job, task.step).high * stallPercent / 100;
+        const auto bound = run.isLongRunning ? Duration{startupTime}
+                                             : std::max<Duration>(minStallTime, usualGap);
         const bool isStalled = run.percent < 100 && target.lastAnswer - run.progressAt > bound;
         if (!isStalled) {
             continue;
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -50,8 +50,8 @@
     dropRun(target, task);
     JobState *job = nullptr;
     StepState *step = nullptr;
-    if (auto *state = findTask(task, &job, &step); state != nullptr && state->target == &target) {
-        requeueTask(*job, *step, *state, now);
+    if (auto *state = findTask(task, &job, &step); state != nullptr) {
+        detachRun(*job, *step, *state, target, now);
     }
 }
 
@@ -150,9 +150,9 @@
                    end.outcome == RunOutcome::Done     ? "done"
                    : end.outcome == RunOutcome::Failed ? "failed"
                                                        : "cut short");
-    const auto run = target.runs.find(end.task);
-    const bool isCurrent = run != target.runs.end() && run->second.attempt == end.attempt;
-    const auto ranFor = isCurrent ? now - run->second.orderedAt : Duration{};
+    const auto found = target.runs.find(end.task);
+    const bool isCurrent = found != target.runs.end() && found->second.attempt == end.attempt;
+    const auto run = isCurrent ? found->second : RunState{};
     if (isCurrent) {
         dropRun(target, end.task);
     }
@@ -176,15 +176,11 @@
         task.checkpoint = end.checkpoint;
         markDirty(*job, false, now);
     }
+    if (run.isWholeRun) {
+        learnRunTime(target, run, *job, end, now);
+    }
     if (end.outcome == RunOutcome::Done && !step->spec->isLongRunning) {
         target.consecutiveFailures = 0;
-        if (isCurrent) {
-            // Makes the mean cover about a hundred runs.
-            constexpr double decay = 0.99;
-            auto &times = m_runTimes[job->submission.queue];
-            times.real = decay * times.real + toSeconds(ranFor);
-            times.guessed = decay * times.guessed + toSeconds(step->spec->estimate);
-        }
         if (!step->spec->isGang) {
             return markDone(*job, *occurrence, *step, end.task.index, now);
         }
@@ -201,8 +197,8 @@
         }
         return;
     }
-    if (isCurrent && task.target == &target) {
-        requeueTask(*job, *step, task, now);
+    if (isCurrent) {
+        detachRun(*job, *step, task, target, now);
     }
     if (end.outcome == RunOutcome::Failed) {
         handleRunFailure(target, *job, *step, end, now);
@@ -275,7 +271,8 @@
 }
 
 // Takes over a run that an earlier owner started, or whose start was given up. The run continues if
-// its task is waiting; otherwise it is stopped.
+// its task is waiting, or as the copy of another run where the step allows that; otherwise it is
+// stopped.
 void OwnerCore::adopt(TargetState &target, const RunStatus &row, TimePoint now)
 {
     JobState *job = nullptr;
@@ -313,6 +310,13 @@
     auto &added = addRun(target, row.task, *job, *step->spec, std::move(run));
     addJobTarget(*job, target);
     reportDecision(Decision::Kind::Adopted, row.task, row.attempt, target.info.id);
+    const bool isCopy = isCopyable(*step->spec) && task->phase == TaskPhase::Ordered
+                        && task->copyTarget == nullptr && task->target != &target
+                        && !isFinal(job->phase);
+    if (isCopy) {
+        task->copyTarget = &target;
+        return;
+    }
     if (task->phase != TaskPhase::Waiting || isFinal(job->phase)) {
         return stopRun(target, row.task, added, now);
     }
@@ -449,10 +453,10 @@
         constexpr std::chrono::milliseconds quarantineAfterRefusal{500};
         target->quarantinedUntil = std::max(target->quarantinedUntil, now + quarantineAfterRefusal);
     }
-    if (task == nullptr || task->target != target) {
+    if (task == nullptr || (task->target != target && task->copyTarget != target)) {
         return;
     }
-    requeueTask(*job, *step, *task, now);
+    detachRun(*job, *step, *task, *target, now);
     if (step->spec->isGang) {
         // Stops the other members of the gang, which would wait for this one in vain.
         for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -8,8 +8,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
-#include <tuple>
 #include <utility>
 
 namespace cyclamenlatch::scheduling {
@@ -21,6 +21,12 @@
 
 // A long-running task that fits on no target gets a target reserved after this time.
 constexpr std::chrono::milliseconds reserveAfter{300};
+// How often tasks are examined for a copy.
+constexpr std::chrono::milliseconds copyInterval{100};
+// A target counts as slow from this slowdown on, and then each doubling weighs as much as this many
+// whole targets of free room.
+constexpr double minSlowdown = 1.5;
+constexpr double slowdownWeight = 2;
 // Range of attempt numbers of one task in one term, so that those of the next owner are higher.
 constexpr std::uint32_t attemptsPerTerm = 4096;
 
@@ -37,19 +43,14 @@
         }
         at = open.size() == before ? m_openJobs.erase(at) : std::next(at);
     }
-    std::sort(open.begin(), open.end(), [](const OpenStep &left, const OpenStep &right) {
-        return std::tuple(left.band, left.isBehind, left.priority, !left.hasBegun, left.due,
-                          left.job->submission.id, left.occurrence->number, left.stepIndex)
-               < std::tuple(right.band, right.isBehind, right.priority, !right.hasBegun, right.due,
-                            right.job->submission.id, right.occurrence->number, right.stepIndex);
-    });
+    std::sort(open.begin(), open.end(),
+              [](const OpenStep &left, const OpenStep &right) { return left.key() < right.key(); });
     return open;
 }
 
-void OwnerCore::addOpenSteps(JobState &job, TimePoint now, std::vector<OpenStep> &open) const
+void OwnerCore::addOpenSteps(JobState &job, TimePoint now, std::vector<OpenStep> &open)
 {
     const auto *queue = queueLimits(job.submission.queue);
-    const double ratio = runTimeRatio(job.submission.queue);
     for (auto &[number, occurrence] : job.occurrences) {
         const bool hasBegun =
                 std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
@@ -70,10 +71,13 @@
                 item.hasBegun = hasBegun;
                 // Ordered by the latest start that still meets the objective.
                 const auto remaining = std::chrono::duration_cast<Duration>(
-                        std::chrono::duration<double, std::milli>(ratio
-                                                                  * job.criticalPaths[index]));
+                        std::chrono::duration<double, std::milli>(criticalPaths(job, now)[index]));
                 item.due = occurrence.objective - remaining;
-                item.isBehind = job.isExcess || now > item.due;
+                const bool isOverdue = isEnabled(SchedulingFeature::UsefulFirst)
+                                       && now > occurrence.usefulUntil - remaining;
+                item.usefulness = isOverdue                        ? Usefulness::Overdue
+                                  : job.isExcess || now > item.due ? Usefulness::Behind
+                                                                   : Usefulness::InTime;
             }
             open.push_back(item);
         }
@@ -82,17 +86,27 @@
 
 void OwnerCore::planStarts(TimePoint now)
 {
-    const auto steps = openSteps(now);
+    auto steps = openSteps(now);
     m_statistics.stepsExamined += steps.size();
+    const bool areCopiesDue = !m_copyableJobs.empty() && now - m_copiesPlannedAt >= copyInterval
+                              && isEnabled(SchedulingFeature::Copies);
     if (steps.empty()) {
+        m_shares.keepBusy({});
+    }
+    if (steps.empty() && !areCopiesDue) {
         return;
     }
-    std::unordered_map<std::string, std::vector<TargetState *>> pools;
+    Pools pools;
+    m_poolCapacity.clear();
     for (auto *target : m_targetsById) {
         if (isUsable(*target, now)) {
             pools[target->info.service].push_back(target);
+            m_poolCapacity[target->info.service] += target->info.capacity;
         }
     }
+    if (isEnabled(SchedulingFeature::FairShares)) {
+        orderFairly(steps, pools);
+    }
     countUncertainUse(now);
     releaseReservations(now);
     // By service, an upper bound of the free resources of each of its targets.
@@ -124,6 +138,12 @@
             free->second = maxResources(pool->second);
         }
     }
+    const auto crowded = crowdedServices(steps);
+    m_shares.keepBusy(crowded);
+    if (areCopiesDue) {
+        m_copiesPlannedAt = now;
+        planCopies(crowded, pools, now);
+    }
 }
 
 // Maximum of the free resources over the targets, taken for each resource separately.
@@ -188,8 +208,7 @@
         }
         auto *target = choose(open, task, ref, pool, now);
         if (target != nullptr) {
-            start(open, index, *target, (m_settings.term - 1) * attemptsPerTerm + ++task.starts,
-                  now);
+            start(open, index, *target, nextAttempt(task), now);
         } else if (open.step->spec->isLongRunning && now - task.waitingSince > reserveAfter) {
             return reserve(open, task, ref, pool, now);
         } else {
@@ -245,6 +264,8 @@
                          : 0;
         score += target->info.id == task.failedOn ? 8 : 0;
         score += target->consecutiveFailures;
+        const double factor = slowdown(*target, now);
+        score += factor > minSlowdown ? slowdownWeight * std::log2(factor) : 0;
         if (best == nullptr || score < bestScore) {
             best = target;
             bestScore = score;
@@ -270,7 +291,7 @@
     }
     return spec.maxTasksPerTarget == 0
            || std::count_if(step.tasks.begin(), step.tasks.end(), [&](const auto &other) {
-                  return other.target == &target;
+                  return other.target == &target || other.copyTarget == &target;
               }) < spec.maxTasksPerTarget;
 }
 
@@ -337,22 +358,34 @@
                       std::uint32_t attempt, TimePoint now)
 {
     auto &task = open.step->tasks[index];
-    const auto &spec = *open.step->spec;
     const TaskRef ref{open.job->submission.id, open.occurrence->number, open.stepIndex, index};
     task.phase = TaskPhase::Ordered;
     task.target = &target;
     --open.step->waiting;
     ++open.step->ordered;
+    if (target.reservedFor == ref) {
+        target.reservedFor.reset();
+    }
+    orderRun(open, ref, target, attempt, now);
+}
+
+std::uint32_t OwnerCore::nextAttempt(TaskState &task) const
+{
+    return static_cast<std::uint32_t>((m_settings.term - 1) * attemptsPerTerm) + ++task.starts;
+}
+
+void OwnerCore::orderRun(const OpenStep &open, const TaskRef &ref, TargetState &target,
+                         std::uint32_t attempt, TimePoint now)
+{
     RunState run;
     run.attempt = attempt;
     run.life = target.life;
     run.orderedAt = now;
     run.progressAt = now;
     run.paceOrderedAt = now;
-    addRun(target, ref, *open.job, spec, std::move(run));
-    if (target.reservedFor == ref) {
-        target.reservedFor.reset();
-    }
+    run.isWholeRun = open.step->tasks[ref.index].checkpoint.empty();
+    addRun(target, ref, *open.job, *open.step->spec, std::move(run));
+    chargeShare(*open.job, ref.step);
     if (open.job->phase == JobPhase::Queued) {
         open.job->phase = JobPhase::Running;
     }
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -7,6 +7,7 @@
 #include "scheduling/keepalivereport.h"
 #include "scheduling/responsetimeestimator.h"
 #include "scheduling/targetinfo.h"
+#include "scheduling/targetspeed.h"
 
 #include <cstdint>
 #include <map>
@@ -30,6 +31,8 @@
     std::uint32_t starts = 0;
     // Target that the task is ordered on; null in other phases.
     TargetState *target = nullptr;
+    // Target of a second run of the task beside the one on target, of a step that allows copies.
+    TargetState *copyTarget = nullptr;
     // Of a long-running task: it was at work according to the last report.
     bool isAtWork = false;
     // Target of the last failure; it may no longer exist.
@@ -72,15 +75,18 @@
     std::uint32_t number = 0;
     std::vector<StepState> steps;
     std::uint32_t stepsDone = 0;
-    // Time by which the occurrence should end.
+    // Time by which the occurrence should end, and that after which its result is of no use.
     TimePoint objective{};
+    TimePoint usefulUntil{};
 };
 
 struct JobState
 {
     JobSubmission submission;
-    // Milliseconds from each step's start to the job's end, by the caller's estimates.
+    // Milliseconds from each step's start to the job's end, by the run times that were expected at
+    // pathsAt.
     std::vector<double> criticalPaths;
+    TimePoint pathsAt{};
     JobPhase phase = JobPhase::Queued;
     // Occurrences that are due and not done.
     std::map<std::uint32_t, OccurrenceState> occurrences;
@@ -162,6 +168,8 @@
     int pace = 100;
     int orderedPace = 100;
     TimePoint paceOrderedAt{};
+    // This owner has started it, and without a checkpoint: its length is that of the whole task.
+    bool isWholeRun = false;
     // Number of the last list of the target that showed the run.
     std::uint64_t lastReportNumber = 0;
     // Progress in percent, and the metric, as last reported; see RunStatus.
@@ -231,6 +239,7 @@
     std::uint32_t consecutiveFailures = 0;
     JobNumber lastFailedJob = 0;
     TimePoint quarantinedUntil{};
+    TargetSpeed speed;
     // Long-running task that the target is kept free for.
     std::optional<TaskRef> reservedFor;
     TimePoint reservedUntil{};
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -283,37 +283,26 @@
     return target.isAdopted ? Contact::Reachable : Contact::NotContacted;
 }
 
-double OwnerCore::runTimeRatio(const std::string &queue) const
-{
-    // The estimates are used unchanged until enough runs have ended.
-    constexpr double minEstimatedSeconds = 5;
-    const auto found = m_runTimes.find(queue);
-    return found == m_runTimes.end() || found->second.guessed < minEstimatedSeconds
-                   ? 1
-                   : found->second.real / found->second.guessed;
-}
-
 double OwnerCore::Arrivals::workAt(TimePoint now) const
 {
     return work * std::exp(-toSeconds(now - updated) / seconds);
 }
 
-void OwnerCore::countArrival(const JobState &job, TimePoint now)
+void OwnerCore::countArrival(JobState &job, TimePoint now)
 {
     constexpr double milli = 0.001;
     const auto &spec = job.submission.spec;
-    const double ratio = runTimeRatio(job.submission.queue);
     auto &arrivals = m_arrivals[job.submission.queue];
     arrivals.work = arrivals.workAt(now);
     arrivals.service = job.submission.service;
     arrivals.updated = now;
-    const double length = std::max(minArrivalWindowSeconds,
-                                   milli * ratio * detail::criticalPathMilliseconds(spec));
+    const double length =
+            std::max(minArrivalWindowSeconds, milli * detail::longestPath(criticalPaths(job, now)));
     arrivals.seconds += jobLengthWeight * (length - arrivals.seconds);
-    for (const auto &step : spec.steps) {
-        arrivals.work += milli * milli * ratio * step.count
-                         * static_cast<double>(step.requiredResources.processors)
-                         * static_cast<double>(step.estimate.count());
+    for (std::uint32_t index = 0; index < spec.steps.size(); ++index) {
+        const auto &step = spec.steps[index];
+        arrivals.work += milli * step.count * static_cast<double>(step.requiredResources.processors)
+                         * toSeconds(runTime(job, index).mean);
     }
 }
 
@@ -343,9 +332,9 @@
             continue;
         }
         auto &demand = demands[job->submission.service];
-        const double ratio = runTimeRatio(job->submission.queue);
         for (const auto &[number, occurrence] : job->occurrences) {
-            for (const auto &step : occurrence.steps) {
+            for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
+                const auto &step = occurrence.steps[index];
                 if (step.spec->isLongRunning && step.spec->maxTasksPerTarget > 0) {
                     const std::size_t maxPerTarget = step.spec->maxTasksPerTarget;
                     demand.spread = std::max(demand.spread,
@@ -358,11 +347,11 @@
                                     : milli * step.waiting
                                               * static_cast<double>(
                                                       step.spec->requiredResources.processors);
-                } else if (step.isOpen && occurrence.objective > now) {
+                } else if (step.isOpen && step.waiting > 0 && occurrence.objective > now) {
                     demand.openWork +=
-                            milli * milli * ratio * step.waiting
+                            milli * step.waiting
                             * static_cast<double>(step.spec->requiredResources.processors)
-                            * static_cast<double>(step.spec->estimate.count());
+                            * toSeconds(runTime(*job, index).mean);
                 }
             }
         }
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -2,19 +2,23 @@
 // stopped and what is stored. No input or output: events and times come in, orders and records go
 // out.
 //
-// A task is ordered on at most one target at a time. Its resources count against the target and
-// the workspace until the target lists the end of the run, or a stop was answered and the target
-// then no longer lists the run, or the target's lease has expired even on a clock that is 2% slow.
+// A task is ordered on at most one target at a time, or on two if its step allows copies. The
+// resources of each run count against its target and the workspace until the target lists the end
+// of the run, or a stop was answered and the target then no longer lists the run, or the target's
+// lease has expired even on a clock that is 2% slow.
 #pragma once
 
 #include "global/time.h"
+#include "scheduling/fairshares.h"
 #include "scheduling/fleetrules.h"
 #include "scheduling/hostinfo.h"
 #include "scheduling/jobrecord.h"
 #include "scheduling/keepalivereport.h"
 #include "scheduling/orders.h"
 #include "scheduling/ownersettings.h"
+#include "scheduling/runtimehistory.h"
 #include "scheduling/targetinfo.h"
+#include "scheduling/targetspeed.h"
 
 #include <cstdint>
 #include <deque>
@@ -84,6 +88,9 @@
         AttemptLimitUnknown,
         Reserved,
         ReservationReleased,
+        // A second run of a task was begun, and one of two was stopped because the other has ended.
+        Copied,
+        CopyStopped,
     };
     Kind kind = Kind::Started;
     TaskRef task;
@@ -255,6 +262,12 @@
     bool hasContactedAllTargets() const;
     // By service.
     std::map<std::string, PoolDemand> demands(TimePoint now) const;
+    const RunTimeHistory &runTimes() const { return m_runTimes; }
+    // What an earlier owner has learned; what this one has seen itself goes first.
+    void restoreRunTimes(const std::vector<RunTimeHistory::Record> &records)
+    {
+        m_runTimes.restore(records);
+    }
     // When a job of short tasks last arrived; nothing before the first.
     std::optional<TimePoint> lastShortJob() const { return m_lastShortJob; }
 
@@ -305,6 +318,9 @@
     void finishJob(JobState &job, JobPhase phase, TimePoint now);
     void markDirty(JobState &job, bool isUrgent, TimePoint now);
     void requeueTask(JobState &job, StepState &step, TaskState &task, TimePoint now);
+    // The task no longer runs on the target: its other run goes on, or it waits for another start.
+    void detachRun(JobState &job, StepState &step, TaskState &task, const TargetState &target,
+                   TimePoint now);
     void stopRunsOf(const JobState &job, TimePoint now);
     // Adds the target to those that may run a task of the job and returns its position there.
     static std::size_t addJobTarget(JobState &job, const TargetState &target);
@@ -378,9 +394,43 @@
     std::uint32_t unavailableTasks(const StepState &step, TimePoint now) const;
     // Whether no more tasks of the step may be made unavailable now.
     bool isDisruptionBudgetExhausted(const StepState &step, TimePoint now) const;
+    // Usable targets by service.
+    using Pools = std::unordered_map<std::string, std::vector<TargetState *>>;
     void planStarts(TimePoint now);
     std::vector<OpenStep> openSteps(TimePoint now);
-    void addOpenSteps(JobState &job, TimePoint now, std::vector<OpenStep> &open) const;
+    void addOpenSteps(JobState &job, TimePoint now, std::vector<OpenStep> &open);
+    // Puts the steps of workspaces that compete for a pool in a fair order.
+    void orderFairly(std::vector<OpenStep> &steps, const Pools &pools);
+    // Services with steps of short tasks that found no room.
+    static std::set<std::string> crowdedServices(const std::vector<OpenStep> &steps);
+    // Counts the run as the workspace's use of its pool.
+    void chargeShare(const JobState &job, std::uint32_t stepIndex);
+    // The part of the service's pool that a task takes, of the resource that it takes most of,
+    // times its expected seconds.
+    double poolSeconds(const JobState &job, std::uint32_t stepIndex) const;
+    double workspaceWeight(const std::string &workspace) const;
+    // Copies of tasks that take long or whose target is out of reach.
+    void planCopies(const std::set<std::string> &crowded, const Pools &pools, TimePoint now);
+    // Returns whether there was room for all copies that the step needs.
+    bool copyTasks(const OpenStep &open, const std::vector<TargetState *> &pool, Resources &budget,
+                   TimePoint now);
+    // Why a second run of the task would end sooner; empty: it would not.
+    static std::string reasonToCopy(const TaskState &task, const TaskRef &ref,
+                                    const RunTimeEstimate &usual, TimePoint now);
+    static bool isCopyable(const StepSpec &spec);
+    bool isEnabled(SchedulingFeature feature) const
+    {
+        return !m_settings.disabled.contains(feature);
+    }
+    // Run times.
+    RunTimeEstimate runTime(const JobState &job, std::uint32_t step) const;
+    static RunKind runKind(const JobState &job, std::uint32_t step);
+    // The critical paths of the job by the run times that are expected now.
+    const std::vector<double> &criticalPaths(JobState &job, TimePoint now) const;
+    // How many times as long runs take there as on the pool's other targets.
+    double slowdown(const TargetState &target, TimePoint now) const;
+    void learnRunTime(TargetState &target, const RunState &run, const JobState &job,
+                      const EndedRun &end, TimePoint now);
     void startStep(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     void startGang(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     TargetState *choose(const OpenStep &open, const TaskState &task, const TaskRef &ref,
@@ -405,6 +455,11 @@
     std::string reasonToRelease(const TargetState &target, const TaskRef &ref, TimePoint now) const;
     void start(const OpenStep &open, std::uint32_t index, TargetState &target,
                std::uint32_t attempt, TimePoint now);
+    // Orders a run of the task; its start is sent once the target is stored for the job.
+    void orderRun(const OpenStep &open, const TaskRef &ref, TargetState &target,
+                  std::uint32_t attempt, TimePoint now);
+    // Number of the task's next attempt under this owner.
+    std::uint32_t nextAttempt(TaskState &task) const;
     void sendStart(TargetState &target, const TaskRef &ref, RunState &run, TimePoint now);
     // The order that starts the run, with the target's current lease.
     StartOrder startOrder(TargetState &target, const TaskRef &ref, const RunState &run) const;
@@ -467,15 +522,16 @@
         TimePoint refilled{};
     };
     std::unordered_map<std::string, StartTokenBucket> m_startTokenBuckets;
-    // By queue, actual and estimated run times of tasks; older runs have less weight.
-    struct RunTimes
-    {
-        double real = 0;
-        double guessed = 0;
-    };
-    std::unordered_map<std::string, RunTimes> m_runTimes;
-    double runTimeRatio(const std::string &queue) const;
-    void countArrival(const JobState &job, TimePoint now);
+    RunTimeHistory m_runTimes;
+    // By service; bounded by the services that targets name.
+    std::unordered_map<std::string, TargetSpeed> m_poolSpeeds;
+    FairShares m_shares;
+    // By service, capacity of the targets that the last plan could use.
+    std::unordered_map<std::string, Resources> m_poolCapacity;
+    // A superset of the jobs with steps that allow copies, and when they were last looked at.
+    std::unordered_set<JobNumber> m_copyableJobs;
+    TimePoint m_copiesPlannedAt{};
+    void countArrival(JobState &job, TimePoint now);
     std::optional<TimePoint> m_lastShortJob;
     // By queue, core-seconds of short tasks that arrived; older ones have less weight.
     struct Arrivals
--- a/src/scheduling/ownersettings.h
+++ b/src/scheduling/ownersettings.h
@@ -1,7 +1,10 @@
 // Settings of the scheduling core.
 #pragma once
 
+#include "scheduling/schedulingfeature.h"
+
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace cyclamenlatch::scheduling {
@@ -28,6 +31,9 @@
     std::chrono::milliseconds stopTimeout{200};
     // A task takes this many times as long on another rack than that of its data.
     double remoteSlowdownFactor = 1.5;
+    // Kinds of work whose run times are remembered; see RunTimeHistory. One takes 1 KiB at most.
+    std::size_t maxRunTimeKinds = 2000;
+    SchedulingFeatures disabled;
 };
 
 } // namespace cyclamenlatch::scheduling
