--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -33,12 +33,13 @@
     endif()
 endfunction()
 
-# Declares a GoogleTest program whose every case has an overall time limit in seconds.
+# Declares a GoogleTest program whose every case has an overall time limit in seconds. With ALONE
+# no other test runs beside its cases.
 function(cyclamenlatch_tests name)
     if(NOT CYCLAMENLATCH_TESTS)
         return()
     endif()
-    cmake_parse_arguments(TESTS "" "TIMEOUT" "SOURCES;LINKS" ${ARGN})
+    cmake_parse_arguments(TESTS "ALONE" "TIMEOUT" "SOURCES;LINKS" ${ARGN})
     if(NOT TESTS_TIMEOUT)
         set(TESTS_TIMEOUT 60)
     endif()
@@ -48,5 +49,6 @@
         CYCLAMENLATCH_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/tests")
     # A fixed seed gives the same verdict on every run; set RC_PARAMS to explore by hand.
     gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST
-        PROPERTIES TIMEOUT ${TESTS_TIMEOUT} ENVIRONMENT "RC_PARAMS=seed=1")
+        PROPERTIES TIMEOUT ${TESTS_TIMEOUT} ENVIRONMENT "RC_PARAMS=seed=1"
+            RUN_SERIAL ${TESTS_ALONE})
 endfunction()
--- a/tests/jobs/childprocess.h
+++ b/tests/jobs/childprocess.h
@@ -70,6 +70,9 @@
     // What has been read of its output, for the message of a failed check.
     const std::string &printed() const { return m_text; }
 
+    // Of the process; -1 once it was ended.
+    pid_t pid() const { return m_pid; }
+
     // Sends a signal that does not end the process.
     void signal(int signal) const
     {
