A server that counts what callers make an entry hold

Cause: RESTinio keeps each body whole until its end, with a record for each chunk, and has no hook to count either; connections were bounded by 4,096 for each port whatever the descriptors.

Change: LoopHttpServer on the entry's loop, with the parser of the client: head, body and what is read ahead are counted from the first byte until the answer is written. Limits from the machine's memory and descriptors, each with an answer that says that the request has not run, an event (E1828) and metrics.

--- a/src/app/internal/servecommand.cpp
+++ b/src/app/internal/servecommand.cpp
@@ -20,6 +20,16 @@
               "fair-shares, useful-first, run-times, copies, target-speeds");
 DEFINE_uint64(run_time_kinds, 2000,
               "serve on the platform: kinds of work whose run times are remembered");
+DEFINE_uint64(
+        caller_connections, 0,
+        "serve on the platform: open connections of callers; 0: a quarter of the descriptors");
+DEFINE_uint64(
+        caller_held_kib, 0,
+        "serve on the platform: KiB of requests that are not answered yet; 0: an eighth of the "
+        "memory");
+DEFINE_uint64(caller_stall_ms, 10000,
+              "serve on the platform: milliseconds after which an unfinished request of which "
+              "nothing comes is refused");
 
 namespace cyclamenlatch::app {
 
@@ -51,6 +61,9 @@
     }
     settings.value().disabled = disabled.value();
     settings.value().maxRunTimeKinds = FLAGS_run_time_kinds;
+    settings.value().maxCallerConnections = FLAGS_caller_connections;
+    settings.value().maxCallerHeldBytes = FLAGS_caller_held_kib * 1024;
+    settings.value().callerStallTimeout = std::chrono::milliseconds(FLAGS_caller_stall_ms);
     control::PlatformEntry entry(std::move(settings).value(), settingsPath);
     if (const auto ended = entry.run(); !ended) {
         std::cerr << ended.error().toString() << "\n";
--- a/src/control/controlevents.h
+++ b/src/control/controlevents.h
@@ -50,10 +50,20 @@
 inline constexpr Event taskDecision{
         1814, Severity::Info, "task-decision",
         "The owner has started, ended, lost or stopped a task; says why."};
+inline constexpr Event recordRejected{
+        1836, Severity::Error, "record-rejected",
+        "The store does not take the record of a job, most likely for its size; other jobs go on. "
+        "The "
+        "record is sent without checkpoints if it has any, or again later."};
 inline constexpr Event jobEnded{1815, Severity::Info, "job-ended", "A job has ended; says how."};
 inline constexpr Event targetUnreachable{
         1816, Severity::Warning, "target-unreachable",
         "A target does not answer the owner; its runs go on until their leases expire."};
+inline constexpr Event callersLimited{
+        1828, Severity::Warning, "callers-limited",
+        "Requests were refused or connections closed at a limit on what callers may make this "
+        "entry "
+        "hold; says how many by limit since the last such line, and what is held now."};
 inline constexpr Event targetRecovered{1817, Severity::Info, "target-recovered",
                                        "A target answers the owner again."};
 inline constexpr Event targetAssigned{
--- a/src/control/internal/platformentry.cpp
+++ b/src/control/internal/platformentry.cpp
@@ -10,8 +10,8 @@
 #include "control/ownerservice.h"
 #include "control/ownership.h"
 #include "control/platformstoreclient.h"
-#include "net/httpserver.h"
 #include "net/loophttpclient.h"
+#include "net/loophttpserver.h"
 #include "platform/callercodec.h"
 #include "platform/configcodec.h"
 
@@ -56,15 +56,55 @@
 // The latest exit is this long before the end of the grace period, when the platform kills the
 // process.
 constexpr std::chrono::milliseconds shutdownMargin{700};
-constexpr std::chrono::milliseconds callerReadTimeout{15000};
+constexpr std::chrono::milliseconds callerExchangeTimeout{15000};
+// The platform's readiness checks and readers of metrics have room of their own.
+constexpr std::size_t checkConnections = 32;
+constexpr std::size_t checkHeldBytes = std::size_t{256} * 1024;
+constexpr std::size_t checkBodyBytes = std::size_t{4} * 1024;
+// Interval of the log lines about limits.
+constexpr std::chrono::milliseconds intakeLogInterval{1000};
+// Part of the memory that one answer of the store or of a target may take.
+constexpr std::size_t memoryPerReply = 16;
+constexpr std::size_t minReplyBytes = std::size_t{2} * 1024 * 1024;
 // An owner of some hundred targets uses a tenth of a core or more; entries with fewer cores than
 // this leave the ownership to other entries for the claim delay.
 constexpr double minOwnerCores = 0.2;
 constexpr std::chrono::milliseconds smallEntryClaimDelay{400};
 
-net::HttpClientSettings storeClientSettings()
+std::size_t maxReplyBytes(const platform::EntrySettings &settings)
+{
+    return std::max(settings.memoryBytes / memoryPerReply, minReplyBytes);
+}
+
+net::IntakeLimits callerLimits(const platform::EntrySettings &settings)
+{
+    auto limits = net::IntakeLimits::forProcess(settings.memoryBytes, settings.maxFileDescriptors);
+    // The configuration says how long a body may be; see applyOperatorItems.
+    limits.maxBodyBytes = limits.maxHeldBytes / 2;
+    limits.exchangeTimeout = callerExchangeTimeout;
+    limits.stallTimeout = settings.callerStallTimeout;
+    if (settings.maxCallerConnections > 0) {
+        limits.maxConnections = settings.maxCallerConnections;
+    }
+    if (settings.maxCallerHeldBytes > 0) {
+        limits.maxHeldBytes = settings.maxCallerHeldBytes;
+    }
+    return limits;
+}
+
+net::IntakeLimits checkLimits()
+{
+    net::IntakeLimits limits;
+    limits.maxConnections = checkConnections;
+    limits.maxHeldBytes = checkHeldBytes;
+    limits.maxBodyBytes = checkBodyBytes;
+    return limits;
+}
+
+net::HttpClientSettings storeClientSettings(const platform::EntrySettings &settings)
 {
     net::HttpClientSettings client;
+    client.maxReplyBytes = maxReplyBytes(settings);
     client.maxConnectionsPerHost = storeConnections;
     client.maxKeptConnections = storeConnections;
     return client;
@@ -88,6 +128,7 @@
     client.maxKeptConnections = static_cast<std::size_t>(
             targetsShareOfDescriptors * static_cast<double>(settings.maxFileDescriptors));
     client.receiveBufferBytes = targetBufferBytes;
+    client.maxReplyBytes = maxReplyBytes(settings);
     return client;
 }
 
@@ -105,7 +146,8 @@
         : m_settings(std::move(settings))
         , m_settingsPath(std::move(settingsPath))
         , m_log(m_context, m_settings.name)
-        , m_storeHttp(std::make_unique<net::LoopHttpClient>(m_context, storeClientSettings()))
+        , m_storeHttp(
+                  std::make_unique<net::LoopHttpClient>(m_context, storeClientSettings(m_settings)))
         , m_targetHttp(std::make_unique<net::LoopHttpClient>(m_context,
                                                              targetClientSettings(m_settings)))
         , m_leaseHttp(std::make_unique<net::LoopHttpClient>(m_context, leaseClientSettings()))
@@ -123,19 +165,24 @@
                                  [this](const auto &items, auto, bool isSnapshot) {
                                      applyOperatorItems(items, isSnapshot);
                                  })
-        , m_callerServer(m_context, serverSettings(m_settings.callerPort),
+        , m_callerServer(m_context, m_settings.listenAddress, m_settings.callerPort,
+                         callerLimits(m_settings),
                          [this](auto request, auto respond) {
                              m_jobRequestHandler.handle(std::move(request), std::move(respond));
                          })
-        , m_readinessServer(m_context, serverSettings(m_settings.readinessPort),
+        , m_readinessServer(m_context, m_settings.listenAddress, m_settings.readinessPort,
+                            checkLimits(),
                             [this](const auto &request, const auto &respond) {
                                 respond(checkReadiness(request));
                             })
-        , m_metricsServer(m_context, serverSettings(m_settings.metricsPort),
+        , m_metricsServer(m_context, m_settings.listenAddress, m_settings.metricsPort,
+                          checkLimits(),
                           [this](const auto &, const auto &respond) { respond(showMetrics()); })
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_healthTimer(m_context)
-    {}
+    {
+        m_callerServer.setMaxBodyBytes(scheduling::RequestLimits{}.maxBodyBytes);
+    }
 
     Result<void> run()
     {
@@ -162,16 +209,6 @@
     }
 
 private:
-    net::HttpServerSettings serverSettings(std::uint16_t port) const
-    {
-        net::HttpServerSettings settings;
-        settings.address = m_settings.listenAddress;
-        settings.port = port;
-        settings.readTimeout = callerReadTimeout;
-        settings.maxBodyBytes = std::size_t{1} << 20;
-        return settings;
-    }
-
     net::HttpReply checkReadiness(const net::HttpRequest &request) const
     {
         net::HttpReply reply;
@@ -191,6 +228,13 @@
         m_metrics.set("open_requests", static_cast<double>(m_jobRequestHandler.openRequests()));
         m_metrics.set("store_silence_seconds", toSeconds(m_store.outageDuration(bootNow())));
         m_metrics.set("log_lines_dropped", static_cast<double>(m_log.dropped()));
+        const auto intake = m_callerServer.statistics();
+        m_metrics.set("caller_connections", static_cast<double>(intake.connections));
+        m_metrics.set("caller_held_bytes", static_cast<double>(intake.heldBytes));
+        for (const auto &[refusal, name] : net::intakeRefusalEntries) {
+            m_metrics.set(fmt::format(R"(caller_limits_total{{limit="{}"}})", name),
+                          static_cast<double>(intake.refused[static_cast<std::size_t>(refusal)]));
+        }
         net::HttpReply reply;
         reply.headers.add("Content-Type", "text/plain; version=0.0.4");
         reply.body = m_metrics.text();
@@ -214,6 +258,7 @@
                 continue;
             }
             m_jobRequestHandler.setRules(std::move(rules).value());
+            m_callerServer.setMaxBodyBytes(m_jobRequestHandler.rules()->limits.maxBodyBytes);
             if (m_owner) {
                 m_owner->setRules(*m_jobRequestHandler.rules());
             } else if (m_ownership.isHeld()) {
@@ -334,6 +379,27 @@
         m_latestExitAt = bootNow() + m_settings.terminationGracePeriod - shutdownMargin;
     }
 
+    void logIntake(TimePoint now)
+    {
+        const auto intake = m_callerServer.statistics();
+        if (intake.refused == m_loggedIntake.refused
+            || now - m_intakeLoggedAt < intakeLogInterval) {
+            return;
+        }
+        std::string refused;
+        for (const auto &[refusal, name] : net::intakeRefusalEntries) {
+            const auto index = static_cast<std::size_t>(refusal);
+            if (const auto count = intake.refused[index] - m_loggedIntake.refused[index];
+                count > 0) {
+                refused += fmt::format("{}{}:{}", refused.empty() ? "" : " ", name, count);
+            }
+        }
+        logEvent(callersLimited, "refused=\"{}\" connections={} held_bytes={}", refused,
+                 intake.connections, intake.heldBytes);
+        m_loggedIntake = intake;
+        m_intakeLoggedAt = now;
+    }
+
     void watchHealth()
     {
         const auto now = bootNow();
@@ -358,6 +424,7 @@
                 || now >= m_latestExitAt)) {
             return m_context.stop();
         }
+        logIntake(now);
         m_healthTimer.expires_after(healthInterval);
         m_healthTimer.async_wait([this, due = now + healthInterval](const auto &error) {
             if (!error) {
@@ -381,9 +448,12 @@
     JobRequestHandler m_jobRequestHandler;
     Ownership m_ownership;
     KeyWatcher m_configurationWatcher;
-    net::HttpServer m_callerServer;
-    net::HttpServer m_readinessServer;
-    net::HttpServer m_metricsServer;
+    net::LoopHttpServer m_callerServer;
+    net::LoopHttpServer m_readinessServer;
+    net::LoopHttpServer m_metricsServer;
+    // As of the last line about limits.
+    net::IntakeStatistics m_loggedIntake;
+    TimePoint m_intakeLoggedAt{};
     asio::signal_set m_signals;
     asio::steady_timer m_healthTimer;
     // Set while this entry is the owner and has a configuration.
--- a/src/net/httpclientsettings.h
+++ b/src/net/httpclientsettings.h
@@ -18,6 +18,8 @@
     std::chrono::milliseconds maxIdleTime{20000};
     // Of each connection; longer answers are read in parts.
     std::size_t receiveBufferBytes = std::size_t{16} * 1024;
+    // Longest body of an answer, whatever a call allows. A longer one ends its connection.
+    std::size_t maxReplyBytes = std::size_t{64} * 1024 * 1024;
 };
 
 } // namespace cyclamenlatch::net
--- a/src/net/httpstatus.h
+++ b/src/net/httpstatus.h
@@ -1,4 +1,5 @@
-// The HTTP status of each kind of error: one table for callers and operators.
+// The HTTP status of each kind of error, one table for callers and operators, and the phrases of
+// status lines.
 #pragma once
 
 #include "global/errorkind.h"
@@ -6,5 +7,7 @@
 namespace cyclamenlatch::net {
 
 int statusOf(ErrorKind kind);
+// The phrase of a status line; "Status" for one that this system does not send.
+const char *reasonPhrase(int status);
 
 } // namespace cyclamenlatch::net
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -1,6 +1,7 @@
 // RESTinio behind HttpServer: converts messages and binds the listening socket.
 #include "net/httpserver.h"
 
+#include "net/httpstatus.h"
 #include "net/internal/connectionwatches.h"
 #include "net/internal/retiredservers.h"
 #include "net/internal/tlsreload.h"
@@ -72,42 +73,6 @@
     return request;
 }
 
-const char *reasonPhrase(int status)
-{
-    switch (status) {
-    case 200:
-        return "OK";
-    case 202:
-        return "Accepted";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 403:
-        return "Forbidden";
-    case 404:
-        return "Not Found";
-    case 405:
-        return "Method Not Allowed";
-    case 409:
-        return "Conflict";
-    case 413:
-        return "Payload Too Large";
-    case 429:
-        return "Too Many Requests";
-    case 500:
-        return "Internal Server Error";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
-}
-
 void sendReply(const restinio::request_handle_t &handle, HttpReply reply,
                std::atomic<std::size_t> &openRequests)
 {
--- a/src/net/internal/loophttpclient.cpp
+++ b/src/net/internal/loophttpclient.cpp
@@ -212,8 +212,9 @@
                                        ? call.endsAt
                                        : std::min<TimePoint>(call.endsAt,
                                                              steadyNow() + call.identifyTimeout));
-            return call.connection->write(requestOf(call.call, call.host, check.path, check.body),
-                                          call.call.maxReplyBytes);
+            return call.connection->write(
+                    requestOf(call.call, call.host, check.path, check.body),
+                    std::min(call.call.maxReplyBytes, m_settings.maxReplyBytes));
         }
         call.isWritten = true;
         auto until = call.endsAt;
@@ -222,7 +223,7 @@
         }
         watchUntil(number, until);
         call.connection->write(requestOf(call.call, call.host, call.path, call.call.body),
-                               call.call.maxReplyBytes);
+                               std::min(call.call.maxReplyBytes, m_settings.maxReplyBytes));
     }
 
     void connected(LoopConnection &connection, const std::string &failure)
--- a/src/platform/entrysettings.h
+++ b/src/platform/entrysettings.h
@@ -32,6 +32,8 @@
 
     // Processor time that this entry may use, in cores.
     double cores = 1;
+    // Memory that this entry may use.
+    std::size_t memoryBytes = std::size_t{256} * 1024 * 1024;
     // Maximum number of file descriptors that this entry may have open.
     std::size_t maxFileDescriptors = 4096;
 
@@ -52,6 +54,10 @@
 
     // Not in the file, but set by flags of the command line.
     std::size_t maxRunTimeKinds = 2000;
+    // Of callers, instead of what follows from memoryBytes and maxFileDescriptors; 0: that.
+    std::size_t maxCallerConnections = 0;
+    std::size_t maxCallerHeldBytes = 0;
+    std::chrono::milliseconds callerStallTimeout{10000};
     scheduling::SchedulingFeatures disabled;
 };
 
--- a/src/platform/internal/entrysettings.cpp
+++ b/src/platform/internal/entrysettings.cpp
@@ -127,6 +127,9 @@
         readScalar(root["limits"], "cores", coreCount);
         settings.cores = cpuShare * coreCount;
         readScalar(root["limits"], "max_fds", settings.maxFileDescriptors);
+        std::size_t memoryMib = 0;
+        readScalar(root["limits"], "memory_mb", memoryMib);
+        settings.memoryBytes = memoryMib == 0 ? settings.memoryBytes : memoryMib * 1024 * 1024;
     }
     if (root["bounds"] && root["bounds"].IsMap()) {
         readBounds(root["bounds"], settings);
