--- a/src/control/internal/jobrequesthandler.cpp
+++ b/src/control/internal/jobrequesthandler.cpp
@@ -31,9 +31,16 @@
 // Requests that need the store are refused at once after an outage of this length.
 constexpr std::chrono::milliseconds refuseAfterOutage{1200};
 constexpr std::size_t maxCachedPhases = 20000;
+// Longer than any write that was sent may take to be carried out.
+constexpr std::chrono::seconds forbidTime{60};
 constexpr const char *retryAfterSeconds = "1";
 constexpr const char *storeUnavailableReason = "the platform's store does not answer this entry";
 
+bool isForbidden(const platform::StoreReply &reply)
+{
+    return !reply.items.empty() && reply.items.front().value == forbiddenState;
+}
+
 std::string toLower(std::string_view text)
 {
     std::string lower(text);
@@ -156,6 +163,8 @@
                       "send a smaller job");
     }
     auto spec = platform::decodeJob(pending->body);
+    // Not held while the store is asked.
+    std::string().swap(pending->body);
     if (!spec) {
         return refuse(pending, 400, spec.error().message, spec.error().remedy);
     }
@@ -195,6 +204,10 @@
     switch (reply.outcome) {
     case StoreOutcome::Done:
     case StoreOutcome::Conflict:
+        if (isForbidden(reply)) {
+            return refuse(pending, 503, "the job was cancelled before it was stored",
+                          "send it under another id");
+        }
         // On a conflict the job is stored already, by an earlier try or an earlier request.
         cachePhase(pending->id, JobPhase::Queued);
         logEvent(jobAccepted, "job={} queue={} workspace={} version={} again={} ms={}",
@@ -227,8 +240,8 @@
     }
     ++pending->tries;
     m_store.get(stateKey(pending->id), [this, pending](const auto &reply) {
-        if (reply.outcome == StoreOutcome::NotFound) {
-            return answer(pending, 410, platform::encodeError("no such job", "check the id"));
+        if (reply.outcome == StoreOutcome::NotFound || isForbidden(reply)) {
+            return answerNoSuchJob(pending);
         }
         if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
             const auto progress = decodeProgress(reply.items.front().value);
@@ -257,7 +270,10 @@
     ++pending->tries;
     m_store.get(stateKey(pending->id), [this, pending](const auto &reply) {
         if (reply.outcome == StoreOutcome::NotFound) {
-            return answer(pending, 410, platform::encodeError("no such job", "check the id"));
+            return forbid(pending);
+        }
+        if (isForbidden(reply)) {
+            return answerNoSuchJob(pending);
         }
         if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
             return writeCancel(pending, reply.items.front());
@@ -269,6 +285,52 @@
     });
 }
 
+// A submission without an answer may be carried out seconds later. The caller, who is told that
+// there is no such job, will not cancel it again.
+void JobRequestHandler::forbid(const PendingRequestPointer &pending)
+{
+    if (m_forbidLease != 0 && bootNow() < m_forbidUntil) {
+        return writeForbidden(pending);
+    }
+    const auto sentAt = bootNow();
+    m_store.grantLease(2 * forbidTime, [this, pending, sentAt](const auto &reply) {
+        if (reply.outcome == StoreOutcome::Done && reply.lease != 0) {
+            m_forbidLease = reply.lease;
+            m_forbidUntil = sentAt + forbidTime;
+            return writeForbidden(pending);
+        }
+        if (canRetry(pending)) {
+            return cancel(pending);
+        }
+        replyUnavailable(pending, reply.failure);
+    });
+}
+
+void JobRequestHandler::writeForbidden(const PendingRequestPointer &pending)
+{
+    platform::StoreTransaction transaction;
+    transaction.expected = {{stateKey(pending->id), 0}};
+    transaction.writes = {{stateKey(pending->id), std::string(forbiddenState), m_forbidLease}};
+    m_store.transaction(transaction, [this, pending](const auto &reply) {
+        if (reply.outcome == StoreOutcome::Done) {
+            return answerNoSuchJob(pending);
+        }
+        if (reply.outcome == StoreOutcome::NotFound) {
+            m_forbidLease = 0;
+        }
+        // On a conflict the job has been stored meanwhile.
+        if (canRetry(pending)) {
+            return cancel(pending);
+        }
+        replyUnavailable(pending, reply.failure);
+    });
+}
+
+void JobRequestHandler::answerNoSuchJob(const PendingRequestPointer &pending)
+{
+    answer(pending, 410, platform::encodeError("no such job", "check the id"));
+}
+
 void JobRequestHandler::writeCancel(const PendingRequestPointer &pending,
                                     const platform::StoreItem &state)
 {
--- a/src/control/internal/ownerflush.cpp
+++ b/src/control/internal/ownerflush.cpp
@@ -123,6 +123,8 @@
             return finishTransaction(flush);
         }
         return sendTransaction(flush, std::move(writes));
+    case StoreOutcome::Rejected:
+        return handleRejection(flush, writes, reply);
     default:
         // Sends the same transaction again. If an earlier try with unknown outcome took effect, the
         // store answers with a conflict.
@@ -130,6 +132,37 @@
     }
 }
 
+// One record that the store does not take must not hold up the others. A record that is too large
+// goes without the checkpoints, which only save work; else the job waits, and the ends on its
+// targets are not recorded.
+void OwnerService::handleRejection(const std::shared_ptr<PendingFlush> &flush,
+                                   const std::vector<std::size_t> &writes,
+                                   const platform::StoreReply &reply)
+{
+    if (writes.size() > 1) {
+        flush->transactionsLeft += writes.size() - 1;
+        for (const auto index : writes) {
+            sendTransaction(flush, {index});
+        }
+        return;
+    }
+    const auto index = writes.front();
+    auto &write = flush->flush.writes[index];
+    logEvent(recordRejected, "key={} bytes={} reason=\"{}\"", stateKey(write.id),
+             flush->values[index].size(), reply.failure);
+    bool hadCheckpoints = false;
+    for (auto &[step, progress] : write.progress.steps) {
+        hadCheckpoints = hadCheckpoints || !progress.checkpoints.empty();
+        progress.checkpoints.clear();
+    }
+    if (hadCheckpoints) {
+        flush->values[index] = encodeProgress(write.progress);
+        return sendTransaction(flush, writes);
+    }
+    m_core.jobRejected(write.id, flush->flush, bootNow());
+    finishTransaction(flush);
+}
+
 // Settles the writes that are stored already or whose job is cancelled or removed; returns those
 // to be written again.
 std::vector<std::size_t> OwnerService::resolveConflicts(const std::shared_ptr<PendingFlush> &flush,
--- a/src/control/internal/platformstoreclient.cpp
+++ b/src/control/internal/platformstoreclient.cpp
@@ -36,6 +36,8 @@
         return R"(store_calls_total{outcome="history-gone"})";
     case platform::StoreOutcome::NotDone:
         return R"(store_calls_total{outcome="not-done"})";
+    case platform::StoreOutcome::Rejected:
+        return R"(store_calls_total{outcome="rejected"})";
     case platform::StoreOutcome::OutcomeUnknown:
         break;
     }
--- a/src/control/internal/records.cpp
+++ b/src/control/internal/records.cpp
@@ -124,9 +124,21 @@
 }
 
 template<typename Archive>
-void serialize(Archive &archive, JobProgress &progress)
+void save(Archive &archive, const JobProgress &progress)
 {
     archive(progress.phase, progress.targets, progress.steps);
+    if (!progress.doneOccurrences.empty()) {
+        archive(progress.doneOccurrences);
+    }
+}
+
+template<typename Archive>
+void load(Archive &archive, JobProgress &progress)
+{
+    archive(progress.phase, progress.targets, progress.steps);
+    if (archive.remainingBytes() > 0) {
+        archive(progress.doneOccurrences);
+    }
 }
 // NOLINTEND(readability-identifier-naming)
 
--- a/src/control/jobrequesthandler.h
+++ b/src/control/jobrequesthandler.h
@@ -68,6 +68,11 @@
     void show(const PendingRequestPointer &pending);
     void cancel(const PendingRequestPointer &pending);
     void writeCancel(const PendingRequestPointer &pending, const platform::StoreItem &state);
+    // Makes sure that a submission of the job that is still under way does nothing, then answers
+    // that there is no such job.
+    void forbid(const PendingRequestPointer &pending);
+    void writeForbidden(const PendingRequestPointer &pending);
+    void answerNoSuchJob(const PendingRequestPointer &pending);
     void countPending(const PendingRequestPointer &pending);
     bool canRetry(const PendingRequestPointer &pending);
     void answer(const PendingRequestPointer &pending, int status, std::string body);
@@ -84,6 +89,9 @@
     std::unordered_map<std::string, std::size_t> m_workspaceByKey;
     bool m_isShuttingDown = false;
     std::size_t m_openRequests = 0;
+    // Of the records of forbidden jobs; the lease is used until forbidUntil.
+    platform::LeaseId m_forbidLease = 0;
+    TimePoint m_forbidUntil{};
     // Phases last read, for answers while the store is unavailable; the oldest are evicted first.
     std::unordered_map<scheduling::JobNumber, scheduling::JobPhase> m_phases;
     std::deque<scheduling::JobNumber> m_phaseOrder;
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -99,6 +99,8 @@
     void sendTransaction(std::shared_ptr<PendingFlush> flush, std::vector<std::size_t> writes);
     void handleTransactionReply(const std::shared_ptr<PendingFlush> &flush,
                                 std::vector<std::size_t> writes, const platform::StoreReply &reply);
+    void handleRejection(const std::shared_ptr<PendingFlush> &flush,
+                         const std::vector<std::size_t> &writes, const platform::StoreReply &reply);
     std::vector<std::size_t> resolveConflicts(const std::shared_ptr<PendingFlush> &flush,
                                               const std::vector<std::size_t> &writes,
                                               const platform::StoreReply &reply);
--- a/src/control/tests/platformentry_tests.cpp
+++ b/src/control/tests/platformentry_tests.cpp
@@ -1,6 +1,7 @@
 // A complete entry with a store that leaves some calls unanswered.
 #include "control/platformentry.h"
 #include "net/httpclient.h"
+#include "platform/tests/forgettingstore.h"
 #include "platform/tests/hangingstore.h"
 
 #include <asio/io_context.hpp>
@@ -80,4 +81,27 @@
     callers.join();
 }
 
+// Guards against a submission that the store carries out after its caller was told that there is no
+// such job: the job ran although it had been cancelled.
+TEST(PlatformEntry, makesSureThatACancelledSubmissionWithoutAnAnswerDoesNothing)
+{
+    platform::tests::ForgettingStore store;
+    const auto settings = makeSettings(store.port());
+    net::HttpClient client;
+    PlatformEntry entry(settings, "");
+    std::thread callers([&] {
+        int status = 503;
+        for (int tries = 0; tries < 100 && status == 503; ++tries) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            const auto result = call(client, settings, "DELETE", "/q/5c0e7a21d94b36f8", "");
+            status = result.reply ? result.reply->status : 503;
+        }
+        EXPECT_EQ(status, 410);
+        EXPECT_TRUE(store.hasWritten("forbidden"));
+        std::raise(SIGTERM);
+    });
+    EXPECT_TRUE(entry.run());
+    callers.join();
+}
+
 } // namespace cyclamenlatch::control
--- a/src/control/tests/records_tests.cpp
+++ b/src/control/tests/records_tests.cpp
@@ -39,6 +39,21 @@
     EXPECT_FALSE(decodeRunTimes("not a record"));
 }
 
+TEST(Records, rangesOfDoneOccurrencesSurviveARoundTrip)
+{
+    scheduling::JobProgress progress;
+    progress.targets = {"t-1"};
+    progress.steps[{7, 0}].done = {1};
+    const auto without = encodeProgress(progress);
+    ASSERT_TRUE(decodeProgress(without));
+    EXPECT_TRUE(decodeProgress(without).value().doneOccurrences.empty());
+    progress.doneOccurrences = {{0, 5}, {8, 900}};
+    const auto with = decodeProgress(encodeProgress(progress));
+    ASSERT_TRUE(with);
+    EXPECT_EQ(with.value().doneOccurrences, progress.doneOccurrences);
+    EXPECT_EQ(with.value().steps.size(), 1U);
+}
+
 TEST(Records, limitsOfASubmissionSurviveARoundTrip)
 {
     scheduling::JobSubmission job;
--- a/src/platform/internal/storecodec.cpp
+++ b/src/platform/internal/storecodec.cpp
@@ -151,6 +151,10 @@
     case 410:
         reply.outcome = StoreOutcome::HistoryCompacted;
         break;
+    case 400:
+    case 413:
+        reply.outcome = StoreOutcome::Rejected;
+        break;
     case 500:
     case 502:
     case 504:
--- a/src/platform/storecodec.h
+++ b/src/platform/storecodec.h
@@ -53,6 +53,9 @@
     HistoryCompacted,
     // The store refused the request or was not reached; nothing was changed.
     NotDone,
+    // The store refuses the request for what it contains, and would do so again; nothing was
+    // changed.
+    Rejected,
     // No conclusive reply: the request may take effect now, later or never.
     OutcomeUnknown,
 };
--- a/src/platform/tests/codecs_tests.cpp
+++ b/src/platform/tests/codecs_tests.cpp
@@ -323,6 +323,8 @@
     EXPECT_EQ(StoreCodec::decodeReply(makeResult(200, R"({"revision":412})")).revision, 412U);
     EXPECT_EQ(StoreCodec::decodeReply(makeResult(503, "")).outcome, StoreOutcome::NotDone);
     EXPECT_EQ(StoreCodec::decodeReply(makeResult(429, "")).outcome, StoreOutcome::NotDone);
+    EXPECT_EQ(StoreCodec::decodeReply(makeResult(400, "")).outcome, StoreOutcome::Rejected);
+    EXPECT_EQ(StoreCodec::decodeReply(makeResult(413, "")).outcome, StoreOutcome::Rejected);
     EXPECT_EQ(StoreCodec::decodeReply(makeResult(410, "")).outcome, StoreOutcome::HistoryCompacted);
     EXPECT_EQ(StoreCodec::decodeReply(makeResult(200, "{cut")).outcome,
               StoreOutcome::OutcomeUnknown);
--- a/src/scheduling/hostplanner.h
+++ b/src/scheduling/hostplanner.h
@@ -154,6 +154,9 @@
     bool isStandby(const std::string &service) const;
     // Whether an earlier holder may have ordered the host within the cooldown.
     bool isInTakeoverDelay(const std::string &host, TimePoint now) const;
+    // Whether an order of an earlier holder for the host may still be carried out: this holder has
+    // sent none, whose higher token would have the platform refuse it.
+    bool isUnfenced(const std::string &name, const Host &host, TimePoint now) const;
     // Whether the pool has a backlog that it cannot start at once.
     bool isOverloaded(const std::string &service) const;
     bool hasDemandEnded(TimePoint now) const;
--- a/src/scheduling/internal/hostplanner.cpp
+++ b/src/scheduling/internal/hostplanner.cpp
@@ -33,6 +33,8 @@
 constexpr std::chrono::milliseconds maxListLag{2000};
 // Added to the holder cooldown, for orders that were still on their way.
 constexpr std::chrono::milliseconds cooldownMargin{150};
+// An order without an answer is carried out no later than this.
+constexpr std::chrono::seconds maxOrderDelay{12};
 // Time after a change of owners in which reachable targets have reported their runs; most do so
 // within some milliseconds.
 constexpr std::chrono::milliseconds maxSettleTime{1000};
@@ -168,6 +170,11 @@
     return orders;
 }
 
+bool HostPlanner::isUnfenced(const std::string &name, const Host &host, TimePoint now) const
+{
+    return m_orderedBefore.contains(name) && !host.orderedAt && now < m_notBefore + maxOrderDelay;
+}
+
 // Before all targets were contacted, resources used by runs of an earlier owner look free. Targets
 // are listed all at once, except those whose entries were lost in an outage of the store: these
 // count as busy.
@@ -190,8 +197,10 @@
 {
     std::uint32_t active = 0;
     bool isOpen = false;
-    // Sorted by load: tasks that cannot be evicted, long-running tasks, all runs.
-    std::vector<std::pair<std::tuple<std::size_t, std::size_t, std::size_t>, Host *>> candidates;
+    // Those that an earlier holder may have ordered come first. The others are sorted by load:
+    // tasks that cannot be evicted, long-running tasks, all runs.
+    using Rank = std::tuple<bool, std::size_t, std::size_t, std::size_t>;
+    std::vector<std::pair<Rank, Host *>> candidates;
     for (const auto &name : wave.plan.hosts) {
         const auto found = m_hosts.find(name);
         if (found == m_hosts.end()) {
@@ -206,7 +215,9 @@
                 !host.pendingOrder && !host.unavailableSince
                 && (host.info.state == HostState::Maintenance || isInTakeoverDelay(name, now));
         const bool isDown = host.unavailableSince && host.maintenanceWave == wave.plan.number;
-        active += isPendingForWave || isDown || isOrderedByEarlierHolder ? 1 : 0;
+        // It may go down at any time, so it counts as if it were.
+        const bool mayGoDown = isUnfenced(name, host, now) && !wave.done.contains(name);
+        active += isPendingForWave || isDown || isOrderedByEarlierHolder || mayGoDown ? 1 : 0;
         if (wave.done.contains(name)) {
             continue;
         }
@@ -217,7 +228,8 @@
             // Draining has no effect on a target that does not answer, and the host would count
             // against the wave's limit meanwhile.
             if (load.isKnown) {
-                candidates.push_back({{load.nonEvictable, load.longRunning, load.runs}, &host});
+                candidates.push_back(
+                        {{!mayGoDown, load.nonEvictable, load.longRunning, load.runs}, &host});
             }
         }
     }
@@ -236,7 +248,11 @@
                            / std::max(0.1, scheduledShare * toSeconds(wave.plan.duration));
     const auto dueByNow = static_cast<std::size_t>(
             std::ceil(elapsed * static_cast<double>(wave.plan.hosts.size())));
-    for (const auto &[load, host] : candidates) {
+    for (const auto &[rank, host] : candidates) {
+        if (isUnfenced(host->info.name, *host, now)) {
+            drain(*host, MaintenanceOrder{host->info.name, wave.plan.number}, now);
+            continue;
+        }
         if (active >= wave.plan.maxConcurrent) {
             break;
         }
@@ -318,6 +334,15 @@
         // The record replaces that of the earlier holder.
         hosts.insert(m_orderedBefore.begin(), m_orderedBefore.end());
     }
+    for (const auto &[number, wave] : m_waves) {
+        for (const auto &name : wave.plan.hosts) {
+            const auto host = m_hosts.find(name);
+            if (host != m_hosts.end() && isUnfenced(name, host->second, now)
+                && !wave.done.contains(name)) {
+                hosts.insert(name);
+            }
+        }
+    }
     return isNew ? std::optional(std::move(hosts)) : std::nullopt;
 }
 
--- a/src/scheduling/internal/ownercopies.cpp
+++ b/src/scheduling/internal/ownercopies.cpp
@@ -131,7 +131,7 @@
 bool OwnerCore::copyTasks(const OpenStep &open, const std::vector<TargetState *> &pool,
                           Resources &budget, TimePoint now)
 {
-    const auto usual = runTime(*open.job, open.stepIndex);
+    const auto usual = expectedRunTime(*open.job, open.stepIndex, now);
     const auto resources = open.step->spec->allocatedResources();
     for (std::uint32_t index = 0; index < open.step->tasks.size(); ++index) {
         auto &task = open.step->tasks[index];
--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -61,6 +61,12 @@
         }
     }
     job->occurrenceDone.assign(job->submission.spec.occurrenceCount(), false);
+    for (const auto &[first, last] : job->loaded.doneOccurrences) {
+        for (auto number = first; number <= last && number < job->occurrenceDone.size(); ++number) {
+            job->occurrencesDone += job->occurrenceDone[number] ? 0 : 1;
+            job->occurrenceDone[number] = true;
+        }
+    }
     learnLimits(job->submission);
     if (const auto *workspace = workspaceLimits(job->submission.workspace)) {
         // A burst of up to one second at the rate is allowed.
@@ -156,6 +162,12 @@
 void OwnerCore::openOccurrence(JobState &job, std::uint32_t number, TimePoint now, WallTime wallNow)
 {
     const auto &spec = job.submission.spec;
+    if (job.occurrenceDone[number]) {
+        if (job.occurrencesDone == spec.occurrenceCount()) {
+            finishJob(job, JobPhase::Completed, now);
+        }
+        return;
+    }
     OccurrenceState occurrence;
     occurrence.number = number;
     const auto due =
@@ -316,6 +328,7 @@
     }
     job.occurrences.erase(number);
     job.occurrenceDone[number] = true;
+    compactDoneOccurrences(job);
     if (++job.occurrencesDone == job.submission.spec.occurrenceCount()) {
         finishJob(job, JobPhase::Completed, now);
     }
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -69,6 +69,7 @@
         }
         at = isLive ? std::next(at) : m_timedJobs.erase(at);
     }
+    retryRejected(now);
     ++m_statistics.plans;
     planTargets(now);
     sendAllocatedStarts(now);
@@ -214,11 +215,14 @@
         if (state == nullptr || step->spec->isGang) {
             continue;
         }
-        const auto usualGap = runTime(*job, task.step).high * stallPercent / 100;
-        const auto bound = run.isLongRunning ? Duration{startupTime}
-                                             : std::max<Duration>(minStallTime, usualGap);
-        const bool isStalled = run.percent < 100 && target.lastAnswer - run.progressAt > bound;
-        if (!isStalled) {
+        const auto withoutProgress = target.lastAnswer - run.progressAt;
+        if (run.percent >= 100 || withoutProgress <= minStallTime) {
+            continue;
+        }
+        const auto bound =
+                run.isLongRunning ? Duration{startupTime}
+                                  : expectedRunTime(*job, task.step, now).high * stallPercent / 100;
+        if (withoutProgress <= bound) {
             continue;
         }
         reportDecision(Decision::Kind::Stalled, task, run.attempt, target.info.id);
--- a/src/scheduling/internal/ownerrecords.cpp
+++ b/src/scheduling/internal/ownerrecords.cpp
@@ -17,6 +17,11 @@
 // Delay of other results, so that more of them share a call; the platform requires that ends are
 // stored within seconds.
 constexpr std::chrono::milliseconds flushDelay{300};
+// After the store did not take a record.
+constexpr std::chrono::seconds rejectedRetryDelay{2};
+// Steps of done occurrences that a record lists one by one. Beyond that, entries of versions that
+// don't know ranges would fail for the record's size before long.
+constexpr std::size_t maxListedSteps = 1000;
 
 StepProgress progressOf(const detail::StepState &step)
 {
@@ -88,6 +93,7 @@
         if (!isFinal(job.phase)) {
             write.progress.targets = job.targets;
             write.progress.steps = job.loaded.steps;
+            write.progress.doneOccurrences = job.loaded.doneOccurrences;
             for (const auto &[number, occurrence] : job.occurrences) {
                 for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                     auto progress = progressOf(occurrence.steps[step]);
@@ -136,6 +142,55 @@
     }
 }
 
+void OwnerCore::jobRejected(JobNumber id, Flush &flush, TimePoint now)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    for (const auto &target : found->second->targets) {
+        flush.endsCovered.erase(target);
+    }
+    m_rejected[id] = now + rejectedRetryDelay;
+}
+
+void OwnerCore::retryRejected(TimePoint now)
+{
+    for (auto at = m_rejected.begin(); at != m_rejected.end();) {
+        if (at->second > now) {
+            ++at;
+            continue;
+        }
+        if (const auto job = m_jobs.find(at->first); job != m_jobs.end()) {
+            markDirty(*job->second, false, now);
+        }
+        at = m_rejected.erase(at);
+    }
+}
+
+// The done occurrences of a job with many become ranges, so that its record stays small.
+void OwnerCore::compactDoneOccurrences(JobState &job)
+{
+    if (job.loaded.steps.size() < maxListedSteps) {
+        return;
+    }
+    auto &ranges = job.loaded.doneOccurrences;
+    ranges.clear();
+    for (std::uint32_t number = 0; number < job.occurrenceDone.size(); ++number) {
+        if (!job.occurrenceDone[number]) {
+            continue;
+        }
+        if (!ranges.empty() && ranges.back().second + 1 == number) {
+            ranges.back().second = number;
+        } else {
+            ranges.emplace_back(number, number);
+        }
+    }
+    std::erase_if(job.loaded.steps, [&](const auto &item) {
+        return item.first.first < job.occurrenceDone.size() && job.occurrenceDone[item.first.first];
+    });
+}
+
 void OwnerCore::flushDone(const Flush &flush, TimePoint)
 {
     for (const auto &[id, covered] : flush.endsCovered) {
--- a/src/scheduling/internal/ownerruntimes.cpp
+++ b/src/scheduling/internal/ownerruntimes.cpp
@@ -8,8 +8,15 @@
 
 namespace {
 
-// How long the expected run times of a job's steps are used before they are looked up again.
-constexpr std::chrono::milliseconds pathsValidity{500};
+// How long expected run times and slowdowns are used before they are looked up again: there are
+// thousands of tasks and hundreds of targets, and plans follow each other within milliseconds.
+constexpr std::chrono::milliseconds expectationValidity{500};
+constexpr std::chrono::milliseconds slowdownValidity{200};
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
 
 } // namespace
 
@@ -19,23 +26,34 @@
     return RunKind{job.submission.queue, step, spec.image, spec.estimate};
 }
 
-RunTimeEstimate OwnerCore::runTime(const JobState &job, std::uint32_t step) const
+void OwnerCore::updateExpectations(JobState &job, TimePoint now) const
 {
+    if (!job.runTimes.empty() && now - job.expectedAt < expectationValidity) {
+        return;
+    }
     static const RunTimeHistory unlearned(1);
     const auto &history = isEnabled(SchedulingFeature::RunTimes) ? m_runTimes : unlearned;
-    return history.estimate(runKind(job, step));
+    job.expectedAt = now;
+    job.runTimes.clear();
+    for (std::uint32_t step = 0; step < job.submission.spec.steps.size(); ++step) {
+        job.runTimes.push_back(history.estimate(runKind(job, step)));
+    }
+    job.criticalPaths = detail::criticalPathsFromSteps(job.submission.spec, [&](std::size_t step) {
+        constexpr double milli = 0.001;
+        return toSeconds(job.runTimes[step].median) / milli;
+    });
+}
+
+const RunTimeEstimate &OwnerCore::expectedRunTime(JobState &job, std::uint32_t step,
+                                                  TimePoint now) const
+{
+    updateExpectations(job, now);
+    return job.runTimes[step];
 }
 
 const std::vector<double> &OwnerCore::criticalPaths(JobState &job, TimePoint now) const
 {
-    if (job.criticalPaths.empty() || now - job.pathsAt >= pathsValidity) {
-        job.pathsAt = now;
-        job.criticalPaths =
-                detail::criticalPathsFromSteps(job.submission.spec, [&](std::size_t step) {
-                    constexpr double milli = 0.001;
-                    return toSeconds(runTime(job, static_cast<std::uint32_t>(step)).median) / milli;
-                });
-    }
+    updateExpectations(job, now);
     return job.criticalPaths;
 }
 
@@ -50,28 +68,29 @@
     const bool isRemote = !spec.dataRack.empty() && !target.info.hasLabel(spec.dataRack);
     const double besideData =
             toSeconds(now - run.orderedAt) / (isRemote ? m_settings.remoteSlowdownFactor : 1);
-    const auto ownTime = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(besideData / slowdown(target, now)));
+    const auto ownTime = fromSeconds(besideData / slowdown(target, now));
     const auto kind = runKind(job, end.task.step);
     if (end.outcome != RunOutcome::Done) {
         m_runTimes.addCut(kind, ownTime);
         return;
     }
     if (const auto usual = m_runTimes.estimate(kind); usual.runs > 0) {
-        const auto ranFor =
-                std::chrono::duration_cast<Duration>(std::chrono::duration<double>(besideData));
-        target.speed.addRun(ranFor, usual.median, now);
-        m_poolSpeeds[target.info.service].addRun(ranFor, usual.median, now);
+        target.speed.addRun(fromSeconds(besideData), usual.median, now);
+        m_poolSpeeds[target.info.service].addRun(fromSeconds(besideData), usual.median, now);
     }
     m_runTimes.addEnd(kind, ownTime);
 }
 
-double OwnerCore::slowdown(const TargetState &target, TimePoint now) const
+double OwnerCore::slowdown(TargetState &target, TimePoint now) const
 {
-    const auto pool = m_poolSpeeds.find(target.info.service);
-    return pool == m_poolSpeeds.end() || !isEnabled(SchedulingFeature::TargetSpeeds)
-                   ? 1
-                   : target.speed.slowdown(pool->second, now);
+    if (now - target.slowdownAt >= slowdownValidity) {
+        const auto pool = m_poolSpeeds.find(target.info.service);
+        target.slowdownAt = now;
+        target.slowdown = pool == m_poolSpeeds.end() || !isEnabled(SchedulingFeature::TargetSpeeds)
+                                  ? 1
+                                  : target.speed.slowdown(pool->second, now);
+    }
+    return target.slowdown;
 }
 
 } // namespace cyclamenlatch::scheduling
--- a/src/scheduling/internal/ownershares.cpp
+++ b/src/scheduling/internal/ownershares.cpp
@@ -30,7 +30,7 @@
     return limits == nullptr ? 1 : limits->weight;
 }
 
-double OwnerCore::poolSeconds(const JobState &job, std::uint32_t stepIndex) const
+double OwnerCore::poolSeconds(JobState &job, std::uint32_t stepIndex, TimePoint now) const
 {
     const auto found = m_poolCapacity.find(job.submission.service);
     if (found == m_poolCapacity.end()) {
@@ -41,22 +41,23 @@
     const double share = std::max({shareOf(resources.processors, capacity.processors),
                                    shareOf(resources.memoryMib, capacity.memoryMib),
                                    shareOf(resources.accelerators, capacity.accelerators)});
-    return share * toSeconds(runTime(job, stepIndex).mean);
+    return share * toSeconds(expectedRunTime(job, stepIndex, now).mean);
 }
 
-void OwnerCore::chargeShare(const JobState &job, std::uint32_t stepIndex)
+void OwnerCore::chargeShare(JobState &job, std::uint32_t stepIndex, TimePoint now)
 {
     const auto &service = job.submission.service;
     if (job.submission.spec.steps[stepIndex].isLongRunning || !m_shares.isBusy(service)) {
         return;
     }
     const auto &workspace = job.submission.workspace;
-    m_shares.charge(service, workspace, workspaceWeight(workspace), poolSeconds(job, stepIndex));
+    m_shares.charge(service, workspace, workspaceWeight(workspace),
+                    poolSeconds(job, stepIndex, now));
 }
 
 // Steps are given the rounds that they would start in if all of their workspace's earlier ones were
 // started before them.
-void OwnerCore::orderFairly(std::vector<OpenStep> &steps, const Pools &pools)
+void OwnerCore::orderFairly(std::vector<OpenStep> &steps, const Pools &pools, TimePoint now)
 {
     const auto firstShort = std::find_if(steps.begin(), steps.end(), [](const OpenStep &open) {
         return !open.step->spec->isLongRunning;
@@ -92,7 +93,7 @@
             lead->second += open->step->waiting
                             * m_shares.ownSeconds(submission.service,
                                                   weights->second.at(submission.workspace),
-                                                  poolSeconds(*open->job, open->stepIndex));
+                                                  poolSeconds(*open->job, open->stepIndex, now));
         }
         std::sort(first, last, [](const OpenStep &left, const OpenStep &right) {
             return left.key() < right.key();
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -105,7 +105,7 @@
         }
     }
     if (isEnabled(SchedulingFeature::FairShares)) {
-        orderFairly(steps, pools);
+        orderFairly(steps, pools, now);
     }
     countUncertainUse(now);
     releaseReservations(now);
@@ -385,7 +385,7 @@
     run.paceOrderedAt = now;
     run.isWholeRun = open.step->tasks[ref.index].checkpoint.empty();
     addRun(target, ref, *open.job, *open.step->spec, std::move(run));
-    chargeShare(*open.job, ref.step);
+    chargeShare(*open.job, ref.step, now);
     if (open.job->phase == JobPhase::Queued) {
         open.job->phase = JobPhase::Running;
     }
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -6,6 +6,7 @@
 #include "scheduling/jobrecord.h"
 #include "scheduling/keepalivereport.h"
 #include "scheduling/responsetimeestimator.h"
+#include "scheduling/runtimehistory.h"
 #include "scheduling/targetinfo.h"
 #include "scheduling/targetspeed.h"
 
@@ -83,10 +84,11 @@
 struct JobState
 {
     JobSubmission submission;
-    // Milliseconds from each step's start to the job's end, by the run times that were expected at
-    // pathsAt.
+    // By step, as expected at expectedAt: the run time of a task, and the milliseconds from the
+    // step's start to the job's end.
+    std::vector<RunTimeEstimate> runTimes;
     std::vector<double> criticalPaths;
-    TimePoint pathsAt{};
+    TimePoint expectedAt{};
     JobPhase phase = JobPhase::Queued;
     // Occurrences that are due and not done.
     std::map<std::uint32_t, OccurrenceState> occurrences;
@@ -240,6 +242,9 @@
     JobNumber lastFailedJob = 0;
     TimePoint quarantinedUntil{};
     TargetSpeed speed;
+    // See OwnerCore::slowdown; as of slowdownAt.
+    double slowdown = 1;
+    TimePoint slowdownAt{};
     // Long-running task that the target is kept free for.
     std::optional<TaskRef> reservedFor;
     TimePoint reservedUntil{};
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -302,7 +302,7 @@
     for (std::uint32_t index = 0; index < spec.steps.size(); ++index) {
         const auto &step = spec.steps[index];
         arrivals.work += milli * step.count * static_cast<double>(step.requiredResources.processors)
-                         * toSeconds(runTime(job, index).mean);
+                         * toSeconds(expectedRunTime(job, index, now).mean);
     }
 }
 
@@ -351,7 +351,7 @@
                     demand.openWork +=
                             milli * step.waiting
                             * static_cast<double>(step.spec->requiredResources.processors)
-                            * toSeconds(runTime(*job, index).mean);
+                            * toSeconds(expectedRunTime(*job, index, now).mean);
                 }
             }
         }
--- a/src/scheduling/jobrecord.h
+++ b/src/scheduling/jobrecord.h
@@ -51,6 +51,10 @@
     std::vector<std::string> targets;
     // By occurrence and step; a step without progress has no entry.
     std::map<std::pair<std::uint32_t, std::uint32_t>, StepProgress> steps;
+    // Of jobs with many occurrences: ranges, from the first to the last, of occurrences that are
+    // done. They have no steps above, so that the record does not grow with each. Empty in records
+    // of few occurrences, which entries that don't know the field read whole.
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> doneOccurrences;
 };
 
 } // namespace cyclamenlatch::scheduling
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -235,6 +235,9 @@
     Flush takeFlush();
     // A write took effect. revision is empty when the job was cancelled meanwhile.
     void jobWritten(JobNumber id, std::optional<std::uint64_t> revision, TimePoint now);
+    // The store does not take the job's record. It is written again later; until then the ends on
+    // the job's targets do not count as recorded.
+    void jobRejected(JobNumber id, Flush &flush, TimePoint now);
     // All writes of the flush took effect.
     void flushDone(const Flush &flush, TimePoint now);
 
@@ -400,14 +403,14 @@
     std::vector<OpenStep> openSteps(TimePoint now);
     void addOpenSteps(JobState &job, TimePoint now, std::vector<OpenStep> &open);
     // Puts the steps of workspaces that compete for a pool in a fair order.
-    void orderFairly(std::vector<OpenStep> &steps, const Pools &pools);
+    void orderFairly(std::vector<OpenStep> &steps, const Pools &pools, TimePoint now);
     // Services with steps of short tasks that found no room.
     static std::set<std::string> crowdedServices(const std::vector<OpenStep> &steps);
     // Counts the run as the workspace's use of its pool.
-    void chargeShare(const JobState &job, std::uint32_t stepIndex);
+    void chargeShare(JobState &job, std::uint32_t stepIndex, TimePoint now);
     // The part of the service's pool that a task takes, of the resource that it takes most of,
     // times its expected seconds.
-    double poolSeconds(const JobState &job, std::uint32_t stepIndex) const;
+    double poolSeconds(JobState &job, std::uint32_t stepIndex, TimePoint now) const;
     double workspaceWeight(const std::string &workspace) const;
     // Copies of tasks that take long or whose target is out of reach.
     void planCopies(const std::set<std::string> &crowded, const Pools &pools, TimePoint now);
@@ -423,12 +426,13 @@
         return !m_settings.disabled.contains(feature);
     }
     // Run times.
-    RunTimeEstimate runTime(const JobState &job, std::uint32_t step) const;
     static RunKind runKind(const JobState &job, std::uint32_t step);
-    // The critical paths of the job by the run times that are expected now.
+    // Both are looked up anew every half a second.
+    const RunTimeEstimate &expectedRunTime(JobState &job, std::uint32_t step, TimePoint now) const;
     const std::vector<double> &criticalPaths(JobState &job, TimePoint now) const;
+    void updateExpectations(JobState &job, TimePoint now) const;
     // How many times as long runs take there as on the pool's other targets.
-    double slowdown(const TargetState &target, TimePoint now) const;
+    double slowdown(TargetState &target, TimePoint now) const;
     void learnRunTime(TargetState &target, const RunState &run, const JobState &job,
                       const EndedRun &end, TimePoint now);
     void startStep(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
@@ -564,6 +568,10 @@
     std::vector<JobNumber> m_dirty;
     TimePoint m_dirtySince{};
     std::optional<TimePoint> m_urgentSince;
+    // Jobs whose record the store did not take, and when it is written again.
+    std::map<JobNumber, TimePoint> m_rejected;
+    void retryRejected(TimePoint now);
+    static void compactDoneOccurrences(JobState &job);
     // Jobs for which more targets were stored since the last plan.
     std::vector<JobNumber> m_jobsWithNewTargets;
     // Since when there are listed ends that no flush has covered. Some change no job, such as those
--- a/src/scheduling/tests/hostplanner_tests.cpp
+++ b/src/scheduling/tests/hostplanner_tests.cpp
@@ -153,6 +153,30 @@
     EXPECT_EQ(hosts.plan(successor).size(), 1U);
 }
 
+// Guards against a late order of an earlier holder: it is carried out while another host, which the
+// next holder has ordered, is down, and two are down for a wave that allows one.
+TEST(HostPlanner, countsHostsThatAnEarlierHolderMayHaveOrderedUntilItsOrdersAreFencedOff)
+{
+    HostPlannerFixture hosts;
+    for (const char *name : {"a", "b", "c"}) {
+        hosts.add(name);
+    }
+    // The one with most load, which would come last.
+    hosts.fixture.submit(7, {makeStep(3)});
+    ASSERT_EQ(hosts.fixture.startAll().size(), 3U);
+    HostPlanner successor({}, hosts.fixture.core, hosts.fixture.now, false,
+                          [](const auto &, const auto &) {});
+    successor.setOrderedBefore({"a"});
+    successor.requestWave({1, {"a", "b", "c"}, 10s, 1}, {}, 9s, hosts.fixture.now);
+    std::vector<HostOrder> orders;
+    for (int step = 0; step < 60 && orders.empty(); ++step) {
+        hosts.fixture.advance(100ms);
+        orders = hosts.plan(successor);
+    }
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(std::get<MaintenanceOrder>(orders[0]).host, "a");
+}
+
 // Guards against holders that alternate: the record of an owner replaces that of the owner before,
 // and a third one may follow within the cooldown.
 TEST(HostPlanner, recordsTheHostsThatAnEarlierHolderMayHaveOrdered)
