Waves: only hosts that an earlier holder may have ordered down count as down

Change: the record names hosts ordered for maintenance a second time, with a mark; only these count, and they are ordered as far as the wave's limit goes.

--- a/src/scheduling/hostplanner.h
+++ b/src/scheduling/hostplanner.h
@@ -63,11 +63,13 @@
     // Time until the list of hosts is to be read again.
     std::chrono::milliseconds listInterval() const;
 
-    // Hosts that earlier holders may have ordered recently, as stored by the last one.
+    // Hosts that earlier holders may have ordered recently, as stored by the last one; those that
+    // it may have ordered down for maintenance are named a second time, see hostsToRecord.
     void setOrderedBefore(std::set<std::string> hosts) { m_orderedBefore = std::move(hosts); }
     // The hosts to store as ordered, if one that is about to be ordered is not stored yet. No host
     // is ordered before it is stored, so that a later holder knows which hosts it must not order
-    // within the cooldown.
+    // within the cooldown, and which orders for maintenance may still be carried out: a host with
+    // such an order is named once more with a mark, which is no name of a host.
     std::optional<std::set<std::string>> hostsToRecord(TimePoint now) const;
     void hostsRecorded(std::set<std::string> hosts) { m_recorded = std::move(hosts); }
 
@@ -154,8 +156,8 @@
     bool isStandby(const std::string &service) const;
     // Whether an earlier holder may have ordered the host within the cooldown.
     bool isInTakeoverDelay(const std::string &host, TimePoint now) const;
-    // Whether an order of an earlier holder for the host may still be carried out: this holder has
-    // sent none, whose higher token would have the platform refuse it.
+    // Whether an earlier holder's order for maintenance may still be carried out: this holder has
+    // sent the host no order, whose higher token would have the platform refuse it.
     bool isUnfenced(const std::string &name, const Host &host, TimePoint now) const;
     // Whether the pool has a backlog that it cannot start at once.
     bool isOverloaded(const std::string &service) const;
--- a/src/scheduling/internal/hostplanner.cpp
+++ b/src/scheduling/internal/hostplanner.cpp
@@ -35,6 +35,8 @@
 constexpr std::chrono::milliseconds cooldownMargin{150};
 // An order without an answer is carried out no later than this.
 constexpr std::chrono::seconds maxOrderDelay{12};
+// Follows the name of a host in the record if the order is for maintenance.
+constexpr const char *maintenanceMark = " maintenance";
 // Time after a change of owners in which reachable targets have reported their runs; most do so
 // within some milliseconds.
 constexpr std::chrono::milliseconds maxSettleTime{1000};
@@ -172,7 +174,8 @@
 
 bool HostPlanner::isUnfenced(const std::string &name, const Host &host, TimePoint now) const
 {
-    return m_orderedBefore.contains(name) && !host.orderedAt && now < m_notBefore + maxOrderDelay;
+    return m_orderedBefore.contains(name + maintenanceMark) && !host.orderedAt
+           && now < m_notBefore + maxOrderDelay;
 }
 
 // Before all targets were contacted, resources used by runs of an earlier owner look free. Targets
@@ -195,7 +198,9 @@
 
 void HostPlanner::planWave(Wave &wave, TimePoint now)
 {
+    // Hosts that are down or may go down, and those among them that this holder has not ordered.
     std::uint32_t active = 0;
+    std::uint32_t unfenced = 0;
     bool isOpen = false;
     // Those that an earlier holder may have ordered come first. The others are sorted by load:
     // tasks that cannot be evicted, long-running tasks, all runs.
@@ -218,6 +223,7 @@
         // It may go down at any time, so it counts as if it were.
         const bool mayGoDown = isUnfenced(name, host, now) && !wave.done.contains(name);
         active += isPendingForWave || isDown || isOrderedByEarlierHolder || mayGoDown ? 1 : 0;
+        unfenced += mayGoDown && !isPendingForWave && !isDown && !isOrderedByEarlierHolder ? 1 : 0;
         if (wave.done.contains(name)) {
             continue;
         }
@@ -250,7 +256,11 @@
             std::ceil(elapsed * static_cast<double>(wave.plan.hosts.size())));
     for (const auto &[rank, host] : candidates) {
         if (isUnfenced(host->info.name, *host, now)) {
-            drain(*host, MaintenanceOrder{host->info.name, wave.plan.number}, now);
+            // It is counted already.
+            if (active - unfenced < wave.plan.maxConcurrent) {
+                --unfenced;
+                drain(*host, MaintenanceOrder{host->info.name, wave.plan.number}, now);
+            }
             continue;
         }
         if (active >= wave.plan.maxConcurrent) {
@@ -329,6 +339,10 @@
             hosts.insert(name);
             isNew = isNew || !m_recorded.contains(name);
         }
+        if (host.pendingOrder && std::holds_alternative<MaintenanceOrder>(*host.pendingOrder)) {
+            hosts.insert(name + maintenanceMark);
+            isNew = isNew || !m_recorded.contains(name + maintenanceMark);
+        }
     }
     if (now < m_notBefore) {
         // The record replaces that of the earlier holder.
@@ -339,7 +353,7 @@
             const auto host = m_hosts.find(name);
             if (host != m_hosts.end() && isUnfenced(name, host->second, now)
                 && !wave.done.contains(name)) {
-                hosts.insert(name);
+                hosts.insert(name + maintenanceMark);
             }
         }
     }
@@ -352,6 +366,10 @@
         || isInTakeoverDelay(host.info.name, now) || !m_recorded.contains(host.info.name)) {
         return;
     }
+    if (std::holds_alternative<MaintenanceOrder>(*host.pendingOrder)
+        && !m_recorded.contains(host.info.name + maintenanceMark)) {
+        return;
+    }
     if (host.info.target != host.pendingOrderTarget && !host.isOutcomeUnknown) {
         m_listener(host.info.name, "no longer drained: its target has changed");
         return cancelDraining(host);
--- a/src/scheduling/tests/hostplanner_tests.cpp
+++ b/src/scheduling/tests/hostplanner_tests.cpp
@@ -166,7 +166,13 @@
     ASSERT_EQ(hosts.fixture.startAll().size(), 3U);
     HostPlanner successor({}, hosts.fixture.core, hosts.fixture.now, false,
                           [](const auto &, const auto &) {});
-    successor.setOrderedBefore({"a"});
+    hosts.planner.requestWave({1, {"a"}, 10s, 1}, {}, {}, hosts.fixture.now);
+    hosts.planner.hostsListed(hosts.hosts, hosts.fixture.now);
+    hosts.planner.plan(hosts.fixture.now);
+    const auto recorded = hosts.planner.hostsToRecord(hosts.fixture.now);
+    ASSERT_TRUE(recorded);
+    hosts.fixture.core.setHostDraining("t-a", false);
+    successor.setOrderedBefore(*recorded);
     successor.requestWave({1, {"a", "b", "c"}, 10s, 1}, {}, 9s, hosts.fixture.now);
     std::vector<HostOrder> orders;
     for (int step = 0; step < 60 && orders.empty(); ++step) {
@@ -177,6 +183,39 @@
     EXPECT_EQ(std::get<MaintenanceOrder>(orders[0]).host, "a");
 }
 
+// Guards against a wave over its limit after a change of owners in a pool's peak: hosts that the
+// earlier holder had ordered to move were ordered down all at once.
+TEST(HostPlanner, keepsToTheLimitOfAWaveWhoseHostsWereOrderedToMoveBefore)
+{
+    HostPlannerFixture hosts;
+    std::set<std::string> names;
+    for (int number = 0; number < 9; ++number) {
+        hosts.add("h" + std::to_string(number));
+        names.insert("h" + std::to_string(number));
+    }
+    for (const bool isForMaintenance : {false, true}) {
+        HostPlanner successor({}, hosts.fixture.core, hosts.fixture.now, false,
+                              [](const auto &, const auto &) {});
+        auto ordered = names;
+        for (const auto &name : names) {
+            if (isForMaintenance) {
+                ordered.insert(name + " maintenance");
+            }
+        }
+        successor.setOrderedBefore(ordered);
+        successor.requestWave({1, {names.begin(), names.end()}, 10s, 2}, {}, 9s, hosts.fixture.now);
+        std::size_t sent = 0;
+        for (int step = 0; step < 60; ++step) {
+            hosts.fixture.advance(100ms);
+            sent += hosts.plan(successor).size();
+        }
+        EXPECT_EQ(sent, 2U);
+        for (const auto &name : names) {
+            hosts.fixture.core.setHostDraining("t-" + name, false);
+        }
+    }
+}
+
 // Guards against holders that alternate: the record of an owner replaces that of the owner before,
 // and a third one may follow within the cooldown.
 TEST(HostPlanner, recordsTheHostsThatAnEarlierHolderMayHaveOrdered)
