--- a/src/scheduling/tests/hostplanner_tests.cpp
+++ b/src/scheduling/tests/hostplanner_tests.cpp
@@ -166,7 +166,7 @@
     ASSERT_EQ(hosts.fixture.startAll().size(), 3U);
     HostPlanner successor({}, hosts.fixture.core, hosts.fixture.now, false,
                           [](const auto &, const auto &) {});
-    hosts.planner.requestWave({1, {"a"}, 10s, 1}, {}, {}, hosts.fixture.now);
+    hosts.planner.requestWave({1, {"a"}, 10s, 1}, {}, 9s, hosts.fixture.now);
     hosts.planner.hostsListed(hosts.hosts, hosts.fixture.now);
     hosts.planner.plan(hosts.fixture.now);
     const auto recorded = hosts.planner.hostsToRecord(hosts.fixture.now);
@@ -234,9 +234,10 @@
         return successor.hostsToRecord(hosts.fixture.now).value_or(std::set<std::string>{});
     };
     hosts.fixture.advance(1s);
-    EXPECT_EQ(recordWhen("b", 1), (std::set<std::string>{"a", "b"}));
+    EXPECT_EQ(recordWhen("b", 1), (std::set<std::string>{"a", "b", "b maintenance"}));
     hosts.fixture.advance(2500ms);
-    EXPECT_EQ(recordWhen("c", 2), (std::set<std::string>{"b", "c"}));
+    EXPECT_EQ(recordWhen("c", 2),
+              (std::set<std::string>{"b", "b maintenance", "c", "c maintenance"}));
 }
 
 TEST(HostPlanner, sendsNoMoreOrdersThanThePlatformTakes)
