Learning and fair order for an owner of a thousand targets

Change: a queue remembers a run each 20 ms at most, since the latest tens of thousands would tell of a moment; expected times come from the job; workspaces are put in order only in pools that lacked room at the last plan; host names are looked up only while orders of an earlier holder may come late.

--- a/src/scheduling/internal/hostplanner.cpp
+++ b/src/scheduling/internal/hostplanner.cpp
@@ -174,8 +174,8 @@
 
 bool HostPlanner::isUnfenced(const std::string &name, const Host &host, TimePoint now) const
 {
-    return m_orderedBefore.contains(name + maintenanceMark) && !host.orderedAt
-           && now < m_notBefore + maxOrderDelay;
+    return now < m_notBefore + maxOrderDelay && !host.orderedAt
+           && m_orderedBefore.contains(name + maintenanceMark);
 }
 
 // Before all targets were contacted, resources used by runs of an earlier owner look free. Targets
@@ -349,6 +349,9 @@
         hosts.insert(m_orderedBefore.begin(), m_orderedBefore.end());
     }
     for (const auto &[number, wave] : m_waves) {
+        if (now >= m_notBefore + maxOrderDelay) {
+            break;
+        }
         for (const auto &name : wave.plan.hosts) {
             const auto host = m_hosts.find(name);
             if (host != m_hosts.end() && isUnfenced(name, host->second, now)
--- a/src/scheduling/internal/ownercopies.cpp
+++ b/src/scheduling/internal/ownercopies.cpp
@@ -76,7 +76,7 @@
                        run->second.percent, usual.runs);
 }
 
-void OwnerCore::planCopies(const std::set<std::string> &crowded, const Pools &pools, TimePoint now)
+void OwnerCore::planCopies(const Pools &pools, TimePoint now)
 {
     std::map<std::string, Resources> budgets;
     for (const auto &[service, capacity] : m_poolCapacity) {
@@ -117,7 +117,7 @@
     // Those whose objective comes first.
     std::sort(candidates.begin(), candidates.end(),
               [](const OpenStep &left, const OpenStep &right) { return left.key() < right.key(); });
-    std::set<std::string> full = crowded;
+    auto full = m_crowded;
     for (const auto &open : candidates) {
         const auto &service = open.job->submission.service;
         const auto pool = pools.find(service);
--- a/src/scheduling/internal/ownerruntimes.cpp
+++ b/src/scheduling/internal/ownerruntimes.cpp
@@ -12,6 +12,9 @@
 // thousands of tasks and hundreds of targets, and plans follow each other within milliseconds.
 constexpr std::chrono::milliseconds expectationValidity{500};
 constexpr std::chrono::milliseconds slowdownValidity{200};
+// Least time between two runs of a queue that are remembered. A queue may end thousands in a
+// second, of which the latest tens would tell of a moment only.
+constexpr std::chrono::milliseconds learningInterval{20};
 
 Duration fromSeconds(double seconds)
 {
@@ -58,7 +61,7 @@
 }
 
 // What the target adds and the way to the data is not the task's own time.
-void OwnerCore::learnRunTime(TargetState &target, const RunState &run, const JobState &job,
+void OwnerCore::learnRunTime(TargetState &target, const RunState &run, JobState &job,
                              const EndedRun &end, TimePoint now)
 {
     const auto &spec = job.submission.spec.steps[end.task.step];
@@ -68,17 +71,23 @@
     const bool isRemote = !spec.dataRack.empty() && !target.info.hasLabel(spec.dataRack);
     const double besideData =
             toSeconds(now - run.orderedAt) / (isRemote ? m_settings.remoteSlowdownFactor : 1);
+    if (const auto &usual = expectedRunTime(job, end.task.step, now);
+        usual.runs > 0 && end.outcome == RunOutcome::Done) {
+        target.speed.addRun(fromSeconds(besideData), usual.median, now);
+        m_poolSpeeds[target.info.service].addRun(fromSeconds(besideData), usual.median, now);
+    }
+    auto &learnedAt = m_learnedAt[job.submission.queue];
+    if (now - learnedAt < learningInterval) {
+        return;
+    }
+    learnedAt = now;
     const auto ownTime = fromSeconds(besideData / slowdown(target, now));
     const auto kind = runKind(job, end.task.step);
-    if (end.outcome != RunOutcome::Done) {
+    if (end.outcome == RunOutcome::Done) {
+        m_runTimes.addEnd(kind, ownTime);
+    } else {
         m_runTimes.addCut(kind, ownTime);
-        return;
-    }
-    if (const auto usual = m_runTimes.estimate(kind); usual.runs > 0) {
-        target.speed.addRun(fromSeconds(besideData), usual.median, now);
-        m_poolSpeeds[target.info.service].addRun(fromSeconds(besideData), usual.median, now);
     }
-    m_runTimes.addEnd(kind, ownTime);
 }
 
 double OwnerCore::slowdown(TargetState &target, TimePoint now) const
--- a/src/scheduling/internal/ownershares.cpp
+++ b/src/scheduling/internal/ownershares.cpp
@@ -5,9 +5,8 @@
 #include "scheduling/internal/ownerstate.h"
 
 #include <algorithm>
-#include <cmath>
-#include <iterator>
-#include <utility>
+#include <string_view>
+#include <unordered_map>
 
 namespace cyclamenlatch::scheduling {
 
@@ -59,33 +58,41 @@
 // started before them.
 void OwnerCore::orderFairly(std::vector<OpenStep> &steps, const Pools &pools, TimePoint now)
 {
-    const auto firstShort = std::find_if(steps.begin(), steps.end(), [](const OpenStep &open) {
-        return !open.step->spec->isLongRunning;
-    });
+    const auto isContested = [&](const OpenStep &open) {
+        const auto &service = open.job->submission.service;
+        return !open.step->spec->isLongRunning && m_crowded.contains(service)
+               && pools.contains(service);
+    };
     std::map<std::string, std::map<std::string, double>> waiting;
-    for (auto open = firstShort; open != steps.end(); ++open) {
-        const auto &submission = open->job->submission;
-        if (pools.contains(submission.service)) {
-            waiting[submission.service].try_emplace(submission.workspace,
-                                                    workspaceWeight(submission.workspace));
+    for (const auto &open : steps) {
+        if (isContested(open)) {
+            const auto &workspace = open.job->submission.workspace;
+            waiting[open.job->submission.service].try_emplace(workspace, 1);
         }
     }
-    for (const auto &[service, workspaces] : waiting) {
-        m_shares.beginRound(service, workspaces);
+    for (auto &[service, weights] : waiting) {
+        for (auto &[workspace, weight] : weights) {
+            weight = workspaceWeight(workspace);
+        }
+        m_shares.beginRound(service, weights);
     }
-    for (auto first = firstShort; first != steps.end();) {
+    // Within a class, by service and workspace.
+    std::unordered_map<std::string_view, std::unordered_map<std::string_view, double>> leads;
+    for (auto first = steps.begin(); first != steps.end();) {
+        const auto classKey = first->classKey();
         const auto last = std::find_if(first, steps.end(), [&](const OpenStep &open) {
-            return open.classKey() != first->classKey();
+            return open.classKey() != classKey;
         });
-        std::map<std::pair<std::string, std::string>, double> leads;
+        leads.clear();
         for (auto open = first; open != last; ++open) {
             const auto &submission = open->job->submission;
             const auto weights = waiting.find(submission.service);
-            if (weights == waiting.end() || weights->second.size() < 2) {
+            if (weights == waiting.end() || weights->second.size() < 2
+                || open->step->spec->isLongRunning) {
                 continue;
             }
             const auto [lead, isFirst] =
-                    leads.try_emplace({submission.service, submission.workspace});
+                    leads[submission.service].try_emplace(submission.workspace);
             if (isFirst) {
                 lead->second = m_shares.lead(submission.service, submission.workspace);
             }
@@ -95,9 +102,11 @@
                                                   weights->second.at(submission.workspace),
                                                   poolSeconds(*open->job, open->stepIndex, now));
         }
-        std::sort(first, last, [](const OpenStep &left, const OpenStep &right) {
-            return left.key() < right.key();
-        });
+        if (!leads.empty()) {
+            std::sort(first, last, [](const OpenStep &left, const OpenStep &right) {
+                return left.key() < right.key();
+            });
+        }
         first = last;
     }
 }
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -91,6 +91,7 @@
     const bool areCopiesDue = !m_copyableJobs.empty() && now - m_copiesPlannedAt >= copyInterval
                               && isEnabled(SchedulingFeature::Copies);
     if (steps.empty()) {
+        m_crowded.clear();
         m_shares.keepBusy({});
     }
     if (steps.empty() && !areCopiesDue) {
@@ -104,7 +105,7 @@
             m_poolCapacity[target->info.service] += target->info.capacity;
         }
     }
-    if (isEnabled(SchedulingFeature::FairShares)) {
+    if (!m_crowded.empty() && isEnabled(SchedulingFeature::FairShares)) {
         orderFairly(steps, pools, now);
     }
     countUncertainUse(now);
@@ -138,11 +139,11 @@
             free->second = maxResources(pool->second);
         }
     }
-    const auto crowded = crowdedServices(steps);
-    m_shares.keepBusy(crowded);
+    m_crowded = crowdedServices(steps);
+    m_shares.keepBusy(m_crowded);
     if (areCopiesDue) {
         m_copiesPlannedAt = now;
-        planCopies(crowded, pools, now);
+        planCopies(pools, now);
     }
 }
 
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -406,6 +406,8 @@
     void orderFairly(std::vector<OpenStep> &steps, const Pools &pools, TimePoint now);
     // Services with steps of short tasks that found no room.
     static std::set<std::string> crowdedServices(const std::vector<OpenStep> &steps);
+    // As of the last plan. Where there was room for all, the order does not matter.
+    std::set<std::string> m_crowded;
     // Counts the run as the workspace's use of its pool.
     void chargeShare(JobState &job, std::uint32_t stepIndex, TimePoint now);
     // The part of the service's pool that a task takes, of the resource that it takes most of,
@@ -413,7 +415,7 @@
     double poolSeconds(JobState &job, std::uint32_t stepIndex, TimePoint now) const;
     double workspaceWeight(const std::string &workspace) const;
     // Copies of tasks that take long or whose target is out of reach.
-    void planCopies(const std::set<std::string> &crowded, const Pools &pools, TimePoint now);
+    void planCopies(const Pools &pools, TimePoint now);
     // Returns whether there was room for all copies that the step needs.
     bool copyTasks(const OpenStep &open, const std::vector<TargetState *> &pool, Resources &budget,
                    TimePoint now);
@@ -433,8 +435,8 @@
     void updateExpectations(JobState &job, TimePoint now) const;
     // How many times as long runs take there as on the pool's other targets.
     double slowdown(TargetState &target, TimePoint now) const;
-    void learnRunTime(TargetState &target, const RunState &run, const JobState &job,
-                      const EndedRun &end, TimePoint now);
+    void learnRunTime(TargetState &target, const RunState &run, JobState &job, const EndedRun &end,
+                      TimePoint now);
     void startStep(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     void startGang(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     TargetState *choose(const OpenStep &open, const TaskState &task, const TaskRef &ref,
@@ -527,6 +529,8 @@
     };
     std::unordered_map<std::string, StartTokenBucket> m_startTokenBuckets;
     RunTimeHistory m_runTimes;
+    // By queue, when a run was last remembered; bounded by the queues of jobs.
+    std::unordered_map<std::string, TimePoint> m_learnedAt;
     // By service; bounded by the services that targets name.
     std::unordered_map<std::string, TargetSpeed> m_poolSpeeds;
     FairShares m_shares;
