Fair shares off by default; expected run times hold what targets and ways to data add

Two parts of it: rounds of half a second of a workspace's share leave nothing to deadlines where one job is several rounds; and run times without the overhead of remote data made pools ask for fewer hosts than the work takes.

--- a/src/app/internal/servecommand.cpp
+++ b/src/app/internal/servecommand.cpp
@@ -15,7 +15,7 @@
 #include <string>
 
 DEFINE_string(config, "", "serve: file with the entry's settings");
-DEFINE_string(without, "",
+DEFINE_string(without, "fair-shares",
               "serve on the platform: parts of scheduling that are off, separated by commas: "
               "fair-shares, useful-first, run-times, copies, target-speeds");
 DEFINE_uint64(run_time_kinds, 2000,
--- a/src/scheduling/internal/ownerruntimes.cpp
+++ b/src/scheduling/internal/ownerruntimes.cpp
@@ -4,6 +4,8 @@
 #include "scheduling/internal/criticalpath.h"
 #include "scheduling/internal/ownerstate.h"
 
+#include <algorithm>
+
 namespace cyclamenlatch::scheduling {
 
 namespace {
@@ -15,6 +17,8 @@
 // Least time between two runs of a queue that are remembered. A queue may end thousands in a
 // second, of which the latest tens would tell of a moment only.
 constexpr std::chrono::milliseconds learningInterval{20};
+// Makes the mean of what targets and ways to data add cover about a hundred runs.
+constexpr double overheadDecay = 0.99;
 
 Duration fromSeconds(double seconds)
 {
@@ -36,10 +40,15 @@
     }
     static const RunTimeHistory unlearned(1);
     const auto &history = isEnabled(SchedulingFeature::RunTimes) ? m_runTimes : unlearned;
+    const double overhead = runTimeOverhead(job.submission.queue);
     job.expectedAt = now;
     job.runTimes.clear();
     for (std::uint32_t step = 0; step < job.submission.spec.steps.size(); ++step) {
-        job.runTimes.push_back(history.estimate(runKind(job, step)));
+        auto expected = history.estimate(runKind(job, step));
+        for (auto *time : {&expected.median, &expected.mean, &expected.high}) {
+            *time = fromSeconds(overhead * toSeconds(*time));
+        }
+        job.runTimes.push_back(expected);
     }
     job.criticalPaths = detail::criticalPathsFromSteps(job.submission.spec, [&](std::size_t step) {
         constexpr double milli = 0.001;
@@ -82,6 +91,11 @@
     }
     learnedAt = now;
     const auto ownTime = fromSeconds(besideData / slowdown(target, now));
+    if (end.outcome == RunOutcome::Done) {
+        auto &overhead = m_runTimeOverheads[job.submission.queue];
+        overhead.whole = overheadDecay * overhead.whole + toSeconds(now - run.orderedAt);
+        overhead.own = overheadDecay * overhead.own + toSeconds(ownTime);
+    }
     const auto kind = runKind(job, end.task.step);
     if (end.outcome == RunOutcome::Done) {
         m_runTimes.addEnd(kind, ownTime);
@@ -90,6 +104,15 @@
     }
 }
 
+double OwnerCore::runTimeOverhead(const std::string &queue) const
+{
+    const auto found = m_runTimeOverheads.find(queue);
+    return found == m_runTimeOverheads.end() || found->second.own <= 0
+                           || !isEnabled(SchedulingFeature::RunTimes)
+                   ? 1
+                   : std::max(1.0, found->second.whole / found->second.own);
+}
+
 double OwnerCore::slowdown(TargetState &target, TimePoint now) const
 {
     if (now - target.slowdownAt >= slowdownValidity) {
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -529,6 +529,16 @@
     };
     std::unordered_map<std::string, StartTokenBucket> m_startTokenBuckets;
     RunTimeHistory m_runTimes;
+    // By queue, seconds of runs as they were, and without what slow targets and ways to data add;
+    // older runs have less weight.
+    struct RunTimeOverhead
+    {
+        double whole = 0;
+        double own = 0;
+    };
+    std::unordered_map<std::string, RunTimeOverhead> m_runTimeOverheads;
+    // What slow targets and ways to data add to the queue's runs, as a factor of 1 or more.
+    double runTimeOverhead(const std::string &queue) const;
     // By queue, when a run was last remembered; bounded by the queues of jobs.
     std::unordered_map<std::string, TimePoint> m_learnedAt;
     // By service; bounded by the services that targets name.
