--- a/src/control/internal/platformentry.cpp
+++ b/src/control/internal/platformentry.cpp
@@ -112,9 +112,10 @@
 
 // Renewals of the owner's lease have connections of their own, so that they never queue behind
 // other calls to the store.
-net::HttpClientSettings leaseClientSettings()
+net::HttpClientSettings leaseClientSettings(const platform::EntrySettings &settings)
 {
     net::HttpClientSettings client;
+    client.maxReplyBytes = maxReplyBytes(settings);
     client.maxConnectionsPerHost = leaseConnections;
     client.maxKeptConnections = leaseConnections;
     client.receiveBufferBytes = targetBufferBytes;
@@ -150,7 +151,8 @@
                   std::make_unique<net::LoopHttpClient>(m_context, storeClientSettings(m_settings)))
         , m_targetHttp(std::make_unique<net::LoopHttpClient>(m_context,
                                                              targetClientSettings(m_settings)))
-        , m_leaseHttp(std::make_unique<net::LoopHttpClient>(m_context, leaseClientSettings()))
+        , m_leaseHttp(
+                  std::make_unique<net::LoopHttpClient>(m_context, leaseClientSettings(m_settings)))
         , m_store(m_context, *m_storeHttp, m_settings.storeAddress, m_metrics)
         , m_leaseStore(m_context, *m_leaseHttp, m_settings.storeAddress, m_metrics)
         , m_jobRequestHandler(m_store, m_metrics)
