PlatformStoreClient takes the function that sends its calls

Cause: what callers are told while the store leaves calls unanswered could only be tested with an HTTP server, at the pace of its time limits.

Change: a second constructor takes the transport; the one with LoopHttpClient hands its send to it. No change of behaviour.

--- a/src/control/internal/platformstoreclient.cpp
+++ b/src/control/internal/platformstoreclient.cpp
@@ -48,8 +48,18 @@
 
 PlatformStoreClient::PlatformStoreClient(asio::io_context &context, net::LoopHttpClient &http,
                                          const std::string &address, Metrics &metrics)
+    : PlatformStoreClient(
+            context,
+            [&http](net::HttpCall call, net::LoopHttpClient::Completion completion) {
+                http.send(std::move(call), std::move(completion));
+            },
+            address, metrics)
+{}
+
+PlatformStoreClient::PlatformStoreClient(asio::io_context &context, Transport transport,
+                                         const std::string &address, Metrics &metrics)
     : m_context(context)
-    , m_http(http)
+    , m_transport(std::move(transport))
     , m_metrics(metrics)
     , m_codec(address)
     , m_lastAnswer(bootNow())
@@ -61,7 +71,7 @@
     ++m_calls;
     call.timeout = timeout;
     call.connectTimeout = connectTimeout;
-    m_http.send(std::move(call),
+    m_transport(std::move(call),
                 [this, isWatch, sentAt = bootNow(),
                  completion = std::move(completion)](const net::HttpCallResult &result) {
                     const auto reply = platform::StoreCodec::decodeReply(result);
--- a/src/control/platformstoreclient.h
+++ b/src/control/platformstoreclient.h
@@ -22,9 +22,13 @@
 {
 public:
     using Completion = std::function<void(const platform::StoreReply &)>;
+    // Sends a call and runs the completion later, never inside the function itself.
+    using Transport = std::function<void(net::HttpCall, net::LoopHttpClient::Completion)>;
 
     PlatformStoreClient(asio::io_context &context, net::LoopHttpClient &http,
                         const std::string &address, Metrics &metrics);
+    PlatformStoreClient(asio::io_context &context, Transport transport, const std::string &address,
+                        Metrics &metrics);
 
     void get(const std::string &key, Completion completion);
     // Reads all pages. A page that fails is retried a few times, so that a long list over a slow or
@@ -56,7 +60,7 @@
     void handlePage(const std::shared_ptr<Listing> &listing, const platform::StoreReply &page);
 
     asio::io_context &m_context;
-    net::LoopHttpClient &m_http;
+    const Transport m_transport;
     Metrics &m_metrics;
     const platform::StoreCodec m_codec;
     std::uint64_t m_calls = 0;
