A cancel without an answer is answered 504, not refused with 503

Seen by callers: a DELETE is refused with 503, which stands for "nothing was done", and the job is cancelled seconds later, or the id is refused.

Cause: only submissions noted that a change was left without an answer; cancels did not.

Change: all changes for a request are sent through JobRequestHandler::change, which notes the missing answer.

--- a/src/control/internal/jobrequesthandler.cpp
+++ b/src/control/internal/jobrequesthandler.cpp
@@ -192,11 +192,26 @@
                                        const platform::StoreTransaction &transaction)
 {
     ++pending->tries;
-    m_store.transaction(transaction, [this, pending, transaction](const auto &reply) {
+    change(pending, transaction, [this, pending, transaction](const auto &reply) {
         handleSubmissionReply(pending, transaction, reply);
     });
 }
 
+// Every change for a request is sent here: one without an answer may still be carried out, so that
+// the request can no longer be refused as not done.
+void JobRequestHandler::change(const PendingRequestPointer &pending,
+                               const platform::StoreTransaction &transaction,
+                               PlatformStoreClient::Completion completion)
+{
+    m_store.transaction(transaction,
+                        [pending, completion = std::move(completion)](const auto &reply) {
+                            if (reply.outcome == StoreOutcome::OutcomeUnknown) {
+                                pending->isOutcomeUnknown = true;
+                            }
+                            completion(reply);
+                        });
+}
+
 void JobRequestHandler::handleSubmissionReply(const PendingRequestPointer &pending,
                                               const platform::StoreTransaction &transaction,
                                               const platform::StoreReply &reply)
@@ -215,9 +230,6 @@
                  platform::formatJobId(pending->id), pending->queue.name, pending->workspace,
                  m_rules->version, reply.outcome == StoreOutcome::Conflict, elapsed);
         return answer(pending, 200, "{}");
-    case StoreOutcome::OutcomeUnknown:
-        pending->isOutcomeUnknown = true;
-        break;
     default:
         break;
     }
@@ -291,7 +303,7 @@
     platform::StoreTransaction transaction;
     transaction.expected = {{stateKey(pending->id), 0}};
     transaction.writes = {{tombstoneKey(pending->id), {}, 0}};
-    m_store.transaction(transaction, [this, pending](const auto &reply) {
+    change(pending, transaction, [this, pending](const auto &reply) {
         if (reply.outcome == StoreOutcome::Done) {
             logEvent(unknownJobCancelled, "job={} queue={} revision={}",
                      platform::formatJobId(pending->id), pending->queue.name, reply.revision);
@@ -334,7 +346,7 @@
     cancelled.phase = JobPhase::Cancelled;
     transaction.writes = {{state.key, encodeProgress(cancelled), 0}};
     transaction.removals = {jobKey(pending->id), waitingKey(pending->queue.name, pending->id)};
-    m_store.transaction(transaction, [this, pending](const auto &reply) {
+    change(pending, transaction, [this, pending](const auto &reply) {
         if (reply.outcome == StoreOutcome::Done) {
             cachePhase(pending->id, JobPhase::Cancelled);
             logEvent(jobCancelAccepted, "job={} queue={} revision={}",
--- a/src/control/tests/jobrequesthandler_tests.cpp
+++ b/src/control/tests/jobrequesthandler_tests.cpp
@@ -153,8 +153,24 @@
     EXPECT_TRUE(fleet.store.contains(tombstoneKey(job)));
 }
 
-// Guards against the same in drawn orders of submissions, cancels, answers, late changes and ends
-// of leases.
+// Guards against a cancel that is refused as not done, 503, and carried out later: the caller takes
+// the job for one that goes on.
+TEST(JobRequestHandler, cancelWithoutAnAnswerIsNotCalledRefused)
+{
+    for (const bool isStored : {true, false}) {
+        Fleet fleet;
+        if (isStored) {
+            EXPECT_EQ(fleet.askAnswered(0, "POST")->status, 200);
+        }
+        EXPECT_EQ(fleet.askUnanswered(0, "DELETE")->status, 504);
+        fleet.carryOutAllLate();
+        EXPECT_FALSE(fleet.isLive());
+        EXPECT_EQ(fleet.store.contains(tombstoneKey(job)), !isStored);
+    }
+}
+
+// Guards against untrue final answers in drawn orders of submissions, cancels, answers, late
+// changes and ends of leases.
 RC_GTEST_PROP(JobRequestHandler, finalAnswersStayTrueWhateverIsCarriedOutLate, ())
 {
     Fleet fleet;
@@ -206,6 +222,8 @@
     }
     // A refusal says that nothing was done and nothing will be.
     RC_ASSERT(!wasLive || fleet.wasAnswered("POST", {200, 504}));
+    const bool isCancelled = store.contains(tombstoneKey(job)) || (wasLive && !fleet.isLive());
+    RC_ASSERT(!isCancelled || fleet.wasAnswered("DELETE", {200, 410, 504}));
 }
 
 } // namespace cyclamenlatch::control
