An owner's record is not replaced by an earlier one that is carried out late

Seen by operators: status/wave/N goes from completed back to running, and the wave's record loses hosts that have had their maintenance, so that the next owner orders them again; ordered-hosts loses hosts, so that it does not wait for their cooldown.

Cause: these writes were conditional on the ownership alone. One that got no answer, and was repeated, still met its condition when the store carried it out behind a later one. ordered-targets had a condition on its own revision as well.

Evidence: on the code before, HostService.waveStaysCompletedWhenAnEarlierRecordIsCarriedOutLate and .orderedHostsStayRecordedWhenAnEarlierRecordIsCarriedOutLate fail.

Change: OwnerRecord writes on the condition of the ownership and of the record's revision, for ordered-targets, ordered-hosts and wave/N. A conflict ends the ownership only if the owner's key has changed.

--- a/src/control/hostservice.h
+++ b/src/control/hostservice.h
@@ -2,6 +2,7 @@
 // and stores the progress of maintenance waves. Exists only while this entry is the owner.
 #pragma once
 
+#include "control/ownerrecord.h"
 #include "control/ownership.h"
 #include "control/platformstoreclient.h"
 #include "control/records.h"
@@ -55,6 +56,7 @@
     void plan();
     void send(const scheduling::HostOrder &order);
     void logPools();
+    OwnerRecord &storedWave(std::uint64_t number);
     void storeProgress();
     void writeProgress(const scheduling::HostPlanner::WaveProgress &progress);
 
@@ -75,6 +77,9 @@
     // Wave records as this owner read them when it started.
     std::map<std::uint64_t, WaveRecord> m_waveRecords;
     bool m_areWaveRecordsLoaded = false;
+    // What is written of each wave's progress; see storedWave().
+    std::map<std::uint64_t, OwnerRecord> m_storedWaves;
+    OwnerRecord m_orderedHosts;
     bool m_isListing = false;
     TimePoint m_listedAt{};
     // Pages of the last list; each page was one read of the host API.
@@ -82,7 +87,6 @@
     TimePoint m_poolsLoggedAt{};
     bool m_isWritingProgress = false;
     bool m_areInitialPoolSizesStored = false;
-    bool m_isRecordingHosts = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -54,6 +54,7 @@
                   logEvent(hostDecision, "host={} what=\"{}\" term={}", host, what, term);
               })
     , m_timer(context)
+    , m_orderedHosts(store, ownership, std::string(orderedHostsKey))
 {}
 
 HostService::~HostService() = default;
@@ -85,6 +86,7 @@
                          std::uint64_t number = 0;
                          const auto text = item.key.substr(waveRecordPrefix.size());
                          std::from_chars(text.data(), text.data() + text.size(), number);
+                         storedWave(number).setRevision(item.revision);
                          if (auto wave = decodeWave(item.value)) {
                              m_waveRecords[number] = std::move(wave).value();
                          } else {
@@ -126,6 +128,7 @@
             return;
         }
         if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+            m_orderedHosts.setRevision(reply.items.front().revision);
             const auto hosts = decodeIds(reply.items.front().value);
             if (!hosts) {
                 logEvent(recordUnreadable, "key={}", orderedHostsKey);
@@ -141,33 +144,20 @@
 
 void HostService::recordHosts()
 {
-    if (m_isRecordingHosts || !m_ownership.isHeld()) {
+    if (m_orderedHosts.isWriting() || !m_ownership.isHeld()) {
         return;
     }
     const auto hosts = m_hostPlanner.hostsToRecord(bootNow());
     if (!hosts) {
         return;
     }
-    m_isRecordingHosts = true;
-    platform::StoreTransaction transaction;
-    transaction.expected = {{std::string(ownerKey), m_ownerRevision}};
-    transaction.writes = {
-            {std::string(orderedHostsKey), encodeIds({hosts->begin(), hosts->end()}), 0}};
-    m_store.transaction(transaction,
-                        [this, hosts, alive = std::weak_ptr(m_alive)](const auto &reply) {
-                            if (alive.expired()) {
-                                return;
-                            }
-                            m_isRecordingHosts = false;
-                            if (reply.outcome == StoreOutcome::Done) {
-                                m_hostPlanner.hostsRecorded(*hosts);
-                                return plan();
-                            }
-                            if (reply.outcome == StoreOutcome::Conflict) {
-                                return m_ownership.resign("another entry has taken over");
-                            }
-                            retryLater([this] { recordHosts(); });
-                        });
+    m_orderedHosts.write(encodeIds({hosts->begin(), hosts->end()}), [this, hosts](bool isStored) {
+        if (!isStored) {
+            return retryLater([this] { recordHosts(); });
+        }
+        m_hostPlanner.hostsRecorded(*hosts);
+        plan();
+    });
 }
 
 void HostService::storeInitialPoolSizes()
@@ -341,6 +331,12 @@
     }
 }
 
+OwnerRecord &HostService::storedWave(std::uint64_t number)
+{
+    return m_storedWaves.try_emplace(number, m_store, m_ownership, waveRecordKey(number))
+            .first->second;
+}
+
 void HostService::storeProgress()
 {
     if (m_isWritingProgress || !m_ownership.isHeld()) {
@@ -354,30 +350,20 @@
 
 void HostService::writeProgress(const scheduling::HostPlanner::WaveProgress &progress)
 {
-    platform::StoreTransaction transaction;
-    transaction.expected = {{std::string(ownerKey), m_ownerRevision}};
-    transaction.writes = {{waveRecordKey(progress.number),
-                           encodeWave({m_waveRecords[progress.number].began,
-                                       {progress.done.begin(), progress.done.end()}}),
-                           0},
-                          {platform::waveStatusKey(progress.number),
-                           platform::encodeWaveStatus(progress.isCompleted), 0}};
-    m_store.transaction(
-            transaction, [this, progress, alive = std::weak_ptr(m_alive)](const auto &reply) {
-                if (alive.expired()) {
-                    return;
-                }
-                if (reply.outcome == StoreOutcome::Done) {
-                    m_isWritingProgress = false;
-                    logEvent(waveChanged, "wave={} done={} completed={}", progress.number,
-                             progress.done.size(), progress.isCompleted);
-                    return;
-                }
-                if (reply.outcome == StoreOutcome::Conflict) {
-                    return m_ownership.resign("another entry has taken over");
-                }
-                retryLater([this, progress] { writeProgress(progress); });
-            });
+    const WaveRecord wave{m_waveRecords[progress.number].began,
+                          {progress.done.begin(), progress.done.end()}};
+    const platform::StoreTransaction::Write status{platform::waveStatusKey(progress.number),
+                                                   platform::encodeWaveStatus(progress.isCompleted),
+                                                   0};
+    const auto handleWritten = [this, progress](bool isStored) {
+        if (!isStored) {
+            return retryLater([this, progress] { writeProgress(progress); });
+        }
+        m_isWritingProgress = false;
+        logEvent(waveChanged, "wave={} done={} completed={}", progress.number, progress.done.size(),
+                 progress.isCompleted);
+    };
+    storedWave(progress.number).write(encodeWave(wave), handleWritten, {status});
 }
 
 } // namespace cyclamenlatch::control
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -101,6 +101,7 @@
     , m_tombstoneCollector(store, metrics, m_tenure.revision, recordRetention(settings))
     , m_tickTimer(context)
     , m_planTimer(context)
+    , m_orderedTargets(store, ownership, std::string(orderedTargetsKey))
 {}
 
 OwnerService::~OwnerService() = default;
@@ -167,7 +168,7 @@
                         return;
                     }
                     if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
-                        m_orderedTargetsRevision = reply.items.front().revision;
+                        m_orderedTargets.setRevision(reply.items.front().revision);
                         const auto targets = decodeOrderedTargets(reply.items.front().value);
                         if (!targets) {
                             logEvent(recordUnreadable, "key={}", orderedTargetsKey);
@@ -296,7 +297,7 @@
 // them for their runs.
 void OwnerService::recordTargets()
 {
-    if (m_isRecordingTargets || !m_areTargetsLoaded || !isHeld()) {
+    if (m_orderedTargets.isWriting() || !m_areTargetsLoaded || !isHeld()) {
         return;
     }
     const bool isNew = m_core.hasUnrecordedTargets();
@@ -310,38 +311,17 @@
         m_targetsRecordedAt = bootNow();
         return;
     }
-    m_isRecordingTargets = true;
-    platform::StoreTransaction transaction;
-    transaction.expected = {{std::string(ownerKey), m_tenure.revision},
-                            {std::string(orderedTargetsKey), m_orderedTargetsRevision}};
-    transaction.writes = {{std::string(orderedTargetsKey), encodeOrderedTargets(targets), 0}};
-    m_store.transaction(
-            transaction, [this, targets, alive = std::weak_ptr(m_alive)](const auto &reply) {
-                if (alive.expired()) {
-                    return;
-                }
-                m_isRecordingTargets = false;
-                if (reply.outcome == StoreOutcome::Done) {
-                    m_orderedTargetsRevision = reply.revision;
-                    m_recordedTargets = targets;
-                    m_targetsRecordedAt = bootNow();
-                    for (const auto &id : targets.ids) {
-                        m_core.targetRecorded(id);
-                    }
-                    return schedulePlan();
-                }
-                if (reply.outcome == StoreOutcome::Conflict) {
-                    for (const auto &item : reply.items) {
-                        if (item.key == orderedTargetsKey) {
-                            m_orderedTargetsRevision = item.deleted ? 0 : item.revision;
-                        }
-                        if (item.key == ownerKey && item.revision != m_tenure.revision) {
-                            return m_ownership.resign("another entry has taken over");
-                        }
-                    }
-                }
-                retryLater([this] { recordTargets(); });
-            });
+    m_orderedTargets.write(encodeOrderedTargets(targets), [this, targets](bool isStored) {
+        if (!isStored) {
+            return retryLater([this] { recordTargets(); });
+        }
+        m_recordedTargets = targets;
+        m_targetsRecordedAt = bootNow();
+        for (const auto &id : targets.ids) {
+            m_core.targetRecorded(id);
+        }
+        schedulePlan();
+    });
 }
 
 void OwnerService::keepAliveAssigned()
--- a/src/control/ownerservice.h
+++ b/src/control/ownerservice.h
@@ -5,6 +5,7 @@
 
 #include "control/hostservice.h"
 #include "control/keywatcher.h"
+#include "control/ownerrecord.h"
 #include "control/ownership.h"
 #include "control/platformstoreclient.h"
 #include "control/records.h"
@@ -136,8 +137,7 @@
     std::unordered_map<scheduling::JobNumber, platform::StoreItem> m_states;
     std::unordered_map<std::string, std::unique_ptr<KeepAliveLoop>> m_keepAliveLoops;
     // Revision of the stored list of targets that may have orders; 0: not stored yet.
-    platform::StoreRevision m_orderedTargetsRevision = 0;
-    bool m_isRecordingTargets = false;
+    OwnerRecord m_orderedTargets;
     OrderedTargets m_recordedTargets;
     TimePoint m_targetsRecordedAt{};
     // When run times were last stored or were to be stored, and how many runs had been added then.
--- a/src/platform/tests/memorystore.h
+++ b/src/platform/tests/memorystore.h
@@ -34,6 +34,19 @@
     // Calls that have neither been answered nor been given up.
     std::size_t openCalls() const { return m_open.size(); }
     bool isOpenChange(std::size_t index) const { return isChange(m_open.at(index).call); }
+    bool isOpenChangeOf(std::size_t index, const std::string &key) const
+    {
+        if (!isOpenChange(index)) {
+            return false;
+        }
+        const auto writes = nlohmann::json::parse(m_open.at(index).call.body)["write"];
+        return std::any_of(writes.begin(), writes.end(),
+                           [&key](const auto &write) { return write["key"] == key; });
+    }
+    bool isOpenWatch(std::size_t index) const
+    {
+        return pathOf(m_open.at(index).call).starts_with("/v1/kv-watch");
+    }
     // Carries the call out and answers it.
     void answer(std::size_t index)
     {
