Keep-alives name ends to forget only while the target lists some

Cause: every keep-alive named all recorded ends, also long after the target had forgotten them. One that is carried out late by the next incarnation, which numbers its ends from 1 again, let that forget an end that nobody had read.

Change: the number is left out unless the last list has an end that is recorded.

--- a/src/scheduling/internal/ownerleases.cpp
+++ b/src/scheduling/internal/ownerleases.cpp
@@ -181,6 +181,7 @@
     target.leaseUntil = {};
     target.endsSeen = 0;
     target.endsRecorded = 0;
+    target.firstEndListed = 0;
     releaseRuns(target, Decision::Kind::TargetRestarted, now);
 }
 
@@ -240,7 +241,11 @@
         return order;
     }
     target->usedToken = order.token;
-    order.endsRecorded = target->endsRecorded;
+    if (target->firstEndListed > 0 && target->firstEndListed <= target->endsRecorded) {
+        // Only while there is something to forget: a call that is carried out late lets the next
+        // incarnation forget ends of its own.
+        order.endsRecorded = target->endsRecorded;
+    }
     order.leaseUntil = leaseFrom(*target, now);
     target->leaseUntil = std::max(target->leaseUntil, order.leaseUntil);
     target->lastOrderAt = now;
@@ -312,7 +317,11 @@
     target->isAdopted = true;
     ++target->lists;
     const auto seenBefore = target->endsSeen;
+    target->firstEndListed = 0;
     for (const auto &end : report.ends) {
+        if (target->firstEndListed == 0 || end.number < target->firstEndListed) {
+            target->firstEndListed = end.number;
+        }
         if (end.number > target->endsSeen) {
             target->endsSeen = end.number;
             if (!m_uncoveredSince) {
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -222,6 +222,8 @@
     // Highest number of an end that was listed, and of one that is recorded.
     std::uint64_t endsSeen = 0;
     std::uint64_t endsRecorded = 0;
+    // Lowest number of an end in the last list; 0: it had none.
+    std::uint64_t firstEndListed = 0;
     // Answers that listed only known ends, since the last one with a new end.
     std::uint32_t redundantAnswers = 0;
     // Number of lists received.
--- a/src/scheduling/tests/heldcalls_tests.cpp
+++ b/src/scheduling/tests/heldcalls_tests.cpp
@@ -1,5 +1,6 @@
 // Tests of calls that are held back on their way to a target that restarts, and of what the owner
 // concludes from lists and answers meanwhile.
+#include "scheduling/tests/modeltarget.h"
 #include "scheduling/tests/ownerfixture.h"
 
 #include <gtest/gtest.h>
@@ -220,4 +221,42 @@
             [](const auto &decision) { return decision.kind == Decision::Kind::Evacuated; }));
 }
 
+// Guards against a task that runs again after its good end: a keep-alive for an earlier
+// incarnation, carried out late by the next one, lets that forget an end that nobody has read.
+TEST(HeldCalls, forAnEarlierIncarnationLetTheNextOneForgetNoEnd)
+{
+    HeldCallsFixture fixture;
+    fixture.join("t1");
+    fixture.submit(7, {makeStep(1)});
+    const auto earlier = fixture.startAll();
+    ASSERT_EQ(earlier.size(), 1U);
+    fixture.poll("t1", 1, {}, {OwnerFixture::end(1, earlier[0], RunOutcome::Done)});
+    fixture.flush();
+    fixture.poll("t1", 1);
+    const auto heldCall = fixture.core.keepAliveOrder("t1", fixture.now);
+    fixture.submit(8, {makeStep(1)});
+    const auto heldStarts = fixture.sendStarts();
+    ASSERT_TRUE(heldCall.has_value());
+    ASSERT_EQ(heldStarts.size(), 1U);
+
+    RunRecord record;
+    TargetLife life("t1", 2000, 0ms, 1, fixture.now, record);
+    EXPECT_EQ(life.start(heldStarts[0], {200ms}, fixture.now), OrderResult::Accepted);
+    fixture.advance(1s);
+    life.advance(fixture.now);
+    EXPECT_TRUE(life.keepAlive(*heldCall, fixture.now));
+    EXPECT_TRUE(life.hasEnds());
+    fixture.core.startAnswered(heldStarts[0], OrderResult::OutcomeUnknown, fixture.now);
+    fixture.core.keepAliveFailed("t1", fixture.now);
+    for (int call = 0; call < 3; ++call) {
+        const auto order = fixture.core.keepAliveOrder("t1", fixture.now);
+        ASSERT_TRUE(order.has_value());
+        EXPECT_TRUE(life.keepAlive(*order, fixture.now));
+        auto report = life.list(fixture.now);
+        report.token = order->token;
+        fixture.core.keepAliveAnswered("t1", report, fixture.now, fixture.now);
+        EXPECT_TRUE(fixture.sendStarts().empty());
+    }
+}
+
 } // namespace cyclamenlatch::scheduling::tests
--- a/src/scheduling/tests/modeltarget.h
+++ b/src/scheduling/tests/modeltarget.h
@@ -2,6 +2,7 @@
 // and numbered ends; and a record of all runs that checks that no work is done twice.
 #pragma once
 
+#include "global/time.h"
 #include "scheduling/keepalivereport.h"
 #include "scheduling/orders.h"
 
