Long-running tasks avoid targets that have just restarted

Cause: the task was started again on the target that had restarted right before. A keep-alive that was waiting there may still be carried out by the next incarnation and grant the longest lease, 10 s, so that the next loss of that target takes 10 s instead of 4.5. That wait has to stay, or two runs of a task are possible; the choice of the target does not.

Change: for long-running tasks such a target weighs as much as four whole targets of free room.

--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -27,6 +27,9 @@
 // whole targets of free room.
 constexpr double minSlowdown = 1.5;
 constexpr double slowdownWeight = 2;
+// A target where whatever runs may have the longest lease weighs as much as this many whole targets
+// of free room for long-running tasks, which must be back soon after the target's loss.
+constexpr double longestLeaseWeight = 4;
 // Range of attempt numbers of one task in one term, so that those of the next owner are higher.
 constexpr std::uint32_t attemptsPerTerm = 4096;
 
@@ -256,6 +259,7 @@
                                  ? 2
                                  : 0;
             }
+            score += longestForeignLease(*target) > m_settings.maxRunLease ? longestLeaseWeight : 0;
         }
         score += !spec.dataRack.empty() && !target->info.hasLabel(spec.dataRack)
                          ? 4 * (m_settings.remoteSlowdownFactor - 1)
--- a/src/scheduling/tests/unknownleases_tests.cpp
+++ b/src/scheduling/tests/unknownleases_tests.cpp
@@ -368,4 +368,29 @@
     EXPECT_EQ(fixture.core.contact("t1"), OwnerCore::Contact::NotContacted);
 }
 
+// Guards against a long-running task that is away for longer than it may be: it is started again on
+// the target that has just restarted, which goes down for good, and its lease there is not known.
+TEST(UnknownLeases, areNotWaitedForWhileLongRunningTasksFitElsewhere)
+{
+    OwnerFixture fixture;
+    fixture.join("t1");
+    fixture.join("t2");
+    fixture.goOn(11s, {"t1", "t2"});
+    fixture.core.settledIncarnations(fixture.now);
+    auto step = makeStep(1);
+    step.isLongRunning = true;
+    fixture.submit(7, {step});
+    const auto first = fixture.startAll();
+    ASSERT_EQ(first.size(), 1U);
+    const auto &restarted = first[0].targetId;
+    fixture.poll(restarted, 1, {OwnerFixture::running(first[0])});
+    fixture.advance(700ms);
+    // The second answer is to a call that fences off those for the earlier incarnation.
+    fixture.poll(restarted, 2000);
+    fixture.poll(restarted, 2000);
+    const auto second = fixture.startAll();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second[0].targetId, restarted);
+}
+
 } // namespace cyclamenlatch::scheduling::tests
