Tests of the host service destroy it before its event loop

Cause: the fixture's service outlived the event loop that its timers use. Evidence: AddressSanitizer, in scripts/sanitize address, for all three tests.

Change: the fixture destroys the service first.

--- a/src/control/tests/hostservice_tests.cpp
+++ b/src/control/tests/hostservice_tests.cpp
@@ -80,8 +80,13 @@
         service->setRules(rules);
         service->setWaves({{1, {1, {"h1", "h2"}, 10s, 2}}});
     }
-    // Destroying the client completes its open calls, whose handlers use the other members.
-    ~HostServiceFixture() { m_http.reset(); }
+    // The service's timers need the event loop. Destroying the client completes its open calls,
+    // whose handlers use the other members.
+    ~HostServiceFixture()
+    {
+        service.reset();
+        m_http.reset();
+    }
     HostServiceFixture(const HostServiceFixture &) = delete;
     HostServiceFixture &operator=(const HostServiceFixture &) = delete;
 
