--- a/src/control/hostservice.h
+++ b/src/control/hostservice.h
@@ -77,7 +77,7 @@
     // Wave records as this owner read them when it started.
     std::map<std::uint64_t, WaveRecord> m_waveRecords;
     bool m_areWaveRecordsLoaded = false;
-    // What is written of each wave's progress; see storedWave().
+    // The stored progress of waves, by number; see storedWave().
     std::map<std::uint64_t, OwnerRecord> m_storedWaves;
     OwnerRecord m_orderedHosts;
     bool m_isListing = false;
--- a/src/control/jobrequesthandler.h
+++ b/src/control/jobrequesthandler.h
@@ -74,14 +74,14 @@
     void show(const PendingRequestPointer &pending);
     void cancel(const PendingRequestPointer &pending);
     void writeCancel(const PendingRequestPointer &pending, const platform::StoreItem &state);
-    // Makes sure that a submission of the job that is still under way does nothing, then answers
-    // that there is no such job.
+    // Makes a submission of the job that is still under way fail, then answers that there is no
+    // such job.
     void writeTombstone(const PendingRequestPointer &pending);
     void cancelAgain(const PendingRequestPointer &pending, const platform::StoreReply &reply);
     void answerNoSuchJob(const PendingRequestPointer &pending);
     void countPending(const PendingRequestPointer &pending);
     bool canRetry(const PendingRequestPointer &pending);
-    // retryAfter is for refusals that a later request may not meet.
+    // retryAfter: sent with 503 and 429, as Retry-After.
     void answer(const PendingRequestPointer &pending, int status, std::string body,
                 std::chrono::seconds retryAfter = defaultRetryAfter);
     void refuse(const PendingRequestPointer &pending, int status, const std::string &reason,
