--- a/src/control/hostservice.h
+++ b/src/control/hostservice.h
@@ -42,6 +42,16 @@
     void setWaves(const std::map<std::uint64_t, scheduling::WavePlan> &waves);
 
 private:
+    // The progress of a wave in the store.
+    struct StoredWave
+    {
+        StoredWave(PlatformStoreClient &store, Ownership &ownership, std::uint64_t number);
+
+        // As this owner read it when it started; with the begin of waves that are new since.
+        WaveRecord progress;
+        OwnerRecord record;
+    };
+
     void loadWaves();
     void loadInitialPoolSizes();
     void storeInitialPoolSizes();
@@ -56,7 +66,7 @@
     void plan();
     void send(const scheduling::HostOrder &order);
     void logPools();
-    OwnerRecord &storedWave(std::uint64_t number);
+    StoredWave &storedWave(std::uint64_t number);
     void storeProgress();
     void writeProgress(const scheduling::HostPlanner::WaveProgress &progress);
 
@@ -74,11 +84,9 @@
     scheduling::HostPlanner m_hostPlanner;
     asio::steady_timer m_timer;
     std::map<std::uint64_t, scheduling::WavePlan> m_waves;
-    // Wave records as this owner read them when it started.
-    std::map<std::uint64_t, WaveRecord> m_waveRecords;
+    // By number; see storedWave().
+    std::map<std::uint64_t, StoredWave> m_storedWaves;
     bool m_areWaveRecordsLoaded = false;
-    // The stored progress of waves, by number; see storedWave().
-    std::map<std::uint64_t, OwnerRecord> m_storedWaves;
     OwnerRecord m_orderedHosts;
     bool m_isListing = false;
     TimePoint m_listedAt{};
--- a/src/control/internal/hostservice.cpp
+++ b/src/control/internal/hostservice.cpp
@@ -86,9 +86,10 @@
                          std::uint64_t number = 0;
                          const auto text = item.key.substr(waveRecordPrefix.size());
                          std::from_chars(text.data(), text.data() + text.size(), number);
-                         storedWave(number).setRevision(item.revision);
-                         if (auto wave = decodeWave(item.value)) {
-                             m_waveRecords[number] = std::move(wave).value();
+                         auto &stored = storedWave(number);
+                         stored.record.setRevision(item.revision);
+                         if (auto progress = decodeWave(item.value)) {
+                             stored.progress = std::move(progress).value();
                          } else {
                              logEvent(recordUnreadable, "key={}", item.key);
                          }
@@ -191,7 +192,7 @@
         return;
     }
     for (const auto &[number, wave] : m_waves) {
-        auto &stored = m_waveRecords[number];
+        auto &stored = storedWave(number).progress;
         if (stored.began == WallTime{}) {
             stored.began = wallNow();
         }
@@ -331,10 +332,14 @@
     }
 }
 
-OwnerRecord &HostService::storedWave(std::uint64_t number)
+HostService::StoredWave::StoredWave(PlatformStoreClient &store, Ownership &ownership,
+                                    std::uint64_t number)
+    : record(store, ownership, waveRecordKey(number))
+{}
+
+HostService::StoredWave &HostService::storedWave(std::uint64_t number)
 {
-    return m_storedWaves.try_emplace(number, m_store, m_ownership, waveRecordKey(number))
-            .first->second;
+    return m_storedWaves.try_emplace(number, m_store, m_ownership, number).first->second;
 }
 
 void HostService::storeProgress()
@@ -350,8 +355,8 @@
 
 void HostService::writeProgress(const scheduling::HostPlanner::WaveProgress &progress)
 {
-    const WaveRecord wave{m_waveRecords[progress.number].began,
-                          {progress.done.begin(), progress.done.end()}};
+    auto &stored = storedWave(progress.number);
+    const WaveRecord wave{stored.progress.began, {progress.done.begin(), progress.done.end()}};
     const platform::StoreTransaction::Write status{platform::waveStatusKey(progress.number),
                                                    platform::encodeWaveStatus(progress.isCompleted),
                                                    0};
@@ -363,7 +368,7 @@
         logEvent(waveChanged, "wave={} done={} completed={}", progress.number, progress.done.size(),
                  progress.isCompleted);
     };
-    storedWave(progress.number).write(encodeWave(wave), handleWritten, {status});
+    stored.record.write(encodeWave(wave), handleWritten, {status});
 }
 
 } // namespace cyclamenlatch::control
--- a/src/control/internal/jobrequesthandler.cpp
+++ b/src/control/internal/jobrequesthandler.cpp
@@ -33,10 +33,10 @@
 constexpr std::size_t maxCachedPhases = 20000;
 constexpr const char *storeUnavailableReason = "the platform's store does not answer this entry";
 
-// Whether a conflict is due to the key, which must not have existed.
-bool exists(const platform::StoreReply &conflict, const std::string &key)
+// Whether the change was not done because the key exists.
+bool conflictsWith(const std::string &key, const platform::StoreReply &reply)
 {
-    return std::any_of(conflict.items.begin(), conflict.items.end(),
+    return std::any_of(reply.items.begin(), reply.items.end(),
                        [&key](const auto &item) { return item.key == key && item.revision != 0; });
 }
 
@@ -192,16 +192,16 @@
                                        const platform::StoreTransaction &transaction)
 {
     ++pending->tries;
-    change(pending, transaction, [this, pending, transaction](const auto &reply) {
+    sendChange(pending, transaction, [this, pending, transaction](const auto &reply) {
         handleSubmissionReply(pending, transaction, reply);
     });
 }
 
 // Every change for a request is sent here: one without an answer may still be carried out, so that
 // the request can no longer be refused as not done.
-void JobRequestHandler::change(const PendingRequestPointer &pending,
-                               const platform::StoreTransaction &transaction,
-                               PlatformStoreClient::Completion completion)
+void JobRequestHandler::sendChange(const PendingRequestPointer &pending,
+                                   const platform::StoreTransaction &transaction,
+                                   PlatformStoreClient::Completion completion)
 {
     m_store.transaction(transaction,
                         [pending, completion = std::move(completion)](const auto &reply) {
@@ -220,7 +220,7 @@
     switch (reply.outcome) {
     case StoreOutcome::Done:
     case StoreOutcome::Conflict:
-        if (exists(reply, tombstoneKey(pending->id))) {
+        if (conflictsWith(tombstoneKey(pending->id), reply)) {
             return refuse(pending, 503, "the job was cancelled before it was stored",
                           "send it under another id", m_tombstoneRetention);
         }
@@ -303,7 +303,7 @@
     platform::StoreTransaction transaction;
     transaction.expected = {{stateKey(pending->id), 0}};
     transaction.writes = {{tombstoneKey(pending->id), {}, 0}};
-    change(pending, transaction, [this, pending](const auto &reply) {
+    sendChange(pending, transaction, [this, pending](const auto &reply) {
         if (reply.outcome == StoreOutcome::Done) {
             logEvent(unknownJobCancelled, "job={} queue={} revision={}",
                      platform::formatJobId(pending->id), pending->queue.name, reply.revision);
@@ -346,7 +346,7 @@
     cancelled.phase = JobPhase::Cancelled;
     transaction.writes = {{state.key, encodeProgress(cancelled), 0}};
     transaction.removals = {jobKey(pending->id), waitingKey(pending->queue.name, pending->id)};
-    change(pending, transaction, [this, pending](const auto &reply) {
+    sendChange(pending, transaction, [this, pending](const auto &reply) {
         if (reply.outcome == StoreOutcome::Done) {
             cachePhase(pending->id, JobPhase::Cancelled);
             logEvent(jobCancelAccepted, "job={} queue={} revision={}",
--- a/src/control/jobrequesthandler.h
+++ b/src/control/jobrequesthandler.h
@@ -66,8 +66,9 @@
     void submit(const PendingRequestPointer &pending);
     void sendSubmission(const PendingRequestPointer &pending,
                         const platform::StoreTransaction &transaction);
-    void change(const PendingRequestPointer &pending, const platform::StoreTransaction &transaction,
-                PlatformStoreClient::Completion completion);
+    void sendChange(const PendingRequestPointer &pending,
+                    const platform::StoreTransaction &transaction,
+                    PlatformStoreClient::Completion completion);
     void handleSubmissionReply(const PendingRequestPointer &pending,
                                const platform::StoreTransaction &transaction,
                                const platform::StoreReply &reply);
--- a/src/control/tests/tombstonecollector_tests.cpp
+++ b/src/control/tests/tombstonecollector_tests.cpp
@@ -35,6 +35,15 @@
         collector->tick(now);
         store.answerAll();
     }
+    // Lists that are too few for a removal: the first one that shows a tombstone begins the
+    // retention.
+    void passAllButTheLast(std::size_t tombstones = 1)
+    {
+        for (int lists = 0; lists < 4; ++lists) {
+            pass();
+            ASSERT_EQ(store.countKeys(std::string(tombstonePrefix)), tombstones);
+        }
+    }
     void passFailing()
     {
         now += listInterval;
@@ -70,13 +79,9 @@
     for (scheduling::JobNumber id = 1; id <= 40; ++id) {
         fixture.store.put(tombstoneKey(id), "");
     }
-    // The first list begins the retention.
-    for (int lists = 0; lists < 4; ++lists) {
-        fixture.pass();
-        ASSERT_EQ(fixture.store.countKeys("tombstone/"), 40U);
-    }
+    fixture.passAllButTheLast(40);
     fixture.pass();
-    EXPECT_EQ(fixture.store.countKeys("tombstone/"), 0U);
+    EXPECT_EQ(fixture.store.countKeys(std::string(tombstonePrefix)), 0U);
     EXPECT_TRUE(fixture.store.contains(std::string(ownerKey)));
 }
 
@@ -86,9 +91,7 @@
 {
     CollectorFixture fixture;
     fixture.store.put(tombstoneKey(1), "");
-    for (int lists = 0; lists < 4; ++lists) {
-        fixture.pass();
-    }
+    fixture.passAllButTheLast();
     fixture.now += listInterval;
     fixture.collector->tick(fixture.now);
     fixture.store.answer(0);
@@ -98,10 +101,7 @@
     fixture.store.put(tombstoneKey(1), "");
     fixture.store.carryOutLate(0);
     EXPECT_TRUE(fixture.store.contains(tombstoneKey(1)));
-    for (int lists = 0; lists < 4; ++lists) {
-        fixture.pass();
-        EXPECT_TRUE(fixture.store.contains(tombstoneKey(1)));
-    }
+    fixture.passAllButTheLast();
     fixture.pass();
     EXPECT_FALSE(fixture.store.contains(tombstoneKey(1)));
 }
@@ -112,14 +112,9 @@
 {
     CollectorFixture fixture;
     fixture.store.put(tombstoneKey(1), "");
-    for (int lists = 0; lists < 4; ++lists) {
-        fixture.pass();
-    }
+    fixture.passAllButTheLast();
     fixture.passFailing();
-    for (int lists = 0; lists < 4; ++lists) {
-        fixture.pass();
-        EXPECT_TRUE(fixture.store.contains(tombstoneKey(1)));
-    }
+    fixture.passAllButTheLast();
     fixture.pass();
     EXPECT_FALSE(fixture.store.contains(tombstoneKey(1)));
 }
@@ -129,9 +124,7 @@
 {
     CollectorFixture fixture;
     fixture.store.put(tombstoneKey(1), "");
-    for (int lists = 0; lists < 4; ++lists) {
-        fixture.pass();
-    }
+    fixture.passAllButTheLast();
     fixture.store.put(std::string(ownerKey), "edge-2");
     fixture.pass();
     EXPECT_TRUE(fixture.store.contains(tombstoneKey(1)));
--- a/src/platform/tests/latestore.h
+++ b/src/platform/tests/latestore.h
@@ -62,7 +62,11 @@
         m_store.send(std::move(call), [this, respond](net::HttpCallResult result) {
             result.reply ? respond(std::move(*result.reply)) : m_server.leaveUnanswered(respond);
         });
-        isSubmission &&leavesSubmissionsUnanswered ? m_store.leaveUnanswered(0) : m_store.answer(0);
+        if (isSubmission && leavesSubmissionsUnanswered) {
+            m_store.leaveUnanswered(0);
+        } else {
+            m_store.answer(0);
+        }
     }
 
     std::mutex m_mutex;
