--- a/review/lab-3/fleet.h
+++ b/review/lab-3/fleet.h
@@ -77,8 +77,7 @@
     {
         store->write("op/config", configuration.dump());
         journal.line("operator writes version "
-                     + std::to_string(configuration.at("version").get<int>())
-                     + ", acknowledged");
+                     + std::to_string(configuration.at("version").get<int>()) + ", acknowledged");
     }
 
     void addAdvice(std::function<awaitable<Response>(Request)> handler)
@@ -149,8 +148,7 @@
             }
             const char *arguments[] = {program.c_str(), "serve", nullptr};
             const char *variables[] = {variable.c_str(), "PATH=/usr/bin:/bin", nullptr};
-            execve(program.c_str(), const_cast<char **>(arguments),
-                   const_cast<char **>(variables));
+            execve(program.c_str(), const_cast<char **>(arguments), const_cast<char **>(variables));
             _exit(127);
         }
         journal.line("started " + entry.name);
@@ -245,8 +243,8 @@
         const auto answer =
                 co_await call(entry.ip, frontendPort, method, path, headers, body, timeout);
         if (!isQuiet) {
-            journal.line("client got " + std::to_string(answer.status) + " " + answer.body
-                         + " for " + method + " " + path + " from " + entry.name);
+            journal.line("client got " + std::to_string(answer.status) + " " + answer.body + " for "
+                         + method + " " + path + " from " + entry.name);
         }
         co_return answer;
     }
@@ -318,8 +316,8 @@
              << "  remote_factor: 2\n  checkpoint_interval_s: 1\n  restore_ms: 250\n"
              << "  migrate_s: 1.5\n  maintenance_s: 2\n  fencing_enabled: true\n  lease_ms: 3000\n"
              << "commands: \"invocation\"\nrecommendation: "
-             << quote(m_net + "2:" + std::to_string(storePort)) << "\nplatform:\n  address: "
-             << quote(entry.storeIp + ":" + std::to_string(storePort))
+             << quote(m_net + "2:" + std::to_string(storePort))
+             << "\nplatform:\n  address: " << quote(entry.storeIp + ":" + std::to_string(storePort))
              << "\n  form: \"kv\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n"
              << "  max_value_bytes: 1048576\n  min_ttl_ms: 1000\n"
              << "cloud:\n  address: " << quote(m_net + "3:" + std::to_string(storePort))
--- a/review/lab-3/http.h
+++ b/review/lab-3/http.h
@@ -110,8 +110,8 @@
     awaitable<void> accept()
     {
         while (true) {
-            auto connection = std::make_shared<Connection>(
-                    co_await m_acceptor.async_accept(use_awaitable));
+            auto connection =
+                    std::make_shared<Connection>(co_await m_acceptor.async_accept(use_awaitable));
             connection->socket.set_option(tcp::no_delay(true));
             m_connections.insert(connection);
             asio::co_spawn(m_context, serve(connection), asio::detached);
@@ -143,7 +143,8 @@
                 request.headers[lower(line.substr(0, colon))] = value;
             }
             buffer.erase(0, head);
-            const auto length = std::strtoul(request.headers["content-length"].c_str(), nullptr, 10);
+            const auto length =
+                    std::strtoul(request.headers["content-length"].c_str(), nullptr, 10);
             if (buffer.size() < length) {
                 co_await asio::async_read(connection->socket, asio::dynamic_buffer(buffer),
                                           asio::transfer_exactly(length - buffer.size()),
--- a/review/lab-3/lab.cpp
+++ b/review/lab-3/lab.cpp
@@ -46,14 +46,14 @@
     // A repeated job: an occurrence of one small task each 400 ms.
     const std::string job = "5c0e7a21d94b36f8";
     const std::string path = "/puxa400/" + job;
-    const auto wallNow = std::chrono::duration_cast<Ms>(
-            std::chrono::system_clock::now().time_since_epoch());
-    const json body{{"spec", "work_ms=15000"},
-                    {"phases", {{{"count", 1}, {"cpu", 500}, {"mem_mb", 256},
-                                 {"estimated_ms", 15000}}}},
-                    {"repeat_count", 200},
-                    {"interval_ms", 400},
-                    {"start_at_ms", (wallNow + Ms(500)).count()}};
+    const auto wallNow =
+            std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch());
+    const json body{
+            {"spec", "work_ms=15000"},
+            {"phases", {{{"count", 1}, {"cpu", 500}, {"mem_mb", 256}, {"estimated_ms", 15000}}}},
+            {"repeat_count", 200},
+            {"interval_ms", 400},
+            {"start_at_ms", (wallNow + Ms(500)).count()}};
     const auto accepted = co_await fleet.client(other, "POST", path, body.dump());
     if (accepted.status != 200) {
         co_return report(fleet, NotRun, "the job was not accepted");
@@ -63,8 +63,8 @@
     constexpr int burst = 30;
     for (int round = 0; round < 2; ++round) {
         for (int number = 0; number < burst; ++number) {
-            asio::co_spawn(fleet.context, fleet.client(*owner, "GET", path, {}, "key-a", Ms(3000),
-                                                       true),
+            asio::co_spawn(fleet.context,
+                           fleet.client(*owner, "GET", path, {}, "key-a", Ms(3000), true),
                            asio::detached);
         }
         co_await pause(Ms(500));
@@ -121,8 +121,12 @@
     co_await pause(Ms(1000));
     const std::string lasting = "10000000000000a1";
     const json standing{{"spec", "lasts"},
-                        {"phases", {{{"count", 1}, {"cpu", 1500}, {"mem_mb", 8400},
-                                     {"estimated_ms", 500}, {"long_running", true}}}}};
+                        {"phases",
+                         {{{"count", 1},
+                           {"cpu", 1500},
+                           {"mem_mb", 8400},
+                           {"estimated_ms", 500},
+                           {"long_running", true}}}}};
     co_await fleet.client(fleet.entries[0], "POST", "/puxa400/" + lasting, standing.dump());
     co_await pause(Ms(2000));
     if (hasTrouble()) {
@@ -132,9 +136,9 @@
     }
     co_await pause(Ms(2000 + Fleet::configApplyMs));
     const std::string job = "10000000000000b2";
-    const json small{{"spec", "work_ms=300"},
-                     {"phases", {{{"count", 1}, {"cpu", 3000}, {"mem_mb", 256},
-                                  {"estimated_ms", 300}}}}};
+    const json small{
+            {"spec", "work_ms=300"},
+            {"phases", {{{"count", 1}, {"cpu", 3000}, {"mem_mb", 256}, {"estimated_ms", 300}}}}};
     const auto accepted =
             co_await fleet.client(fleet.entries[1], "POST", "/puxa400/" + job, small.dump());
     if (accepted.status != 200) {
@@ -166,12 +170,17 @@
 json standingJob(int count)
 {
     return {{"spec", "lasts"},
-            {"phases", {{{"count", count}, {"cpu", 4500}, {"mem_mb", 8400}, {"estimated_ms", 500},
-                         {"long_running", true}, {"anti_affinity", 1}}}}};
+            {"phases",
+             {{{"count", count},
+               {"cpu", 4500},
+               {"mem_mb", 8400},
+               {"estimated_ms", 500},
+               {"long_running", true},
+               {"anti_affinity", 1}}}}};
 }
 
-// Large jobs come at once: a job whose queue needs advice, and standing ones that fill the minions that
-// the advice service is asked about.
+// Large jobs come at once: a job whose queue needs advice, and standing ones that fill the minions
+// that the advice service is asked about.
 awaitable<Result> filledAdvice(Fleet &fleet)
 {
     fleet.addCloud();
@@ -204,9 +213,9 @@
     }
     co_await pause(Ms(1500));
     const std::string job = "10000000000000c3";
-    const json large{{"spec", "work_ms=500"},
-                     {"phases", {{{"count", 1}, {"cpu", 15000}, {"mem_mb", 8400},
-                                  {"estimated_ms", 500}}}}};
+    const json large{
+            {"spec", "work_ms=500"},
+            {"phases", {{{"count", 1}, {"cpu", 15000}, {"mem_mb", 8400}, {"estimated_ms", 500}}}}};
     const auto accepted =
             co_await fleet.client(fleet.entries[1], "POST", "/kalo37d/" + job, large.dump());
     if (accepted.status != 200) {
@@ -251,15 +260,15 @@
     asio::co_spawn(fleet.context, fleet.keepUp(), asio::detached);
     co_await pause(Ms(1500));
     constexpr std::int64_t day = 24 * 60 * 60 * 1000;
-    const auto wallNow = std::chrono::duration_cast<Ms>(
-                                 std::chrono::system_clock::now().time_since_epoch())
-                                 .count();
-    const json repeated{{"spec", "work_ms=300"},
-                        {"phases", {{{"count", 24}, {"cpu", 500}, {"mem_mb", 256},
-                                     {"estimated_ms", 300}}}},
-                        {"repeat_count", hasTrouble() ? 86400 : 8},
-                        {"interval_ms", 1000},
-                        {"start_at_ms", wallNow - day}};
+    const auto wallNow =
+            std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch())
+                    .count();
+    const json repeated{
+            {"spec", "work_ms=300"},
+            {"phases", {{{"count", 24}, {"cpu", 500}, {"mem_mb", 256}, {"estimated_ms", 300}}}},
+            {"repeat_count", hasTrouble() ? 86400 : 8},
+            {"interval_ms", 1000},
+            {"start_at_ms", wallNow - day}};
     const auto accepted = co_await fleet.client(fleet.entries[1], "POST",
                                                 "/puxa400/10000000000000a7", repeated.dump());
     if (accepted.status != 200) {
@@ -269,9 +278,9 @@
     co_await pause(Ms(4000));
     // An ordinary job of another client.
     const std::string job = "10000000000000b8";
-    const json small{{"spec", "work_ms=300"},
-                     {"phases", {{{"count", 4}, {"cpu", 500}, {"mem_mb", 256},
-                                  {"estimated_ms", 300}}}}};
+    const json small{
+            {"spec", "work_ms=300"},
+            {"phases", {{{"count", 4}, {"cpu", 500}, {"mem_mb", 256}, {"estimated_ms", 300}}}}};
     Response taken;
     for (std::size_t tries = 0; tries < 12 && taken.status != 200; ++tries) {
         taken = co_await fleet.client(fleet.entries[tries % 3], "POST", "/puxa400/" + job,
--- a/review/lab-3/platform.h
+++ b/review/lab-3/platform.h
@@ -24,8 +24,7 @@
         std::uint32_t group = 0;
         const auto count = std::min<std::size_t>(3, bytes.size() - at);
         for (std::size_t byte = 0; byte < 3; ++byte) {
-            group = group << 8
-                    | (byte < count ? static_cast<unsigned char>(bytes[at + byte]) : 0u);
+            group = group << 8 | (byte < count ? static_cast<unsigned char>(bytes[at + byte]) : 0u);
         }
         for (std::size_t digit = 0; digit < 4; ++digit) {
             text += digit <= count ? digits[group >> (18 - 6 * digit) & 63] : '=';
@@ -97,8 +96,9 @@
     // Each entry has an address of the store of its own, as if the way there led through a proxy.
     void listen(const std::string &ip, unsigned short port)
     {
-        m_servers[ip] = std::make_unique<Server>(
-                m_context, ip, port, [this](Request request) { return handle(std::move(request)); });
+        m_servers[ip] = std::make_unique<Server>(m_context, ip, port, [this](Request request) {
+            return handle(std::move(request));
+        });
     }
 
     // As the operator or a minion.
@@ -273,9 +273,10 @@
     json eventsAfter(const std::string &prefix, std::uint64_t after) const
     {
         json events = json::array();
-        auto at = std::upper_bound(
-                m_history.begin(), m_history.end(), after,
-                [](std::uint64_t revision, const Event &event) { return revision < event.revision; });
+        auto at = std::upper_bound(m_history.begin(), m_history.end(), after,
+                                   [](std::uint64_t revision, const Event &event) {
+                                       return revision < event.revision;
+                                   });
         for (; at != m_history.end(); ++at) {
             if (!at->key.starts_with(prefix)) {
                 continue;
@@ -437,11 +438,10 @@
             const auto now = Clock::now();
             for (auto at = m_runs.begin(); at != m_runs.end();) {
                 const auto &run = at->second;
-                const char *how = clock() >= m_deadline                         ? "lapsed"
-                                  : run.isStopping && now >= run.stopsAt        ? "stopped"
-                                  : run.isStopping                              ? nullptr
-                                  : run.length.count() > 0
-                                                  && now >= run.began + run.length
+                const char *how = clock() >= m_deadline                  ? "lapsed"
+                                  : run.isStopping && now >= run.stopsAt ? "stopped"
+                                  : run.isStopping                       ? nullptr
+                                  : run.length.count() > 0 && now >= run.began + run.length
                                           ? "done"
                                           : nullptr;
                 if (how == nullptr) {
@@ -550,10 +550,10 @@
             const double worked =
                     std::chrono::duration<double, std::milli>(Clock::now() - run.began).count();
             const int percent =
-                    run.length.count() > 0
-                            ? std::min(99, static_cast<int>(100 * worked
-                                                            / static_cast<double>(run.length.count())))
-                            : (worked > 300 ? 100 : 50);
+                    run.length.count() > 0 ? std::min(
+                            99, static_cast<int>(100 * worked
+                                                 / static_cast<double>(run.length.count())))
+                                           : (worked > 300 ? 100 : 50);
             running.push_back({task, run.attempt, "", percent, 10});
         }
         json ends = json::array();
@@ -570,9 +570,9 @@
     Store &m_store;
     Journal &m_journal;
     const Clock::time_point m_bornAt = Clock::now();
-    const std::int64_t m_born = std::chrono::duration_cast<Ms>(
-                                        std::chrono::system_clock::now().time_since_epoch())
-                                        .count();
+    const std::int64_t m_born =
+            std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch())
+                    .count();
     std::uint64_t m_fence = 0;
     std::int64_t m_deadline = 0;
     std::map<std::string, Run> m_runs;
