One silent connection casts doubt on the others to its host

Cause: a call that timed out closed its own connection only. The next one took an idle connection as old and as silent, and waited there for its own time-out; a watch takes 2 s for each. A watch that was sent anew because the lease was renewed again, on connections of its own, met a silent one in the same way, and a call for a new connection waited behind idle ones.

Change: a reply that is overdue, with no byte of it received, closes the idle connections to its host that were last heard before it was due, for every user of LoopHttpClient. Connections heard since then are kept, so that a slow server stays connected. Watches sent anew have a new connection, which takes the place of the one idle for longest. The owner's watches are sent anew after an outage too.

--- a/src/control/internal/keywatcher.cpp
+++ b/src/control/internal/keywatcher.cpp
@@ -34,7 +34,7 @@
 {
     if (m_isWatching) {
         m_timer.cancel();
-        watch();
+        watch(true);
     }
 }
 
@@ -56,7 +56,7 @@
     });
 }
 
-void KeyWatcher::watch()
+void KeyWatcher::watch(bool onNewConnection)
 {
     m_isWatching = true;
     m_store.watch(
@@ -75,7 +75,8 @@
                 if (!alive.expired()) {
                     watch();
                 }
-            });
+            },
+            onNewConnection);
 }
 
 void KeyWatcher::retryLater(bool withList)
--- a/src/control/internal/ownerservice.cpp
+++ b/src/control/internal/ownerservice.cpp
@@ -362,6 +362,7 @@
     }
     auto call = platform::keepAliveCall(*target, *order);
     call.timeout = order->wait + order->timeout;
+    call.replyDelay = order->wait;
     call.peerCheck->timeout = order->timeout;
     call.connectTimeout = connectTimeout;
     call.isPermitted = m_ownership.makeOwnershipCheck(m_alive);
--- a/src/control/internal/platformentry.cpp
+++ b/src/control/internal/platformentry.cpp
@@ -415,6 +415,9 @@
                 logEvent(storeRecovered, "calls={}", m_store.calls());
                 m_configurationWatcher.restartWatch();
                 m_ownership.storeRecovered();
+                if (m_owner) {
+                    m_owner->storeRecovered();
+                }
             }
         }
         if (isStoreUnavailable) {
--- a/src/control/internal/platformstoreclient.cpp
+++ b/src/control/internal/platformstoreclient.cpp
@@ -154,10 +154,14 @@
 }
 
 void PlatformStoreClient::watch(const std::string &prefix, platform::StoreRevision after,
-                                std::chrono::milliseconds wait, Completion completion)
+                                std::chrono::milliseconds wait, Completion completion,
+                                bool onNewConnection)
 {
+    auto call = m_codec.watch(prefix, after, wait);
+    call.replyDelay = wait;
+    call.freshConnection = onNewConnection;
     send(
-            m_codec.watch(prefix, after, wait), wait + watchMargin,
+            std::move(call), wait + watchMargin,
             [this, completion = std::move(completion)](const platform::StoreReply &reply) {
                 if (reply.outcome == platform::StoreOutcome::OutcomeUnknown) {
                     // Finds out whether the store is unavailable or only this connection is dead.
--- a/src/control/keywatcher.h
+++ b/src/control/keywatcher.h
@@ -33,13 +33,13 @@
     KeyWatcher &operator=(const KeyWatcher &) = delete;
 
     void start();
-    // Replaces the current watch call: one that was sent while the store was unavailable may never
-    // be answered.
+    // Replaces the current watch call, on a new connection: one that was sent while the store was
+    // unavailable may never be answered, and neither may one on a connection of that time.
     void restartWatch();
 
 private:
     void list();
-    void watch();
+    void watch(bool onNewConnection = false);
     void retryLater(bool withList);
 
     PlatformStoreClient &m_store;
--- a/src/control/platformstoreclient.h
+++ b/src/control/platformstoreclient.h
@@ -38,7 +38,7 @@
     // Like list(), but fails with the first page that fails: for answers that a caller waits for.
     void listOnce(const std::string &prefix, Completion completion);
     void watch(const std::string &prefix, platform::StoreRevision after,
-               std::chrono::milliseconds wait, Completion completion);
+               std::chrono::milliseconds wait, Completion completion, bool onNewConnection = false);
     void transaction(const platform::StoreTransaction &transaction, Completion completion);
     void grantLease(std::chrono::milliseconds timeToLive, Completion completion);
     void renewLease(platform::LeaseId lease, Completion completion);
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -43,6 +43,9 @@
     // timeout does. For answers whose length, and so their time on a thin link, the caller can't
     // know.
     std::chrono::milliseconds idleTimeout{};
+    // LoopHttpClient only: how long the server may hold the reply back, as for a watch without a
+    // change. Only silence after that tells anything of the connection.
+    std::chrono::milliseconds replyDelay{};
     // LoopHttpClient only: asked when a connection is ready, right before the first byte is
     // written; after a no the call fails unsent. For orders whose permission may run out while they
     // wait. Empty: always yes.
--- a/src/net/internal/loopconnection.cpp
+++ b/src/net/internal/loopconnection.cpp
@@ -46,6 +46,7 @@
             self->close();
             return self->m_listener.connected(*self, failed.message());
         }
+        self->receivedAt = steadyNow();
         self->read();
         self->m_listener.connected(*self, {});
     });
@@ -124,6 +125,7 @@
     if (callNumber == 0) {
         return end("the peer sent what nobody asked for");
     }
+    receivedAt = steadyNow();
     const auto parsed = http_parser_execute(&m_parser, &callbacks(), m_buffer.data(), size);
     if (m_isComplete) {
         const bool isReusable = parsed == size && http_should_keep_alive(&m_parser) != 0;
@@ -142,7 +144,6 @@
     if (parsed != size || HTTP_PARSER_ERRNO(&m_parser) != HPE_OK) {
         return end("the answer is malformed");
     }
-    receivedAt = steadyNow();
     read();
 }
 
--- a/src/net/internal/loopconnection.h
+++ b/src/net/internal/loopconnection.h
@@ -47,7 +47,7 @@
     // The identity that the peer has named; 0: none yet. See PeerCheck.
     std::int64_t peer = 0;
     TimePoint idleSince{};
-    // When the last byte came.
+    // When the peer was last heard: the connection was made, or a byte came.
     TimePoint receivedAt{};
 
 private:
--- a/src/net/internal/loophttpclient.cpp
+++ b/src/net/internal/loophttpclient.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -133,6 +134,8 @@
         // Its entry in m_deadlines.
         TimePoint watchedUntil{};
         std::shared_ptr<LoopConnection> connection;
+        // When the call, or the request for the peer's identity, was last written.
+        TimePoint writtenAt{};
         bool isWritten = false;
         // The connection's peer is being asked for its identity.
         bool isIdentifying = false;
@@ -158,6 +161,10 @@
         auto &host = m_hosts[call.host];
         if (host.open >= m_settings.maxConnectionsPerHost) {
             host.waiting.push_back(number);
+            if (!host.idle.empty()) {
+                // A call that needs a new connection takes the place of the one idle for longest.
+                drop(*std::shared_ptr(host.idle.front()));
+            }
             return;
         }
         ++host.open;
@@ -195,7 +202,7 @@
     void write(std::uint64_t number, Call &call, std::shared_ptr<LoopConnection> connection)
     {
         connection->callNumber = number;
-        connection->receivedAt = steadyNow();
+        call.writtenAt = steadyNow();
         call.connection = std::move(connection);
         if (call.call.isPermitted && !call.call.isPermitted()) {
             // Never told inside send().
@@ -435,9 +442,32 @@
         }
     }
 
+    // A call whose reply is overdue, with no byte of it received, shows that its connection has
+    // gone silent. Whatever silenced it may have silenced every other connection to the host: those
+    // that were last heard before the reply was due are closed, so that the next call does not wait
+    // for its own timeout on one of them. Connections heard since then are kept, which is what a
+    // server that is merely slow leaves open.
+    void closeUnheard(const Call &call)
+    {
+        const auto found = m_hosts.find(call.host);
+        if (found == m_hosts.end() || call.connection->receivedAt > call.writtenAt) {
+            return;
+        }
+        const TimePoint due =
+                call.writtenAt + (call.isIdentifying ? Duration{} : Duration{call.call.replyDelay});
+        std::vector<std::shared_ptr<LoopConnection>> unheard;
+        std::copy_if(found->second.idle.begin(), found->second.idle.end(),
+                     std::back_inserter(unheard),
+                     [&](const auto &connection) { return connection->receivedAt <= due; });
+        for (const auto &connection : unheard) {
+            drop(*connection);
+        }
+    }
+
     // The peer has not named itself in time: tries another connection.
     void identifyAgain(std::uint64_t number, Call &call)
     {
+        closeUnheard(call);
         const auto silent = std::exchange(call.connection, nullptr);
         call.isIdentifying = false;
         call.identifyTimeout *= 2;
@@ -459,12 +489,16 @@
                 continue;
             }
             const auto idleEnd = call.isWritten && call.call.idleTimeout.count() > 0
-                                         ? call.connection->receivedAt + call.call.idleTimeout
+                                         ? std::max(call.writtenAt, call.connection->receivedAt)
+                                                   + call.call.idleTimeout
                                          : call.endsAt;
             if (call.isWritten && std::min(call.endsAt, idleEnd) > now) {
                 watchUntil(number, std::min(call.endsAt, idleEnd));
                 continue;
             }
+            if (call.isWritten || call.isIdentifying) {
+                closeUnheard(call);
+            }
             fail(number, call.isWritten || call.isIdentifying ? "no answer came in time"
                          : call.connection ? "the connection was not made in time"
                                            : "no connection became free in time");
