A task larger than the rest of its workspace's cap may start

Cause: a start had to fit whole into what was left, while the platform allows the cap, its overage and one task more.

Change: a task may start while its cap is not used up, if all runs are known and no other start of the workspace is under way: starts arrive in any order, and a small one behind a large one would exceed the cap by more than itself. Starts that waited for the store are checked once more, gangs as a whole.

--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -287,21 +287,41 @@
               });
 }
 
-bool OwnerCore::mayUse(const std::string &workspace, const Resources &requiredResources) const
+OwnerCore::CapRoom OwnerCore::capRoom(const std::string &workspace, const Resources &task,
+                                      std::uint32_t count) const
 {
     const auto *limits = workspaceLimits(workspace);
     if (limits == nullptr) {
         // Jobs of public queues have no workspace. A cap that is not known must not be exceeded.
-        return workspace.empty();
+        return workspace.empty() ? CapRoom::Enough : CapRoom::None;
     }
-    Resources used = m_orphanedUse + requiredResources;
+    Resources used = m_orphanedUse + task * (std::int64_t{count} - 1);
     if (const auto found = m_used.find(workspace); found != m_used.end()) {
-        used += found->second;
+        used += found->second.resources;
     }
     if (const auto found = m_uncertainUse.find(workspace); found != m_uncertainUse.end()) {
         used += found->second;
     }
-    return used.isWithinCap(m_hasUncontactedTargets ? reduced(limits->cap) : limits->cap);
+    const auto cap = m_hasUncontactedTargets ? reduced(limits->cap) : limits->cap;
+    return (used + task).isWithinCap(cap)   ? CapRoom::Enough
+           : task.mayStartBeside(used, cap) ? CapRoom::Partial
+                                            : CapRoom::None;
+}
+
+// A start may exceed the cap by its own task, as the platform allows: a task that is larger than
+// what the workspace's other runs leave of the cap would otherwise wait for as long as they last.
+// Starts arrive in any order, and a smaller one that arrives after it would exceed the cap by more
+// than itself, so all others must be known to have arrived.
+bool OwnerCore::mayUse(const std::string &workspace, const Resources &task,
+                       std::uint32_t count) const
+{
+    const auto room = capRoom(workspace, task, count);
+    if (room != CapRoom::Partial) {
+        return room == CapRoom::Enough;
+    }
+    const auto used = m_used.find(workspace);
+    return !m_hasUncontactedTargets && m_orphanedUse == Resources{}
+           && (used == m_used.end() || used->second.startsUnderWay == 0);
 }
 
 } // namespace cyclamenlatch::scheduling
--- a/src/scheduling/internal/ownerreservations.cpp
+++ b/src/scheduling/internal/ownerreservations.cpp
@@ -138,7 +138,7 @@
         && (ticket == step->tickets.end() || ticket->second.text.empty())) {
         return "advice excludes the target";
     }
-    if (!mayUse(job->submission.workspace, step->spec->allocatedResources())) {
+    if (capRoom(job->submission.workspace, step->spec->allocatedResources(), 1) == CapRoom::None) {
         return "the workspace's cap is used up";
     }
     return {};
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -16,6 +16,11 @@
 // Progress that a long-running task reports while it is at work.
 constexpr int atWorkPercent = 100;
 
+std::uint32_t startsUnderWay(RunPhase phase)
+{
+    return phase == RunPhase::Running || phase == RunPhase::Stopping ? 0 : 1;
+}
+
 } // namespace
 
 OwnerCore::RunState &OwnerCore::addRun(TargetState &target, const TaskRef &task,
@@ -28,7 +33,9 @@
     run.tailLatencyBound = spec.tailLatencyBound;
     run.resources = spec.allocatedResources();
     target.used += run.resources;
-    m_used[run.workspace] += run.resources;
+    auto &used = m_used[run.workspace];
+    used.resources += run.resources;
+    used.startsUnderWay += startsUnderWay(run.phase);
     return target.runs.emplace(task, std::move(run)).first->second;
 }
 
@@ -40,10 +47,20 @@
     }
     target.orphanedRuns -= found->second.isOrphaned ? 1 : 0;
     target.used -= found->second.resources;
-    m_used[found->second.workspace] -= found->second.resources;
+    auto &used = m_used[found->second.workspace];
+    used.resources -= found->second.resources;
+    used.startsUnderWay -= startsUnderWay(found->second.phase);
     target.runs.erase(found);
 }
 
+void OwnerCore::setPhase(RunState &run, RunPhase phase)
+{
+    auto &used = m_used[run.workspace];
+    used.startsUnderWay -= startsUnderWay(run.phase);
+    used.startsUnderWay += startsUnderWay(phase);
+    run.phase = phase;
+}
+
 // Removes a run that ended without a result; its task waits for another start.
 void OwnerCore::releaseRun(TargetState &target, const TaskRef &task, TimePoint now)
 {
@@ -84,9 +101,9 @@
         if (kind == Decision::Kind::TargetRestarted && (mayStartLater(run) || !wasListed)) {
             // The start may reach the new incarnation before the first call that fences it off. The
             // list that answers that call tells.
-            run.phase = run.phase == RunPhase::Running    ? RunPhase::Starting
-                        : run.phase == RunPhase::Stopping ? RunPhase::OutcomeUnknown
-                                                          : run.phase;
+            setPhase(run, run.phase == RunPhase::Running    ? RunPhase::Starting
+                          : run.phase == RunPhase::Stopping ? RunPhase::OutcomeUnknown
+                                                            : run.phase);
             run.stopSentAt.reset();
             run.stopAnsweredAt.reset();
             if (auto *state = findTask(task); state != nullptr && state->target == &target) {
@@ -112,7 +129,7 @@
     if (run.phase == RunPhase::Stopping || run.phase == RunPhase::OutcomeUnknown) {
         return;
     }
-    run.phase = run.phase == RunPhase::Running ? RunPhase::Stopping : RunPhase::OutcomeUnknown;
+    setPhase(run, run.phase == RunPhase::Running ? RunPhase::Stopping : RunPhase::OutcomeUnknown);
     if (auto *state = findTask(task); state != nullptr && state->target == &target) {
         state->isAtWork = false;
     }
@@ -251,11 +268,11 @@
     }
     run.listedAt = sentAt;
     if (run.phase == RunPhase::Starting) {
-        run.phase = RunPhase::Running;
+        setPhase(run, RunPhase::Running);
         run.confirmedAt = now;
     } else if (run.phase == RunPhase::OutcomeUnknown && run.stopAnsweredAt
                && *run.stopAnsweredAt < sentAt) {
-        run.phase = RunPhase::Stopping;
+        setPhase(run, RunPhase::Stopping);
     }
     if (row.percent != run.percent || run.progressAt == TimePoint{}) {
         run.progressAt = now;
@@ -415,7 +432,7 @@
             target->responseTime.addSample(now - run.startSentAt);
         }
         if (run.phase == RunPhase::Starting) {
-            run.phase = RunPhase::Running;
+            setPhase(run, RunPhase::Running);
             run.confirmedAt = now;
             run.progressAt = now;
             if (job != nullptr && job->phase == JobPhase::Queued) {
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -308,7 +308,7 @@
     if (step.waiting != step.spec->count || !checkAttempts(*open.job, step, first, now)) {
         return;
     }
-    if (!mayUse(open.job->submission.workspace, step.spec->requiredResources * step.spec->count)) {
+    if (!mayUse(open.job->submission.workspace, step.spec->requiredResources, step.spec->count)) {
         return;
     }
     // Tries each rack alone if the gang prefers a single rack, then the whole pool.
@@ -403,7 +403,7 @@
 
 void OwnerCore::sendStart(TargetState &target, const TaskRef &ref, RunState &run, TimePoint now)
 {
-    run.phase = RunPhase::Starting;
+    setPhase(run, RunPhase::Starting);
     run.life = target.life;
     run.orderedAt = now;
     run.progressAt = now;
@@ -441,9 +441,35 @@
     return order;
 }
 
+// The cap may have been lowered since the run was allocated. A gang is sent whole or not at all:
+// one that has begun goes on, and one that has lost a member waits for another start.
+bool OwnerCore::mayStillStart(const TaskRef &ref, const RunState &run) const
+{
+    const auto *step = findStep(ref, nullptr, nullptr);
+    if (step != nullptr && step->spec->isGang) {
+        bool isWhole = true;
+        for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
+            const auto *target = step->tasks[index].target;
+            const TaskRef member{ref.job, ref.occurrence, ref.step, index};
+            if (target == nullptr || !target->runs.contains(member)) {
+                isWhole = false;
+            } else if (target->runs.at(member).phase != RunPhase::Allocated) {
+                return true;
+            }
+        }
+        if (!isWhole) {
+            return false;
+        }
+    }
+    return capRoom(run.workspace, run.resources, 0) != CapRoom::None;
+}
+
 // Sends the starts on targets that are now stored for their jobs.
 void OwnerCore::sendAllocatedStarts(TimePoint now)
 {
+    if (!m_jobsWithNewTargets.empty()) {
+        countUncertainUse(now);
+    }
     for (const auto id : std::exchange(m_jobsWithNewTargets, {})) {
         const auto job = m_jobs.find(id);
         if (job == m_jobs.end()) {
@@ -462,7 +488,8 @@
                 if (task.job != id || run.phase != RunPhase::Allocated) {
                     continue;
                 }
-                if (!isFinal(job->second->phase) && isUsable(*target, now)) {
+                if (!isFinal(job->second->phase) && isUsable(*target, now)
+                    && mayStillStart(task, run)) {
                     sendStart(*target, task, run, now);
                 } else {
                     dropped.push_back(task);
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -36,6 +36,7 @@
 namespace cyclamenlatch::scheduling {
 
 namespace detail {
+enum class RunPhase : std::uint8_t;
 struct JobState;
 struct OccurrenceState;
 struct RunState;
@@ -337,6 +338,7 @@
     RunState &addRun(TargetState &target, const TaskRef &task, const JobState &job,
                      const StepSpec &spec, RunState run);
     void dropRun(TargetState &target, const TaskRef &task);
+    void setPhase(RunState &run, detail::RunPhase phase);
     void releaseRun(TargetState &target, const TaskRef &task, TimePoint now);
     void releaseRuns(TargetState &target, Decision::Kind kind, TimePoint now);
     void handleRunEnd(TargetState &target, const EndedRun &end, TimePoint now);
@@ -471,10 +473,16 @@
     StartOrder startOrder(TargetState &target, const TaskRef &ref, const RunState &run) const;
     StopOrder stopOrder(TargetState &target, const TaskRef &ref, const RunState &run) const;
     void sendAllocatedStarts(TimePoint now);
+    bool mayStillStart(const TaskRef &ref, const RunState &run) const;
     static bool isDescribed(const TargetState &target);
     bool isUsable(const TargetState &target, TimePoint now) const;
     bool isEvacuated(const TargetState &target) const;
-    bool mayUse(const std::string &workspace, const Resources &requiredResources) const;
+    // What the workspace's cap leaves for so many more tasks that start together: room for all, for
+    // all but a part of the last one, or less. 0: for the start of a task that counts already.
+    enum class CapRoom { Enough, Partial, None };
+    CapRoom capRoom(const std::string &workspace, const Resources &task, std::uint32_t count) const;
+    // Whether they may be started now.
+    bool mayUse(const std::string &workspace, const Resources &task, std::uint32_t count = 1) const;
     bool isUncertain(const JobState &job, TimePoint now) const;
     void countUncertainUse(TimePoint now);
     static Resources maxResources(const std::vector<TargetState *> &pool);
@@ -519,8 +527,14 @@
     // Jobs that ended recently under this owner, which must not arrive again, and when they ended.
     std::unordered_set<JobNumber> m_ended;
     std::deque<std::pair<TimePoint, JobNumber>> m_endedAt;
-    // By workspace, the resources of all runs that are not known to have ended.
-    std::unordered_map<std::string, Resources> m_used;
+    // By workspace: the resources of all runs that are not known to have ended, and the number of
+    // those among them that are not known to have begun.
+    struct WorkspaceUse
+    {
+        Resources resources;
+        std::uint32_t startsUnderWay = 0;
+    };
+    std::unordered_map<std::string, WorkspaceUse> m_used;
     // By workspace, the jobs that it may still submit now within its rate.
     struct StartTokenBucket
     {
--- a/src/scheduling/resources.h
+++ b/src/scheduling/resources.h
@@ -50,6 +50,14 @@
                && (cap.memoryMib == 0 || memoryMib <= cap.memoryMib)
                && (cap.accelerators == 0 || accelerators <= cap.accelerators);
     }
+    // Whether what is in use leaves some of the cap of each resource that is taken here, and does
+    // not exceed that of the others.
+    bool mayStartBeside(const Resources &used, const Resources &cap) const
+    {
+        const auto some = [](std::int64_t taken) { return std::min<std::int64_t>(taken, 1); };
+        return (used + Resources{some(processors), some(memoryMib), some(accelerators)})
+                .isWithinCap(cap);
+    }
 };
 
 } // namespace cyclamenlatch::scheduling
