Occurrences that are due are opened as far as there is room

Cause: the owner opened every occurrence that was due at once, and each new owner did so as it loaded the job.

Change: a job has at most 64 open occurrences with waiting tasks (1,000 tasks), and a share of 2,000 (20,000) where many jobs have more due. Runs and ends that targets tell of open their occurrence, which an earlier owner may have opened; before its time no other task of it starts. Closed occurrences count for caps while targets are not contacted. Records list at most 4,000 done tasks.

--- a/src/scheduling/internal/ownercore.cpp
+++ b/src/scheduling/internal/ownercore.cpp
@@ -1,4 +1,4 @@
-// Jobs and their steps: arrival, opening of occurrences and steps, and ends.
+// Jobs and their steps: arrival, opening of steps, and ends.
 #include "scheduling/ownercore.h"
 
 #include "scheduling/internal/criticalpath.h"
@@ -11,14 +11,6 @@
 
 using detail::TaskPhase;
 
-namespace {
-
-// A result is late after its objective, and of no use after this many times the time that its
-// objective allows.
-constexpr int usefulFactor = 3;
-
-} // namespace
-
 OwnerCore::OwnerCore(OwnerSettings settings, TimePoint now, Listener listener)
     : m_settings(std::move(settings))
     , m_began(now)
@@ -88,6 +80,8 @@
     if (job->submission.spec.isTimed()) {
         m_timedJobs.insert(id);
     }
+    m_wallRead = wallNow;
+    m_wallReadAt = now;
     auto &added = *m_jobs.emplace(id, std::move(job)).first->second;
     openDue(added, now, wallNow);
     const bool isAwaited = std::any_of(
@@ -144,90 +138,6 @@
     return found == m_jobs.end() ? nullptr : &found->second->submission;
 }
 
-void OwnerCore::openDue(JobState &job, TimePoint now, WallTime wallNow)
-{
-    const auto &spec = job.submission.spec;
-    while (job.nextOccurrence < spec.occurrenceCount()) {
-        const auto due = spec.firstDue + spec.interval * job.nextOccurrence;
-        if (spec.isTimed() && due > wallNow) {
-            return;
-        }
-        openOccurrence(job, job.nextOccurrence++, now, wallNow);
-        if (isFinal(job.phase)) {
-            return;
-        }
-    }
-}
-
-void OwnerCore::openOccurrence(JobState &job, std::uint32_t number, TimePoint now, WallTime wallNow)
-{
-    const auto &spec = job.submission.spec;
-    if (job.occurrenceDone[number]) {
-        if (job.occurrencesDone == spec.occurrenceCount()) {
-            finishJob(job, JobPhase::Completed, now);
-        }
-        return;
-    }
-    OccurrenceState occurrence;
-    occurrence.number = number;
-    const auto due =
-            spec.isTimed() ? spec.firstDue + spec.interval * number : job.submission.submitted;
-    // The wall clocks may differ, so an age of more than a minute is not trusted.
-    const auto age = std::clamp<WallTime::duration>(wallNow - due, {}, std::chrono::minutes(1));
-    const auto *queue = queueLimits(job.submission.queue);
-    const double slack = queue == nullptr ? 1 : queue->slackFactor;
-    const Duration allowed =
-            std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
-                    slack * detail::longestPath(criticalPaths(job, now))))
-            + (queue == nullptr ? Duration{} : Duration{queue->targetLatency});
-    occurrence.objective = now - age + allowed;
-    occurrence.usefulUntil = now - age + usefulFactor * allowed;
-    occurrence.steps.resize(spec.steps.size());
-    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
-        auto &step = occurrence.steps[index];
-        step.spec = &spec.steps[index];
-        step.tasks.resize(step.spec->count);
-        step.waiting = step.spec->count;
-        const auto stored = job.loaded.steps.find({number, static_cast<std::uint32_t>(index)});
-        if (stored == job.loaded.steps.end()) {
-            continue;
-        }
-        const auto &progress = stored->second;
-        for (const auto done : progress.done) {
-            if (done < step.tasks.size() && step.tasks[done].phase == TaskPhase::Waiting) {
-                step.tasks[done].phase = TaskPhase::Done;
-                --step.waiting;
-                ++step.done;
-            }
-        }
-        for (const auto &[task, attempts] : progress.failedAttempts) {
-            if (step.spec->isGang) {
-                step.gangFailedAttempts = attempts;
-            } else if (task < step.tasks.size()) {
-                step.tasks[task].failedAttempts = attempts;
-            }
-        }
-        for (const auto &[task, checkpoint] : progress.checkpoints) {
-            if (task < step.tasks.size()) {
-                step.tasks[task].checkpoint = checkpoint;
-            }
-        }
-    }
-    for (const auto &step : occurrence.steps) {
-        occurrence.stepsDone += step.done == step.spec->count ? 1 : 0;
-    }
-    if (occurrence.stepsDone == occurrence.steps.size()) {
-        job.occurrenceDone[number] = true;
-        ++job.occurrencesDone;
-        if (job.occurrencesDone == spec.occurrenceCount()) {
-            finishJob(job, JobPhase::Completed, now);
-        }
-        return;
-    }
-    auto &added = job.occurrences.emplace(number, std::move(occurrence)).first->second;
-    openSteps(job, added, now);
-}
-
 void OwnerCore::openSteps(JobState &job, OccurrenceState &occurrence, TimePoint now)
 {
     m_openJobs.insert(job.submission.id);
--- a/src/scheduling/internal/ownerplan.cpp
+++ b/src/scheduling/internal/ownerplan.cpp
@@ -61,12 +61,17 @@
 
 std::vector<Order> OwnerCore::plan(TimePoint now, WallTime wallNow)
 {
+    m_wallRead = wallNow;
+    m_wallReadAt = now;
     for (auto at = m_timedJobs.begin(); at != m_timedJobs.end();) {
         const auto job = m_jobs.find(*at);
         const bool isLive = job != m_jobs.end() && !isFinal(job->second->phase);
         if (isLive) {
             openDue(*job->second, now, wallNow);
         }
+        if (!isLive) {
+            m_backloggedJobs.erase(*at);
+        }
         at = isLive ? std::next(at) : m_timedJobs.erase(at);
     }
     retryRejected(now);
--- a/src/scheduling/internal/ownerrecords.cpp
+++ b/src/scheduling/internal/ownerrecords.cpp
@@ -22,6 +22,8 @@
 // Steps of done occurrences that a record lists one by one. Beyond that, entries of versions that
 // don't know ranges would fail for the record's size before long.
 constexpr std::size_t maxListedSteps = 1000;
+// The same for the tasks of these steps.
+constexpr std::size_t maxListedTasks = 4000;
 
 StepProgress progressOf(const detail::StepState &step)
 {
@@ -171,7 +173,14 @@
 // The done occurrences of a job with many become ranges, so that its record stays small.
 void OwnerCore::compactDoneOccurrences(JobState &job)
 {
-    if (job.loaded.steps.size() < maxListedSteps) {
+    std::size_t tasks = 0;
+    for (const auto &step : job.submission.spec.steps) {
+        tasks += step.count;
+    }
+    const auto maxSteps = std::clamp<std::size_t>(maxListedTasks * job.submission.spec.steps.size()
+                                                          / std::max<std::size_t>(tasks, 1),
+                                                  1, maxListedSteps);
+    if (job.loaded.steps.size() < job.stepsKeptListed + maxSteps) {
         return;
     }
     auto &ranges = job.loaded.doneOccurrences;
@@ -189,6 +198,7 @@
     std::erase_if(job.loaded.steps, [&](const auto &item) {
         return item.first.first < job.occurrenceDone.size() && job.occurrenceDone[item.first.first];
     });
+    job.stepsKeptListed = job.loaded.steps.size();
 }
 
 void OwnerCore::flushDone(const Flush &flush, TimePoint)
--- a/src/scheduling/internal/ownerruns.cpp
+++ b/src/scheduling/internal/ownerruns.cpp
@@ -173,6 +173,7 @@
     if (isCurrent) {
         dropRun(target, end.task);
     }
+    openReported(end.task, now);
     JobState *job = nullptr;
     OccurrenceState *occurrence = nullptr;
     auto *step = findStep(end.task, &job, &occurrence);
@@ -292,6 +293,7 @@
 // stopped.
 void OwnerCore::adopt(TargetState &target, const RunStatus &row, TimePoint now)
 {
+    openReported(row.task, now);
     JobState *job = nullptr;
     StepState *step = nullptr;
     auto *task = findTask(row.task, &job, &step);
--- a/src/scheduling/internal/ownerstarts.cpp
+++ b/src/scheduling/internal/ownerstarts.cpp
@@ -55,6 +55,9 @@
 {
     const auto *queue = queueLimits(job.submission.queue);
     for (auto &[number, occurrence] : job.occurrences) {
+        if (now < occurrence.startsFrom) {
+            continue;
+        }
         const bool hasBegun =
                 std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
                             [](const StepState &step) { return step.waiting != step.spec->count; });
@@ -188,6 +191,12 @@
                 use += step.spec->allocatedResources() * step.waiting;
             }
         }
+        // An earlier owner may have opened more of what is due.
+        const auto closed = std::int64_t{std::max(job->occurrencesDue, job->nextOccurrence)}
+                            - job->nextOccurrence;
+        for (const auto &step : job->submission.spec.steps) {
+            use += step.allocatedResources() * step.count * closed;
+        }
     }
 }
 
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -76,6 +76,8 @@
     std::uint32_t number = 0;
     std::vector<StepState> steps;
     std::uint32_t stepsDone = 0;
+    // None of its tasks is started earlier.
+    TimePoint startsFrom{};
     // Time by which the occurrence should end, and that after which its result is of no use.
     TimePoint objective{};
     TimePoint usefulUntil{};
@@ -90,14 +92,20 @@
     std::vector<double> criticalPaths;
     TimePoint expectedAt{};
     JobPhase phase = JobPhase::Queued;
-    // Occurrences that are due and not done.
+    // Open occurrences: those that are due and not done, as far as there is room for them, and
+    // those that targets have told of.
     std::map<std::uint32_t, OccurrenceState> occurrences;
+    // All before nextOccurrence are open or done; all before occurrencesDue are due.
     std::uint32_t nextOccurrence = 0;
+    std::uint32_t occurrencesDue = 0;
     std::uint32_t occurrencesDone = 0;
-    // Whether each occurrence is done; valid up to nextOccurrence.
+    // Whether each occurrence is known to be done. Stored progress that lists all tasks of one
+    // counts once it is opened.
     std::vector<bool> occurrenceDone;
-    // Stored progress of occurrences that are done or not yet due.
+    // Stored progress of occurrences that are done or not open yet.
     JobProgress loaded;
+    // Steps of loaded that the last compaction could not turn into ranges.
+    std::size_t stepsKeptListed = 0;
     // Submitted after this owner took over, so no earlier owner has started any of its tasks.
     bool isNew = true;
     // The job arrived in excess of its workspace's rate.
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -311,7 +311,21 @@
                         const std::string &target, std::string detail = {});
 
     // Occurrences and steps.
+    // Opens what is due, as far as the job's share of what may wait allows.
     void openDue(JobState &job, TimePoint now, WallTime wallNow);
+    // Occurrences of a job with waiting tasks, and the number of these tasks.
+    struct WaitingWork
+    {
+        std::size_t occurrences = 0;
+        std::size_t tasks = 0;
+
+        void add(const OccurrenceState &occurrence);
+    };
+    static WaitingWork waitingWork(const JobState &job);
+    bool hasRoomForOccurrence(const WaitingWork &work) const;
+    // A target tells of a run of the task. An earlier owner has opened its occurrence; this one may
+    // not have yet.
+    void openReported(const TaskRef &task, TimePoint now);
     void openOccurrence(JobState &job, std::uint32_t number, TimePoint now, WallTime wallNow);
     void openSteps(JobState &job, OccurrenceState &occurrence, TimePoint now);
     StepState *findStep(const TaskRef &task, JobState **job, OccurrenceState **occurrence) const;
@@ -589,8 +603,12 @@
     bool m_hasUncontactedTargets = false;
     // A superset of the jobs that have open steps with waiting tasks.
     std::unordered_set<JobNumber> m_openJobs;
-    // Jobs with occurrences that become due at given times.
+    // Jobs with occurrences that become due at given times, and those with more due than are open.
     std::unordered_set<JobNumber> m_timedJobs;
+    std::unordered_set<JobNumber> m_backloggedJobs;
+    // The wall clock at its last reading, and when that was.
+    WallTime m_wallRead{};
+    TimePoint m_wallReadAt{};
     // Jobs whose stored progress is out of date, since when there are any, and since when there is
     // one whose caller waits for it.
     std::vector<JobNumber> m_dirty;
