Advice is asked for until targets with a ticket have room

Cause: askAdvice counted targets with a ticket, with or without room for the step's task.

Change: targets count that could take a task now. Others are asked about with those that have room first; lasting tasks ask about targets that they could reserve. To keep the service from being flooded, it is not asked about targets that can't run the step, not while the workspace's cap is used up, and ahead of room only where tickets last. Tickets of 300 ms and less are used at all.

--- a/src/scheduling/internal/owneradvice.cpp
+++ b/src/scheduling/internal/owneradvice.cpp
@@ -5,14 +5,21 @@
 #include "scheduling/internal/ownerstate.h"
 
 #include <algorithm>
+#include <string_view>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace cyclamenlatch::scheduling {
 
 namespace {
 
-// A ticket must be valid for at least this long when a start is sent, to cover the transmission.
+// A ticket must be valid for at least this long when a start is sent, to cover the transmission;
+// one that is short-lived, for half of its validity.
 constexpr std::chrono::milliseconds ticketMargin{300};
+// Advice on targets without room is asked for only if it lasts this long, so that there is a chance
+// of room meanwhile.
+constexpr std::chrono::milliseconds minValidityAhead{1000};
 // Limit of unanswered calls: the advice service handles one call at a time and refuses calls when
 // 32 wait.
 constexpr std::uint32_t maxAdviceCalls = 4;
@@ -43,37 +50,106 @@
 {
     const auto found = step.tickets.find(target.info.id);
     return found != step.tickets.end() && found->second.life == target.life
-                           && found->second.validUntil > now + ticketMargin
+                           && found->second.usableUntil > now
                    ? &found->second
                    : nullptr;
 }
 
-// Asks about targets for which there is no valid answer, those with the most free processors first
-// and a few more than the step needs. There is at most one unanswered call per step.
-void OwnerCore::askAdvice(const OpenStep &open, const std::vector<TargetState *> &pool,
-                          TimePoint now)
+// Whether a task of the step could be on the target as soon as there is room.
+bool OwnerCore::isOpenTo(const OpenStep &open, const TargetState &target, TimePoint now)
 {
-    auto &step = *open.step;
-    if (step.isAdviceAsked || now < step.adviceAfter || m_adviceCalls >= maxAdviceCalls) {
-        return;
+    const auto &reserved = target.reservedFor;
+    const bool isReservedForOther =
+            reserved && target.reservedUntil > now
+            && TaskRef{reserved->job, reserved->occurrence, reserved->step, 0}
+                       != TaskRef{open.job->submission.id, open.occurrence->number, open.stepIndex,
+                                  0};
+    return !isReservedForOther && meetsConstraints(*open.step, target);
+}
+
+// Whether the target would have room for the task without its short tasks, which a reservation
+// preempts.
+bool OwnerCore::hasRoomAfterPreemption(const TargetState &target, const Resources &task)
+{
+    Resources longRunning;
+    for (const auto &[other, run] : target.runs) {
+        if (run.isLongRunning) {
+            longRunning += run.resources;
+        }
     }
-    std::uint32_t usable = 0;
+    return task.fitsIn(target.info.capacity - longRunning);
+}
+
+// Targets that the advice service is to be asked about for the step, the best ones first; none if
+// those with a ticket will do, or if asking can't help.
+std::vector<OwnerCore::TargetState *> OwnerCore::targetsToAskAbout(
+        const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now)
+{
+    const auto &step = *open.step;
+    const auto task = step.spec->allocatedResources();
+    // With a ticket, of any kind and with room now. Room alone tells nothing of what a long-running
+    // task may still get.
+    std::uint32_t advised = 0;
+    std::uint32_t ready = 0;
+    bool mayReserveAdvised = false;
     std::vector<TargetState *> unknown;
     for (auto *target : pool) {
+        if (!isOpenTo(open, *target, now)) {
+            continue;
+        }
         if (findTicket(step, *target, now) == nullptr) {
             unknown.push_back(target);
         } else if (isAdvised(open, *target, now)) {
-            ++usable;
+            ++advised;
+            ready += task.fitsIn(target->info.capacity - target->used) ? 1 : 0;
+            mayReserveAdvised =
+                    mayReserveAdvised
+                    || (step.spec->isLongRunning && hasRoomAfterPreemption(*target, task));
         }
     }
-    if (unknown.empty() || usable >= step.waiting) {
+    if (ready >= step.waiting) {
+        return {};
+    }
+    const auto hasRoom = [&](const TargetState *target) {
+        return task.fitsIn(target->info.capacity - target->used);
+    };
+    const auto firstWithoutRoom = std::partition(unknown.begin(), unknown.end(), hasRoom);
+    const bool canReserveOthers = step.spec->isLongRunning && !mayReserveAdvised;
+    if (firstWithoutRoom == unknown.begin() && canReserveOthers) {
+        std::erase_if(unknown,
+                      [&](const auto *target) { return !hasRoomAfterPreemption(*target, task); });
+    } else if (advised >= step.waiting || open.advice->validity < minValidityAhead) {
+        unknown.erase(firstWithoutRoom, unknown.end());
+    }
+    // Advice on a step does not change: a target that had a ticket gets another one.
+    const auto rank = [&](const TargetState *target) {
+        const auto known = step.tickets.find(target->info.id);
+        const bool hadTicket = known != step.tickets.end() && known->second.life == target->life
+                               && !known->second.text.empty();
+        return std::tuple(!hasRoom(target), !hadTicket,
+                          target->used.processors - target->info.capacity.processors,
+                          std::string_view(target->info.id));
+    };
+    std::sort(unknown.begin(), unknown.end(),
+              [&](const auto *left, const auto *right) { return rank(left) < rank(right); });
+    return unknown;
+}
+
+// There is at most one unanswered call per step. Each target is asked about once while its answer
+// is valid, and a few more than the step needs at a time.
+void OwnerCore::askAdvice(const OpenStep &open, const std::vector<TargetState *> &pool,
+                          TimePoint now)
+{
+    auto &step = *open.step;
+    const auto task = step.spec->allocatedResources();
+    if (step.isAdviceAsked || now < step.adviceAfter || m_adviceCalls >= maxAdviceCalls
+        || capRoom(open.job->submission.workspace, task, 1) == CapRoom::None) {
+        return;
+    }
+    const auto unknown = targetsToAskAbout(open, pool, now);
+    if (unknown.empty()) {
         return;
     }
-    std::sort(unknown.begin(), unknown.end(), [](const auto *left, const auto *right) {
-        return std::pair(left->used.processors - left->info.capacity.processors, left->info.id)
-               < std::pair(right->used.processors - right->info.capacity.processors,
-                           right->info.id);
-    });
     const auto wanted = std::min<std::size_t>(
             {unknown.size(), maxTargetsPerCall, std::size_t{targetsPerTask} * step.waiting});
     AdviseOrder order;
@@ -98,7 +174,7 @@
         return;
     }
     step->isAdviceAsked = false;
-    if (!approved) {
+    if (!approved || validity.count() <= 0) {
         step->adviceAfter = now + adviceRetryDelay;
         return;
     }
@@ -109,7 +185,7 @@
     for (const auto &advice : *approved) {
         if (const auto ticket = step->tickets.find(advice.target); ticket != step->tickets.end()) {
             ticket->second.text = advice.ticket;
-            ticket->second.validUntil = now + validity;
+            ticket->second.usableUntil = now + validity - std::min(ticketMargin, validity / 2);
         }
     }
 }
--- a/src/scheduling/internal/ownerreservations.cpp
+++ b/src/scheduling/internal/ownerreservations.cpp
@@ -51,13 +51,7 @@
         if (!allows(open, *target, ref, now) || !isAdvised(open, *target, now)) {
             continue;
         }
-        Resources longRunning;
-        for (const auto &[other, run] : target->runs) {
-            if (run.isLongRunning) {
-                longRunning += run.resources;
-            }
-        }
-        if (!resources.fitsIn(target->info.capacity - longRunning)) {
+        if (!hasRoomAfterPreemption(*target, resources)) {
             continue;
         }
         if (target->reservedFor == ref && target->reservedUntil > now) {
--- a/src/scheduling/internal/ownerstate.h
+++ b/src/scheduling/internal/ownerstate.h
@@ -47,7 +47,8 @@
 struct Ticket
 {
     std::string text;
-    TimePoint validUntil{};
+    // No start with the ticket is sent later.
+    TimePoint usableUntil{};
     // The target's life that the advice is for; see TargetState::life.
     std::uint32_t life = 0;
 };
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -466,6 +466,11 @@
     static bool isAdvised(const OpenStep &open, const TargetState &target, TimePoint now);
     static const detail::Ticket *findTicket(const StepState &step, const TargetState &target,
                                             TimePoint now);
+    static bool isOpenTo(const OpenStep &open, const TargetState &target, TimePoint now);
+    static bool hasRoomAfterPreemption(const TargetState &target, const Resources &task);
+    static std::vector<TargetState *> targetsToAskAbout(const OpenStep &open,
+                                                        const std::vector<TargetState *> &pool,
+                                                        TimePoint now);
     void askAdvice(const OpenStep &open, const std::vector<TargetState *> &pool, TimePoint now);
     void reserve(const OpenStep &open, const TaskState &task, const TaskRef &ref,
                  const std::vector<TargetState *> &pool, TimePoint now);
