Settled incarnations are kept for targets that return

Cause: a target that was out of reach for long is erased, and with it that its incarnation was settled. When it returned without a restart, unknown leases on it counted as the longest ones again, 10 s for 4.5 s, and a change of owners in that time held its jobs back.

Change: settled incarnations of erased targets are kept, 512 at most, also for the next owner. A target that is listed again with that incarnation is settled at once.

--- a/src/scheduling/internal/ownerleases.cpp
+++ b/src/scheduling/internal/ownerleases.cpp
@@ -124,12 +124,30 @@
             m_settled[id] = target->incarnation;
         }
     }
-    return m_settled;
+    auto known = m_settled;
+    known.insert(m_settledBefore.begin(), m_settledBefore.end());
+    return known;
 }
 
-void OwnerCore::restoreSettledIncarnations(std::map<std::string, std::int64_t> settled)
+void OwnerCore::restoreSettledIncarnations(const std::map<std::string, std::int64_t> &settled)
 {
-    m_settled = std::move(settled);
+    for (const auto &[id, incarnation] : settled) {
+        if (findTarget(id) != nullptr) {
+            m_settled[id] = incarnation;
+        } else {
+            rememberSettled(id, incarnation);
+        }
+    }
+}
+
+void OwnerCore::rememberSettled(const std::string &id, std::int64_t incarnation)
+{
+    // A few data centres of a large fleet; most of those that return do so within seconds.
+    constexpr std::size_t maxRemembered = 512;
+    m_settledBefore[id] = incarnation;
+    if (m_settledBefore.size() > maxRemembered) {
+        m_settledBefore.erase(m_settledBefore.begin());
+    }
 }
 
 std::uint64_t OwnerCore::fencingToken(const std::string &id) const
--- a/src/scheduling/internal/ownertargets.cpp
+++ b/src/scheduling/internal/ownertargets.cpp
@@ -45,7 +45,9 @@
         return;
     }
     fenceEarlierCalls(*found->second);
-    m_settled.erase(id);
+    if (const auto settled = m_settled.extract(id)) {
+        rememberSettled(id, settled.mapped());
+    }
     std::erase(m_targetsById, found->second.get());
     std::erase(m_targetsToPlan, found->second.get());
     m_targets.erase(found);
@@ -105,6 +107,13 @@
     }
     target.isListed = true;
     target.info = info;
+    if (const auto before = m_settledBefore.find(info.id);
+        before != m_settledBefore.end() && info.incarnation != 0) {
+        if (before->second == info.incarnation) {
+            m_settled[info.id] = info.incarnation;
+        }
+        m_settledBefore.erase(before);
+    }
     scheduleForPlanning(target);
     if (entryNamesLaterIncarnation(target)) {
         // The entry may be from another writer, so the target itself has to confirm it: until it
@@ -128,6 +137,9 @@
     auto &target = targetState(id);
     target.isRecorded = true;
     target.hasEarlierCalls = true;
+    if (auto settled = m_settledBefore.extract(id)) {
+        m_settled.insert(std::move(settled));
+    }
 }
 
 void OwnerCore::targetRecorded(const std::string &id)
--- a/src/scheduling/ownercore.h
+++ b/src/scheduling/ownercore.h
@@ -192,7 +192,7 @@
     // By id, the incarnations of targets on which no lease can last longer than maxRunLease from
     // the last call of an owner: stored for the next owner, which may not reach the target.
     std::map<std::string, std::int64_t> settledIncarnations(TimePoint now);
-    void restoreSettledIncarnations(std::map<std::string, std::int64_t> settled);
+    void restoreSettledIncarnations(const std::map<std::string, std::int64_t> &settled);
     // The clock of the target's known incarnation; nothing before its first answer.
     std::optional<std::chrono::milliseconds> clockOf(const std::string &id, TimePoint now) const;
 
@@ -537,6 +537,10 @@
     std::uint32_t m_lives = 0;
     // See settledIncarnations.
     std::map<std::string, std::int64_t> m_settled;
+    // The same of targets that were out of reach for so long that they were erased. One that is
+    // listed again with that incarnation has not restarted.
+    std::map<std::string, std::int64_t> m_settledBefore;
+    void rememberSettled(const std::string &id, std::int64_t incarnation);
     // Targets that changed since they were last examined; each has isScheduledForPlanning set.
     std::vector<TargetState *> m_targetsToPlan;
     PlanningStatistics m_statistics;
--- a/src/scheduling/tests/unknownleases_tests.cpp
+++ b/src/scheduling/tests/unknownleases_tests.cpp
@@ -127,6 +127,50 @@
     EXPECT_TRUE(afterRestart.goOn(shortLease, {"t2"}).empty());
 }
 
+// Guards against long-running tasks that stay down for 10 s: their target was out of reach for
+// long, returned without a restart and was lost again, with the store, right after that.
+TEST(UnknownLeases, areNotHeldByATargetThatReturnsWithoutARestart)
+{
+    for (const bool hasOwnerChanged : {false, true}) {
+        for (const std::int64_t incarnation : {1, 2000}) {
+            UnknownLeasesFixture first;
+            first.listAs("t1", 1);
+            first.poll("t1", 1);
+            first.goOn(longestLease, {"t1"});
+            ASSERT_TRUE(first.core.settledIncarnations(first.now).contains("t1"));
+            first.core.targetUnlisted("t1", first.now);
+            for (int failures = 0; failures < 3; ++failures) {
+                first.core.keepAliveFailed("t1", first.now);
+            }
+            first.goOn(shortLease, {});
+            ASSERT_EQ(first.core.target("t1"), nullptr);
+            UnknownLeasesFixture second(2);
+            second.now = first.now;
+            second.core.restoreSettledIncarnations(first.core.settledIncarnations(first.now));
+            auto &fixture = hasOwnerChanged ? second : first;
+            fixture.listAs("t1", incarnation);
+            EXPECT_EQ(fixture.core.settledIncarnations(fixture.now).contains("t1"),
+                      incarnation == 1);
+            fixture.poll("t1", incarnation);
+            fixture.poll("t1", incarnation);
+            EXPECT_EQ(fixture.core.settledIncarnations(fixture.now).contains("t1"),
+                      incarnation == 1);
+        }
+    }
+}
+
+// Ids of targets that are gone for good do not fill the record.
+TEST(UnknownLeases, areRememberedOfABoundedNumberOfTargetsThatAreGone)
+{
+    UnknownLeasesFixture fixture;
+    std::map<std::string, std::int64_t> settled;
+    for (int number = 0; number < 5000; ++number) {
+        settled["gone-" + std::to_string(number)] = number + 1;
+    }
+    fixture.core.restoreSettledIncarnations(settled);
+    EXPECT_LE(fixture.core.settledIncarnations(fixture.now).size(), 1000U);
+}
+
 // An incarnation that is gone is settled no more.
 TEST(UnknownLeases, mayBeHeldAgainAfterARestart)
 {
