--- a/src/scheduling/tests/workspacecaps_tests.cpp
+++ b/src/scheduling/tests/workspacecaps_tests.cpp
@@ -182,7 +182,8 @@
     void cancel(std::size_t choice)
     {
         if (!m_steps.empty()) {
-            const auto id = std::next(m_steps.begin(), choice % m_steps.size())->first;
+            const auto place = static_cast<std::ptrdiff_t>(choice % m_steps.size());
+            const auto id = std::next(m_steps.begin(), place)->first;
             m_cancelled.insert(id);
             m_owner->core.jobCancelled(id, m_owner->now);
         }
@@ -257,7 +258,7 @@
             }
             for (const auto &[id, number] : flush.endsCovered) {
                 std::erase_if(m_targets[id].ends,
-                              [&](const auto &end) { return end.number <= number; });
+                              [last = number](const auto &end) { return end.number <= last; });
             }
         }
     }
